--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+# Every target works after "go mod download" alone.
+SHELL   := /bin/bash
+GO      ?= go
+BIN     := $(CURDIR)/bin
+LINT    := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+PROGRAMS := rudder-control rudder-entry rudder-agent rudderctl
+
+.PHONY: help build tools demo test lint unit race real prove bench
+
+help: ## list the targets
+	@grep -hE '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 10
+
+build: ## build the programs and the stand-ins into bin/
+	@mkdir -p $(BIN)
+	@$(GO) build -o $(BIN)/ ./cmd/...
+
+tools: ## build the pinned formatter and linter into bin/
+	@mkdir -p $(BIN)
+	@cd tools && GOBIN=$(BIN) $(GO) install mvdan.cc/gofumpt
+	@test -x $(BIN)/golangci-lint || GOBIN=$(BIN) $(GO) install $(LINT)
+
+demo: build ## start one of everything on loopback and show what it does
+	@$(BIN)/demo -bin $(BIN)
+
+lint: tools ## formatter, linter and vet
+	@out=$$($(BIN)/gofumpt -l $$(git ls-files '*.go')); test -z "$$out" || { echo "not formatted: $$out"; exit 1; }
+	@$(GO) vet ./...
+	@$(BIN)/golangci-lint run ./...
+
+unit: ## tests without processes
+	@$(GO) test ./...
+
+race: ## the same under the race detector
+	@$(GO) test -race ./...
+
+real: build ## tests with real processes behind a fault-injecting proxy
+	@RUDDER_BIN=$(BIN) $(GO) test -count=1 -timeout 20m ./proof/...
+
+test: lint unit race real ## every check
+
+prove: build ## print one line for each promise of the brief
+	@RUDDER_BIN=$(BIN) $(GO) test -count=1 -timeout 40m -v -run 'TestProve' ./proof/... | grep -E '^(PROVED|FAILED|ok|FAIL|---)' ; exit $${PIPESTATUS[0]}
+
+bench: build ## print the measurements
+	@RUDDER_BIN=$(BIN) $(GO) run ./cmd/bench -bin $(BIN)
--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,172 @@
+// Package agent is the process beside each VM's upstreams and worker.
+//
+// Towards entries it is the way to the upstream: it admits requests to the
+// upstream's slots, refuses what cannot be answered in time, and lets a claimed
+// request run once. Towards control it is the end of the VM's lease: it starts,
+// slows and stops tasks at the platform's worker and is the last check on what
+// the VM may run.
+package agent
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/thejerf/suture/v4"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/internal/admin"
+	"rudderfork.example/rudderfork/internal/errs"
+	"rudderfork.example/rudderfork/internal/steady"
+	"rudderfork.example/rudderfork/node"
+	"rudderfork.example/rudderfork/state"
+	"rudderfork.example/rudderfork/timeline"
+	"rudderfork.example/rudderfork/wire"
+)
+
+const (
+	// timelineSize is how many events an agent keeps.
+	timelineSize = 8192
+	// headerTimeout bounds how long an entry may take to send its headers.
+	headerTimeout = 5 * time.Second
+	// quietPause is how often a stopping agent looks whether it is idle.
+	quietPause = 50 * time.Millisecond
+)
+
+// Process is an agent, ready to serve.
+type Process struct {
+	cfg    Settings
+	log    zerolog.Logger
+	boot   string
+	addr   string // for requests, as entries reach it
+	admin  string
+	table  *node.Table
+	client *node.Client
+	front  *front
+	tasks  *tasks
+	srv    *http.Server
+	ln     net.Listener
+	sup    *suture.Supervisor
+}
+
+// New opens the listeners.
+func New(cfg Settings, log zerolog.Logger) (p *Process, err error) {
+	defer errs.Annotate(&err, "agent %s", cfg.Name)
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return nil, err
+	}
+	adminLn, err := net.Listen("tcp", cfg.Admin)
+	if err != nil {
+		return nil, err
+	}
+	ring := timeline.NewRing(cfg.Name, cfg.Place, timelineSize, steady.Now)
+	p = &Process{cfg: cfg, log: log, boot: rand.Text(), ln: ln, addr: ln.Addr().String(), admin: adminLn.Addr().String()}
+	if cfg.Advertise != "" {
+		p.addr = cfg.Advertise
+	}
+	p.table = node.NewTable()
+	p.client = node.NewClient(cfg.Control, cfg.Beat, p.table, p, log)
+	p.front = newFront(cfg, p.boot, p.table, log, ring)
+	p.tasks = newTasks(cfg, p.client, p.front, log, ring)
+	p.srv = &http.Server{Handler: p.front.handler(), ReadHeaderTimeout: headerTimeout}
+	adm := admin.New(adminLn, ring, p.ready)
+	adm.Registry().MustRegister(newCollector(p))
+	p.sup = suture.New("agent", suture.Spec{EventHook: func(e suture.Event) {
+		log.Warn().Str("detail", e.String()).Msg("supervisor")
+	}})
+	p.sup.Add(p.client)
+	p.sup.Add(p.tasks)
+	p.sup.Add(p.front)
+	p.sup.Add(adm)
+	log.Info().Str("listen", ln.Addr().String()).Str("admin", p.admin).Str("boot", p.boot).Msg("started")
+	return p, nil
+}
+
+func (p *Process) ready() error {
+	switch {
+	case !p.table.Known():
+		return errors.New("the table is not known yet")
+	case p.front.isLeaving():
+		return errors.New("leaving")
+	}
+	return nil
+}
+
+// Run serves until ctx ends. Then it takes no new requests, finishes those in
+// progress, feeds included, and only then ends. Tasks go on at the worker until
+// their lease ends; an agent that is back by then takes them up again.
+func (p *Process) Run(ctx context.Context) (err error) {
+	defer errs.Annotate(&err, "agent %s", p.cfg.Name)
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	failed := p.sup.ServeBackground(inner)
+	served := make(chan error, 1)
+	go func() { served <- p.srv.Serve(p.ln) }()
+	select {
+	case err := <-served:
+		return err
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	p.drain()
+	_ = p.srv.Close() // nothing is in progress
+	p.log.Info().Msg("stopped")
+	return nil
+}
+
+// drain waits until nothing is in progress, or the settings' limit has passed.
+func (p *Process) drain() {
+	p.log.Info().Msg("stopping")
+	p.front.leave("the agent is stopping")
+	limit := time.Now().Add(p.cfg.DrainLimit)
+	for p.front.inProgress() > 0 && time.Now().Before(limit) {
+		time.Sleep(quietPause)
+	}
+}
+
+// Hello implements node.Handler.
+func (p *Process) Hello() wire.Hello {
+	h := wire.Hello{Kind: wire.KindAgent, Process: p.cfg.Name, Place: p.cfg.Place, Boot: p.boot, Admin: p.admin}
+	if p.tasks.workerSeen() {
+		h.Register = &state.Register{
+			Place: p.cfg.Place, Addr: p.addr, Capacity: p.cfg.Capacity, Reserved: p.cfg.Reserved,
+			Services: p.cfg.services(), Boot: p.boot,
+		}
+	}
+	return h
+}
+
+// Beat implements node.Handler.
+func (p *Process) Beat() wire.Beat {
+	b := p.tasks.beat()
+	b.Services = p.front.usage()
+	b.Leaving = p.front.isLeaving()
+	return b
+}
+
+// Handle implements node.Handler.
+func (p *Process) Handle(m wire.ToNode) {
+	if m.Update != nil {
+		p.front.tableChanged()
+		return
+	}
+	if m.Assign != nil {
+		p.front.setDraining(m.Assign.Draining)
+	}
+	p.tasks.handle(m)
+}
+
+// services returns the names of the services here.
+func (s Settings) services() []rudderfork.Service {
+	var names []rudderfork.Service
+	for _, u := range s.Upstreams {
+		names = append(names, u.Service)
+	}
+	return names
+}
--- /dev/null
+++ b/agent/tasks.go
@@ -0,0 +1,250 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/internal/steady"
+	"rudderfork.example/rudderfork/lease"
+	"rudderfork.example/rudderfork/node"
+	"rudderfork.example/rudderfork/throttle"
+	"rudderfork.example/rudderfork/wire"
+	"rudderfork.example/rudderfork/worker"
+)
+
+const (
+	// workerPause is how often the worker is asked while nothing changes.
+	workerPause = 250 * time.Millisecond
+	// idlePause is the same while no task is wanted or seen.
+	idlePause = time.Second
+	// reportPause is the rest before a report that control has not acted on is
+	// sent again.
+	reportPause = 500 * time.Millisecond
+	// workerLimit is after how much silence the worker counts as gone. The VM
+	// then asks for no lease, so that its tasks are freed.
+	workerLimit = 2 * time.Second
+)
+
+// tasks brings the worker in line with the leases that control grants.
+type tasks struct {
+	cfg    Settings
+	client *node.Client
+	front  *front
+	worker *worker.Client // nil without a worker
+	log    zerolog.Logger
+	rec    rudderfork.Recorder
+	woken  chan struct{}
+
+	mu       sync.Mutex
+	holder   *lease.Holder
+	ladder   throttle.Ladder
+	levels   map[rudderfork.TaskID]int
+	renewed  time.Time // the deadline that the worker was last given
+	seenAt   time.Time // when the worker last answered
+	reportID uint64
+	notes    []wire.DecisionNote
+	reported map[lease.AttemptRef]time.Time // when to report again
+}
+
+func newTasks(cfg Settings, c *node.Client, f *front, log zerolog.Logger, rec rudderfork.Recorder) *tasks {
+	t := &tasks{
+		cfg: cfg, client: c, front: f, log: log, rec: rec, woken: make(chan struct{}, 1),
+		holder: lease.NewHolder(cfg.Capacity.Sub(cfg.Reserved)), levels: map[rudderfork.TaskID]int{},
+		reported: map[lease.AttemptRef]time.Time{},
+	}
+	if cfg.Worker != "" {
+		t.worker = worker.New(cfg.Worker)
+	}
+	return t
+}
+
+// String names the service in the supervisor's log.
+func (t *tasks) String() string { return "tasks" }
+
+// workerSeen reports whether the worker answers; true without a worker.
+func (t *tasks) workerSeen() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.worker == nil || steady.Now().Sub(t.seenAt) < workerLimit
+}
+
+// handle takes what control says about leases.
+func (t *tasks) handle(m wire.ToNode) {
+	t.mu.Lock()
+	switch {
+	case m.Welcome != nil:
+		t.holder.Welcome(m.Welcome.Epoch)
+	case m.Grant != nil:
+		t.holder.Grant(m.Grant.Epoch, rudderfork.FromMillis(m.Grant.Deadline))
+	case m.Assign != nil:
+		t.holder.Assign(m.Assign.Epoch, m.Assign.Revision, m.Assign.Leases)
+	}
+	t.mu.Unlock()
+	select {
+	case t.woken <- struct{}{}:
+	default:
+	}
+}
+
+// Serve implements suture.Service.
+func (t *tasks) Serve(ctx context.Context) error {
+	if t.worker == nil {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	for ctx.Err() == nil {
+		busy := t.round(ctx)
+		wait := idlePause
+		if busy {
+			wait = workerPause
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+		case <-t.woken:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+	return ctx.Err()
+}
+
+// round renews, observes and acts once. It reports whether there are tasks.
+func (t *tasks) round(ctx context.Context) (busy bool) {
+	seen := t.workerSeen()
+	t.renew(ctx)
+	boot, list, err := t.worker.List(ctx)
+	if err != nil {
+		if seen && !t.workerSeen() {
+			t.log.Warn().Err(err).Msg("worker_gone")
+			t.client.Reconnect() // without a registration: no more leases
+		}
+		return true
+	}
+	t.mu.Lock()
+	t.seenAt = steady.Now()
+	t.holder.Observe(boot, list)
+	t.throttle()
+	actions := t.holder.Next(steady.Now())
+	deadline := t.holder.Deadline()
+	t.mu.Unlock()
+	if !seen {
+		t.log.Info().Msg("worker_seen")
+		t.client.Reconnect() // with a registration
+	}
+	t.act(ctx, actions, deadline)
+	return len(list) > 0 || len(actions) > 0
+}
+
+// renew passes a new deadline on.
+func (t *tasks) renew(ctx context.Context) {
+	t.mu.Lock()
+	d, old := t.holder.Deadline(), t.renewed
+	t.mu.Unlock()
+	if !d.After(old) {
+		return
+	}
+	if t.worker.Renew(ctx, d) == nil {
+		t.mu.Lock()
+		t.renewed = d
+		t.mu.Unlock()
+	}
+}
+
+func (t *tasks) act(ctx context.Context, actions []lease.Action, deadline time.Time) {
+	var reports []rudderfork.Report
+	for _, a := range actions {
+		var err error
+		switch {
+		case a.Report != nil:
+			if t.dueReport(*a.Report) {
+				reports = append(reports, *a.Report)
+			}
+		case a.Forget != nil:
+			delete(t.reported, *a.Forget)
+			err = t.worker.Forget(ctx, *a.Forget)
+		case a.Stop != nil:
+			t.event("stopping", a.Stop.Task, fmt.Sprintf("token %d", a.Stop.Token))
+			err = t.worker.Stop(ctx, *a.Stop)
+		case a.Throttle != nil:
+			err = t.worker.Throttle(ctx, *a.Throttle)
+		case a.Start != nil:
+			t.event("starting", a.Start.Task, fmt.Sprintf("token %d from unit %d", a.Start.Token, a.Start.Checkpoint))
+			err = t.worker.Start(ctx, *a.Start, deadline)
+		}
+		if err != nil {
+			// The next round sees what became of it.
+			t.log.Warn().Err(err).Msg("worker_call_failed")
+		}
+	}
+	if len(reports) > 0 {
+		t.reportID++
+		t.client.Send(wire.ToControl{Reports: &wire.ReportBatch{ID: t.reportID, Reports: reports}})
+	}
+}
+
+// dueReport reports whether a report was not sent yet, or long ago.
+func (t *tasks) dueReport(r rudderfork.Report) bool {
+	ref, now := lease.AttemptRef{Task: r.Task, Token: r.Token}, steady.Now()
+	if now.Before(t.reported[ref]) {
+		return false
+	}
+	t.reported[ref] = now.Add(reportPause)
+	return true
+}
+
+func (t *tasks) event(kind string, task rudderfork.TaskID, text string) {
+	t.rec.Record(rudderfork.Event{Kind: kind, Subject: string(task), Text: text})
+}
+
+// throttle moves the ladder by the services' pressure. t.mu is held.
+func (t *tasks) throttle() {
+	running := t.holder.Running()
+	p := t.front.pressure()
+	t.ladder.Observe(p, len(running), steady.Now())
+	var ts []throttle.Task
+	for _, r := range running {
+		l, _ := t.holder.Lease(r.Task)
+		ts = append(ts, throttle.Task{ID: r.Task, Weight: l.Weight})
+	}
+	for id, level := range t.ladder.Levels(ts) {
+		t.holder.SetThrottle(id, level)
+		if level == t.levels[id] {
+			continue
+		}
+		text := fmt.Sprintf("level %d to %d of %d: the services here are at %.0f%% of their targets", t.levels[id], level, throttle.MaxLevel, 100*p)
+		t.event("throttled", id, text)
+		t.notes = append(t.notes, wire.DecisionNote{At: rudderfork.Millis(steady.Now()), Task: id, What: "throttled", Reason: text})
+		t.levels[id] = level
+	}
+	if len(ts) == 0 {
+		clear(t.levels)
+	}
+}
+
+// beat reports the usage of tasks; notes go with it.
+func (t *tasks) beat() wire.Beat {
+	seen := t.workerSeen()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var b wire.Beat
+	if seen {
+		b.Epoch = t.holder.Epoch()
+	}
+	for _, r := range t.holder.Running() {
+		b.Tasks = append(b.Tasks, wire.TaskUsage{
+			Task: r.Task, Token: r.Token, Used: r.Used, Checkpoint: r.Checkpoint, Progress: r.Progress,
+			Throttle: r.Throttle, At: r.At,
+		})
+	}
+	b.Exhausted = t.ladder.Exhausted(steady.Now())
+	if len(t.notes) > 0 && t.client.Send(wire.ToControl{Notes: t.notes}) {
+		t.notes = nil
+	}
+	return b
+}
--- /dev/null
+++ b/claim/claim.go
@@ -0,0 +1,126 @@
+// Package claim is the agent's memory of requests that must run at most once.
+//
+// Control grants the right to run a keyed request as a token, for one VM and one
+// boot of its agent. The agent lets a token run once. Asked about a token that
+// it has not seen, it answers "never" and refuses it from then on, which is what
+// lets another entry take the request over without running it twice.
+//
+// The memory is lost when the agent ends; a claim that names an earlier boot is
+// then unknown for good.
+package claim
+
+import (
+	"errors"
+	"time"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/state"
+	"rudderfork.example/rudderfork/wire"
+)
+
+// The reasons why Begin refuses. Under both the request did not run now.
+var (
+	// ErrSeen means that the token, or a later one, was seen or fenced off.
+	ErrSeen = errors.New("the claim was used or fenced off")
+	// ErrFull means that no more claims can be remembered.
+	ErrFull = errors.New("too many claims are remembered")
+)
+
+// maxClaims bounds the memory; a claim takes at most MaxAnswer bytes of answer.
+const maxClaims = 20_000
+
+// Memory remembers claims until they expire. It is not safe for concurrent use.
+type Memory struct {
+	entries map[state.ClaimKey]*entry
+	order   []expiry
+}
+
+// entry is what is known of one key.
+type entry struct {
+	token   rudderfork.Token
+	fate    wire.Fate
+	answer  *state.Answer
+	expires time.Time
+}
+
+// expiry orders entries for removal.
+type expiry struct {
+	key state.ClaimKey
+	at  time.Time
+}
+
+// New returns an empty memory.
+func New() *Memory { return &Memory{entries: map[state.ClaimKey]*entry{}} }
+
+// Begin notes that the request is about to run under token.
+func (m *Memory) Begin(k state.ClaimKey, token rudderfork.Token, expires, now time.Time) error {
+	m.expire(now)
+	if e := m.entries[k]; e != nil && e.token >= token {
+		return ErrSeen
+	}
+	return m.put(k, &entry{token: token, fate: wire.FateRunning, expires: expires})
+}
+
+func (m *Memory) put(k state.ClaimKey, e *entry) error {
+	old := m.entries[k]
+	if old == nil {
+		if len(m.entries) >= maxClaims {
+			return ErrFull
+		}
+		m.order = append(m.order, expiry{k, e.expires})
+	}
+	m.entries[k] = e
+	return nil
+}
+
+// NotRun notes that the request was refused before it reached the upstream.
+func (m *Memory) NotRun(k state.ClaimKey, token rudderfork.Token) {
+	m.end(k, token, wire.FateNever, nil)
+}
+
+// Done notes the answer.
+func (m *Memory) Done(k state.ClaimKey, token rudderfork.Token, a *state.Answer) {
+	m.end(k, token, wire.FateDone, a)
+}
+
+// Unknown notes that the request reached the upstream and no answer came.
+func (m *Memory) Unknown(k state.ClaimKey, token rudderfork.Token) {
+	m.end(k, token, wire.FateUnknown, nil)
+}
+
+func (m *Memory) end(k state.ClaimKey, token rudderfork.Token, f wire.Fate, a *state.Answer) {
+	if e := m.entries[k]; e != nil && e.token == token {
+		e.fate, e.answer = f, a
+	}
+}
+
+// Fence returns what became of the request under token, and refuses the token
+// from now on if it was not seen.
+func (m *Memory) Fence(k state.ClaimKey, token rudderfork.Token, expires, now time.Time) (wire.Fate, *state.Answer) {
+	m.expire(now)
+	e := m.entries[k]
+	if e == nil || e.token < token {
+		if m.put(k, &entry{token: token, fate: wire.FateNever, expires: expires}) != nil {
+			return wire.FateUnknown, nil // it cannot be remembered, so not vouched for
+		}
+		return wire.FateNever, nil
+	}
+	if e.token > token {
+		return wire.FateUnknown, nil // a later holder exists; ask about that
+	}
+	return e.fate, e.answer
+}
+
+// expire forgets entries past their time, a few at each step.
+func (m *Memory) expire(now time.Time) {
+	for i := 0; i < 4 && len(m.order) > 0 && now.After(m.order[0].at); i++ {
+		x := m.order[0]
+		m.order = m.order[1:]
+		if e := m.entries[x.key]; e != nil && !e.expires.After(now) {
+			delete(m.entries, x.key)
+		}
+	}
+}
+
+// Len returns how many claims are remembered.
+func (m *Memory) Len() int { return len(m.entries) }
--- /dev/null
+++ b/cmd/rudderctl/fleet.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"time"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/operator"
+)
+
+var drainOff bool
+
+var fleetCommands = []*command{
+	{name: "vms", synopsis: "list the VMs with what they hold", do: listVMs},
+	{name: "nodes", synopsis: "list entries and agents with the table revision in force there", do: listNodes},
+	{name: "status", synopsis: "show each control process's view of the group", do: showStatus},
+	{
+		name: "drain", usage: "[-off] VM", synopsis: "move tasks and requests away from a VM, or end that", args: 1,
+		flags: func(f *flag.FlagSet) { f.BoolVar(&drainOff, "off", false, "end the drain") }, do: drainVM,
+	},
+}
+
+func listVMs(ctx context.Context, c *operator.Client, _ []string) error {
+	vms, err := c.VMs(ctx)
+	if err != nil {
+		return err
+	}
+	w := newTable("VM\tDOMAIN\tSTATE\tTASKS\tCPU USED/ALL\tMEMORY USED/ALL\tSERVICES\tPRESSURE")
+	for _, v := range vms {
+		st := "live"
+		switch {
+		case !v.Live:
+			st = "lost"
+		case v.Draining:
+			st = "leaving"
+		case v.Aside:
+			st = "set aside"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d/%d\t%d/%d\t%v\t%.2f\n", v.VM, v.Domain, st, v.Tasks,
+			v.Used.CPUMilli, v.Capacity.CPUMilli, v.Used.MemoryMB, v.Capacity.MemoryMB, v.Services, v.Pressure)
+	}
+	return w.Flush()
+}
+
+func listNodes(ctx context.Context, c *operator.Client, _ []string) error {
+	ns, err := c.Nodes(ctx)
+	if err != nil {
+		return err
+	}
+	w := newTable("PROCESS\tKIND\tVM\tDOMAIN\tCONNECTED\tTABLE\tBEHIND FOR\tADMIN")
+	for _, n := range ns {
+		behind := "-"
+		if !n.BehindSince.IsZero() {
+			behind = time.Since(n.BehindSince).Round(time.Millisecond).String()
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%t\t%d\t%s\t%s\n", n.Process, n.Kind, n.Place.VM, n.Place.Domain, n.Connected, n.Have, behind, n.Admin)
+	}
+	return w.Flush()
+}
+
+func showStatus(ctx context.Context, c *operator.Client, _ []string) error {
+	w := newTable("ADDRESS\tMEMBER\tROLE\tTERM\tCOMMIT\tSNAPSHOT\tLOG BYTES\tMEMBERS")
+	for _, a := range c.Addrs() {
+		st, err := c.Status(ctx, a)
+		if err != nil {
+			fmt.Fprintf(w, "%s\tcannot be reached: %v\n", a, err)
+			continue
+		}
+		var ms []string
+		for _, m := range st.Members {
+			name := string(m.ID)
+			if !m.Voter {
+				name += " (joining)"
+			}
+			ms = append(ms, name)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%v\n", a, st.ID, st.Role, st.Term, st.Commit, st.Snapshot, st.LogBytes, ms)
+	}
+	return w.Flush()
+}
+
+func drainVM(ctx context.Context, c *operator.Client, args []string) error {
+	if err := c.Drain(ctx, rudderfork.VMID(args[0]), drainOff); err != nil {
+		return err
+	}
+	fmt.Println("accepted")
+	return nil
+}
--- /dev/null
+++ b/cmd/rudderctl/main.go
@@ -0,0 +1,107 @@
+// Command rudderctl is the operators' program.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"rudderfork.example/rudderfork/internal/cli"
+	"rudderfork.example/rudderfork/operator"
+	"rudderfork.example/rudderfork/settings"
+)
+
+// controlEnv names the environment variable that may hold the addresses.
+const controlEnv = "RUDDER_CONTROL"
+
+var (
+	controlFlag  = flag.String("control", "", "addresses of the control processes, separated by commas; else "+controlEnv+" or -settings")
+	settingsFlag = flag.String("settings", "", "settings file with [operator] control = ADDR,ADDR")
+	timeoutFlag  = flag.Duration("timeout", 10*time.Second, "how long to try")
+)
+
+func main() {
+	subcommands.ImportantFlag("control")
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	for _, group := range []struct {
+		name string
+		cmds []*command
+	}{
+		{"table", tableCommands}, {"jobs", jobCommands}, {"vms and processes", fleetCommands}, {"reasons", reasonCommands},
+	} {
+		for _, c := range group.cmds {
+			subcommands.Register(c, group.name)
+		}
+	}
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	code := subcommands.Execute(ctx)
+	stop()
+	os.Exit(int(code))
+}
+
+// command is one subcommand: do gets its arguments, of which there must be at
+// least args.
+type command struct {
+	name, usage, synopsis string
+	args                  int
+	flags                 func(f *flag.FlagSet)
+	do                    func(ctx context.Context, c *operator.Client, args []string) error
+}
+
+// Name implements subcommands.Command.
+func (c *command) Name() string { return c.name }
+
+// Synopsis implements subcommands.Command.
+func (c *command) Synopsis() string { return c.synopsis }
+
+// Usage implements subcommands.Command.
+func (c *command) Usage() string { return c.name + " " + c.usage + "\n\t" + c.synopsis + "\n" }
+
+// SetFlags implements subcommands.Command.
+func (c *command) SetFlags(f *flag.FlagSet) {
+	if c.flags != nil {
+		c.flags(f)
+	}
+}
+
+// Execute implements subcommands.Command.
+func (c *command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() < c.args {
+		return cli.Fail(os.Stderr, fmt.Errorf("usage: rudderctl %s", c.Usage()), cli.ExitSettings)
+	}
+	addrs, err := controlAddrs()
+	if err != nil {
+		return cli.Fail(os.Stderr, err, cli.ExitSettings)
+	}
+	ctx, cancel := context.WithTimeout(ctx, *timeoutFlag)
+	defer cancel()
+	if err := c.do(ctx, operator.New(addrs), f.Args()); err != nil {
+		return cli.Fail(os.Stderr, err, cli.ExitFailure)
+	}
+	return subcommands.ExitSuccess
+}
+
+func controlAddrs() ([]string, error) {
+	list := *controlFlag
+	if list == "" && *settingsFlag != "" {
+		f := settings.Open(*settingsFlag)
+		addrs := f.Addrs("operator", "control")
+		return addrs, f.Err()
+	}
+	if list == "" {
+		list = os.Getenv(controlEnv)
+	}
+	if list == "" {
+		return nil, fmt.Errorf("where is control? Give -control ADDR,ADDR, -settings FILE or %s", controlEnv)
+	}
+	return strings.Split(list, ","), nil
+}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,156 @@
+// Command standin runs one of the stand-ins for the demo and the tests.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"rudderfork.example/rudderfork/standin"
+	"rudderfork.example/rudderfork/standin/platform"
+	"rudderfork.example/rudderfork/standin/upstream"
+	"rudderfork.example/rudderfork/standin/worker"
+	api "rudderfork.example/rudderfork/worker"
+)
+
+func main() {
+	subcommands.Register(&upstreamCommand{}, "")
+	subcommands.Register(&workerCommand{}, "")
+	subcommands.Register(&platformCommand{}, "")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	code := subcommands.Execute(ctx)
+	stop()
+	os.Exit(int(code))
+}
+
+// serve serves until ctx ends.
+func serve(ctx context.Context, listen string, h http.Handler) subcommands.ExitStatus {
+	ln, err := net.Listen("tcp", listen)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	go func() {
+		<-ctx.Done()
+		_ = srv.Close()
+	}()
+	fmt.Fprintln(os.Stderr, "event=started listen="+ln.Addr().String())
+	_ = srv.Serve(ln)
+	return subcommands.ExitSuccess
+}
+
+// openAudit opens the audit or ends the process.
+func openAudit(path string) *standin.Audit {
+	a, err := standin.OpenAudit(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	return a
+}
+
+type upstreamCommand struct {
+	listen, audit, worker string
+	slowdown              float64
+	cfg                   upstream.Config
+}
+
+func (*upstreamCommand) Name() string     { return "upstream" }
+func (*upstreamCommand) Synopsis() string { return "a service that holds seats" }
+func (*upstreamCommand) Usage() string    { return "upstream -listen ADDR\n" }
+
+func (c *upstreamCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.listen, "listen", "127.0.0.1:0", "address")
+	f.StringVar(&c.audit, "audit", "", "file for the audit")
+	f.StringVar(&c.cfg.VM, "vm", "", "name of the VM")
+	f.DurationVar(&c.cfg.Work, "work", 5*time.Millisecond, "time that a request takes")
+	f.StringVar(&c.worker, "worker", "", "address of the worker whose tasks slow it")
+	f.Float64Var(&c.slowdown, "slowdown", 0, "how much one task at full speed slows it")
+}
+
+func (c *upstreamCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.worker != "" && c.slowdown > 0 {
+		c.cfg.Slow = watchWorker(ctx, c.worker, c.slowdown)
+	}
+	return serve(ctx, c.listen, upstream.New(c.cfg, openAudit(c.audit)).Handler())
+}
+
+// watchWorker returns a function that gives the present slowdown: each task at
+// the worker adds slowdown, halved with each throttle level.
+func watchWorker(ctx context.Context, addr string, slowdown float64) func() float64 {
+	var factor atomic.Value
+	factor.Store(1.0)
+	hc := &http.Client{Timeout: time.Second}
+	go func() {
+		for ctx.Err() == nil {
+			var l api.List
+			if resp, err := hc.Get("http://" + addr + "/tasks"); err == nil {
+				_ = json.NewDecoder(resp.Body).Decode(&l)
+				_ = resp.Body.Close()
+			}
+			sum := 1.0
+			for _, t := range l.Tasks {
+				if t.Phase == "running" && t.Throttle < 3 {
+					sum += slowdown / float64(int(1)<<t.Throttle)
+				}
+			}
+			factor.Store(sum)
+			time.Sleep(100 * time.Millisecond)
+		}
+	}()
+	return func() float64 { return factor.Load().(float64) }
+}
+
+type workerCommand struct {
+	listen, audit string
+	cfg           worker.Config
+}
+
+func (*workerCommand) Name() string     { return "worker" }
+func (*workerCommand) Synopsis() string { return "a worker that runs tasks" }
+func (*workerCommand) Usage() string    { return "worker -listen ADDR\n" }
+
+func (c *workerCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.listen, "listen", "127.0.0.1:0", "address")
+	f.StringVar(&c.audit, "audit", "", "file for the audit")
+	f.StringVar(&c.cfg.VM, "vm", "", "name of the VM")
+	f.DurationVar(&c.cfg.Unit, "unit", 10*time.Millisecond, "time that a unit of work takes")
+	f.Int64Var(&c.cfg.Checkpoint, "checkpoint", 10, "units between checkpoints")
+	f.DurationVar(&c.cfg.Lag, "lag", 500*time.Millisecond, "age of usage reports")
+	f.BoolVar(&c.cfg.FailAll, "fail-all", false, "fail every task")
+	f.Float64Var(&c.cfg.CPUFactor, "cpu-factor", 1, "use over declaration")
+}
+
+func (c *workerCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return serve(ctx, c.listen, worker.New(c.cfg, openAudit(c.audit)).Handler())
+}
+
+type platformCommand struct {
+	listen string
+	lag    time.Duration
+}
+
+func (*platformCommand) Name() string     { return "platform" }
+func (*platformCommand) Synopsis() string { return "the lagging list of VMs" }
+func (*platformCommand) Usage() string    { return "platform -listen ADDR\n" }
+
+func (c *platformCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.listen, "listen", "127.0.0.1:0", "address")
+	f.DurationVar(&c.lag, "lag", 3*time.Second, "how far it lags")
+}
+
+func (c *platformCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return serve(ctx, c.listen, platform.New(c.lag).Handler())
+}
--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,195 @@
+// Package control is the process that holds the durable state: a replica of the
+// group, the sessions of entries and agents, the leader's duties and the
+// operators' API.
+//
+// All replicas run the same code. A follower keeps the log and the state and
+// sends nodes and operators to the leader. The leader also decides: it expires
+// leases, plans placements and evictions, and pushes the table, the list of
+// upstreams and the assignments to the nodes. What it decides takes effect only
+// once it is committed, and is checked again when it is applied.
+package control
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/thejerf/suture/v4"
+
+	"rudderfork.example/rudderfork/disk"
+	"rudderfork.example/rudderfork/interference"
+	"rudderfork.example/rudderfork/internal/admin"
+	"rudderfork.example/rudderfork/internal/errs"
+	"rudderfork.example/rudderfork/internal/steady"
+	"rudderfork.example/rudderfork/lease"
+	"rudderfork.example/rudderfork/placement"
+	"rudderfork.example/rudderfork/quorum"
+	"rudderfork.example/rudderfork/timeline"
+	"rudderfork.example/rudderfork/usage"
+)
+
+// timelineSize is how many events a control process keeps.
+const timelineSize = 8192
+
+// headerTimeout bounds how long a client may take to send its headers.
+const headerTimeout = 5 * time.Second
+
+// Process is a control process, ready to serve.
+type Process struct {
+	cfg     Settings
+	log     zerolog.Logger
+	store   *disk.Store
+	replica *Replica
+	sup     *suture.Supervisor
+}
+
+// New opens the data folder and the listeners. An empty or corrupt folder is
+// formatted under a new member ID, so that the process joins the group anew.
+func New(cfg Settings, log zerolog.Logger) (p *Process, err error) {
+	defer errs.Annotate(&err, "control %s", cfg.Name)
+	store, err := openStore(cfg, log)
+	if err != nil {
+		return nil, err
+	}
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return nil, err
+	}
+	adminLn, err := net.Listen("tcp", cfg.Admin)
+	if err != nil {
+		return nil, err
+	}
+	ring := timeline.NewRing(cfg.Name, cfg.Place, timelineSize, steady.Now)
+	peers := newPeers(cfg, store.Identity(), log)
+	rep, err := NewReplica(ReplicaConfig{
+		ElectionTimeout: cfg.ElectionTimeout, Heartbeat: cfg.Heartbeat,
+		SnapshotEvery: cfg.SnapshotEvery, Seed: seedOf(cfg.Name),
+	}, store, peers, log, ring, steady.Now)
+	if err != nil {
+		return nil, err
+	}
+	return assemble(cfg, log, store, rep, peers, ring, ln, adminLn), nil
+}
+
+// assemble wires the parts together under one supervisor.
+func assemble(cfg Settings, log zerolog.Logger, store *disk.Store, rep *Replica, peers *peers, ring *timeline.Ring, ln, adminLn net.Listener) *Process {
+	learned := &learned{interference: interference.New(), usage: usage.New(steady.Now)}
+	planner := placement.NewPlanner(placement.NewScored(learned), learned, seedOf(cfg.Name))
+	grants := lease.NewGrants(cfg.LeaseTerm, cfg.ClockBound)
+	hub := newHub(cfg, rep, grants, learned, log, ring)
+	lead := newLeader(cfg, rep, hub, planner, log, ring)
+	adm := admin.New(adminLn, ring, func() error { return nil })
+	adm.Registry().MustRegister(newCollector(rep, hub))
+
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /peer", peers.accept(rep))
+	mux.HandleFunc("GET /node", hub.accept)
+	newAPI(cfg, rep, hub, learned, ring).routes(mux)
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+
+	sup := suture.New("control", suture.Spec{EventHook: hook(log)})
+	sup.Add(rep)
+	sup.Add(peers)
+	sup.Add(hub)
+	sup.Add(lead)
+	sup.Add(adm)
+	sup.Add(&httpService{srv, ln})
+	log.Info().Str("listen", ln.Addr().String()).Str("admin", adminLn.Addr().String()).
+		Str("member", string(store.Identity().ID)).Msg("started")
+	return &Process{cfg, log, store, rep, sup}
+}
+
+// Run serves until ctx ends.
+func (p *Process) Run(ctx context.Context) (err error) {
+	defer errs.Annotate(&err, "control %s", p.cfg.Name)
+	err = p.sup.Serve(ctx)
+	if ctx.Err() != nil {
+		p.log.Info().Msg("stopped")
+		return nil
+	}
+	return err
+}
+
+func openStore(cfg Settings, log zerolog.Logger) (*disk.Store, error) {
+	store, err := disk.Open(cfg.Data)
+	if errors.Is(err, disk.ErrCorrupt) {
+		to, aerr := disk.SetAside(cfg.Data, steady.Now())
+		if aerr != nil {
+			return nil, errors.Join(err, aerr)
+		}
+		log.Error().Err(err).Str("moved_to", filepath.Base(to)).Msg("data_folder_corrupt")
+		err = disk.ErrEmpty
+	}
+	if !errors.Is(err, disk.ErrEmpty) {
+		return store, err
+	}
+	id := disk.Identity{ID: memberID(cfg.Name, rand.Text()[:8]), Group: cfg.Group}
+	if err := disk.Format(cfg.Data, id); err != nil {
+		return nil, err
+	}
+	log.Warn().Str("member", string(id.ID)).Msg("data_folder_empty_joining")
+	return disk.Open(cfg.Data)
+}
+
+// Format writes the identity of a founding member into the data folder. It must
+// be called once in the life of a group, on each founding member.
+func Format(ctx context.Context, cfg Settings) (err error) {
+	defer errs.Annotate(&err, "format %s", cfg.Name)
+	for _, m := range cfg.Peers {
+		if st, err := askStatus(ctx, m.Addr); err == nil && st.Commit > 0 {
+			return fmt.Errorf("group %s is formed already: %s answers; start without format, to join", cfg.Group, m.Name)
+		}
+	}
+	id := disk.Identity{ID: memberID(cfg.Name, founding), Group: cfg.Group}
+	for _, m := range cfg.Peers {
+		m.ID = memberID(m.Name, founding)
+		m.Voter = true
+		id.Members = append(id.Members, m)
+	}
+	return disk.Format(cfg.Data, id)
+}
+
+// founding is the life that Format gives to founding members.
+const founding = "1"
+
+func memberID(name, life string) quorum.MemberID { return quorum.MemberID(name + "#" + life) }
+
+// memberName is the name of which id is a life.
+func memberName(id quorum.MemberID) string {
+	name, _, _ := strings.Cut(string(id), "#")
+	return name
+}
+
+// seedOf makes a seed from a name, so that replicas draw different timeouts.
+func seedOf(name string) uint64 {
+	const prime = 1_099_511_628_211 // FNV-1a
+	h := uint64(14_695_981_039_346_656_037)
+	for _, b := range []byte(name) {
+		h = (h ^ uint64(b)) * prime
+	}
+	return h
+}
+
+// hook logs what the supervisor sees.
+func hook(log zerolog.Logger) suture.EventHook {
+	return func(e suture.Event) { log.Warn().Str("detail", e.String()).Msg("supervisor") }
+}
+
+// httpService runs an HTTP server under a supervisor.
+type httpService struct {
+	srv *http.Server
+	ln  net.Listener
+}
+
+// Serve implements suture.Service.
+func (s *httpService) Serve(ctx context.Context) error { return admin.ServeHTTP(ctx, s.srv, s.ln) }
+
+// String names the service in the supervisor's log.
+func (s *httpService) String() string { return "http" }
--- /dev/null
+++ b/control/leader.go
@@ -0,0 +1,187 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/internal/steady"
+	"rudderfork.example/rudderfork/placement"
+	"rudderfork.example/rudderfork/state"
+)
+
+const (
+	// dutyPause is the longest pause between two rounds of the leader's duties.
+	dutyPause = 250 * time.Millisecond
+	// roundPause is the shortest, so that changes gather into one round.
+	roundPause = 10 * time.Millisecond
+	// platformPause is how often the platform's list is asked for.
+	platformPause = time.Second
+)
+
+// leader does what only the leader does: it expires leases, plans rounds and
+// takes the platform's list of leaving VMs.
+type leader struct {
+	cfg     Settings
+	rep     *Replica
+	hub     *hub
+	planner *placement.Planner
+	log     zerolog.Logger
+	rec     rudderfork.Recorder
+	hc      *http.Client
+
+	term       uint64
+	platformAt time.Time
+}
+
+func newLeader(cfg Settings, rep *Replica, h *hub, p *placement.Planner, log zerolog.Logger, rec rudderfork.Recorder) *leader {
+	return &leader{cfg: cfg, rep: rep, hub: h, planner: p, log: log, rec: rec, hc: &http.Client{Timeout: platformPause}}
+}
+
+// String names the service in the supervisor's log.
+func (l *leader) String() string { return "leader" }
+
+// Serve implements suture.Service.
+func (l *leader) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		changed := l.rep.Changed()
+		if l.rep.Leads() {
+			l.round(ctx)
+		} else {
+			l.term = 0
+		}
+		wait := time.NewTimer(dutyPause)
+		select {
+		case <-ctx.Done():
+		case <-changed:
+			pause(ctx, roundPause)
+		case <-wait.C:
+		}
+		wait.Stop()
+	}
+	return ctx.Err()
+}
+
+func (l *leader) round(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	if term := l.rep.Status().Term; term != l.term {
+		if l.rep.Barrier(ctx) != nil {
+			return
+		}
+		l.startTerm(term)
+	}
+	l.expire(ctx)
+	l.plan(ctx)
+	if now := steady.Now(); l.cfg.Platform != "" && now.After(l.platformAt) {
+		l.platformAt = now.Add(platformPause)
+		l.platform(ctx)
+	}
+}
+
+func (l *leader) startTerm(term uint64) {
+	var vms []rudderfork.VMID
+	l.rep.View(func(s *state.State) {
+		for _, v := range s.VMs() {
+			if v.Live {
+				vms = append(vms, v.Place.VM)
+			}
+		}
+	})
+	l.term = term
+	l.hub.startTerm(term, vms, steady.Now())
+	l.log.Info().Uint64("term", term).Int("vms", len(vms)).Msg("leading")
+}
+
+// expire frees the tasks of VMs whose lease has run out for sure.
+func (l *leader) expire(ctx context.Context) {
+	var lost []state.Lost
+	l.rep.View(func(s *state.State) {
+		for _, v := range s.VMs() {
+			if v.Live && l.hub.expire(v.Place.VM, steady.Now()) {
+				lost = append(lost, state.Lost{VM: v.Place.VM, Epoch: v.Epoch})
+			}
+		}
+	})
+	for _, lo := range lost {
+		res, err := l.rep.Do(ctx, state.Command{Lost: &lo})
+		if err != nil || res.Code != state.CodeOK {
+			continue
+		}
+		l.log.Warn().Str("lost_vm", string(lo.VM)).Msg("vm_lost")
+		l.rec.Record(rudderfork.Event{Kind: "vm_lost", Subject: string(lo.VM), Revision: res.Revision, Text: "its lease ran out"})
+	}
+}
+
+func (l *leader) plan(ctx context.Context) {
+	var p placement.Plan
+	l.rep.View(func(s *state.State) { p = l.planner.Round(s, steady.Now()) })
+	if len(p.Evict.Evictions) > 0 {
+		if _, err := l.rep.Do(ctx, state.Command{Evict: &p.Evict}); err == nil {
+			for _, e := range p.Evict.Evictions {
+				l.rec.Record(rudderfork.Event{Kind: "evicting", Subject: string(e.Task), Text: e.Reason})
+			}
+		}
+	}
+	if len(p.Place.Placements) == 0 && len(p.Place.Blocked) == 0 {
+		return
+	}
+	res, err := l.rep.Do(ctx, state.Command{Place: &p.Place})
+	if err != nil {
+		return
+	}
+	for i, pl := range p.Place.Placements {
+		if res.Placed[i] {
+			l.rec.Record(rudderfork.Event{Kind: "placed", Subject: string(pl.Task), Revision: res.Revision, Text: fmt.Sprintf("on %s: %s", pl.VM, pl.Reason)})
+		}
+	}
+	for _, b := range p.Place.Blocked {
+		l.rec.Record(rudderfork.Event{Kind: "blocked", Subject: string(b.Job), Revision: res.Revision, Text: b.Reason})
+	}
+}
+
+// PlatformVM is one line of the platform's list, which lags.
+type PlatformVM struct {
+	VM      rudderfork.VMID `json:"vm"`
+	Leaving bool            `json:"leaving"`
+}
+
+// platform drains VMs that the platform's list says are leaving. The list only
+// ever starts a drain: it lags, so what it does not say means nothing.
+func (l *leader) platform(ctx context.Context) {
+	list, err := l.fetch(ctx)
+	if err != nil {
+		return // it is asked again soon, and agents know of their own stop
+	}
+	var drains []state.Drain
+	l.rep.View(func(s *state.State) {
+		for _, p := range list {
+			if v := s.VM(p.VM); v != nil && p.Leaving && !v.Draining {
+				drains = append(drains, state.Drain{VM: p.VM})
+			}
+		}
+	})
+	for _, d := range drains {
+		if _, err := l.rep.Do(ctx, state.Command{Drain: &d}); err == nil {
+			l.rec.Record(rudderfork.Event{Kind: "draining", Subject: string(d.VM), Text: "the platform says it is leaving"})
+		}
+	}
+}
+
+func (l *leader) fetch(ctx context.Context) (list []PlatformVM, err error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+l.cfg.Platform+"/vms", nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := l.hc.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	return list, json.NewDecoder(resp.Body).Decode(&list)
+}
--- /dev/null
+++ b/control/replica.go
@@ -0,0 +1,467 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+	"github.com/thejerf/suture/v4"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/disk"
+	"rudderfork.example/rudderfork/internal/errs"
+	"rudderfork.example/rudderfork/quorum"
+	"rudderfork.example/rudderfork/state"
+)
+
+// The errors of commands and reads.
+var (
+	// ErrNotLeader means that nothing was done; ask the leader.
+	ErrNotLeader = errors.New("this control process does not lead")
+	// ErrSuperseded means that the command was surely not committed.
+	ErrSuperseded = errors.New("another leader took over; the command was not committed")
+	// ErrUnknown means that the command may or may not be committed.
+	ErrUnknown = errors.New("the command's fate is unknown")
+)
+
+// maxDrain bounds the inputs handled between two syncs, so that many commands
+// share one.
+const maxDrain = 512
+
+// Sender sends messages to other replicas; it may lose them.
+type Sender interface {
+	Send(m quorum.Message)
+	// SetMember tells whether this replica is in the group, or has to join.
+	SetMember(member bool)
+}
+
+// Replica drives a quorum.Node: it feeds it messages, commands and time, makes
+// its log durable and applies what is committed to the state.
+type Replica struct {
+	log   zerolog.Logger
+	rec   rudderfork.Recorder
+	now   func() time.Time
+	send  Sender
+	store *disk.Store
+	every uint64 // applied entries between snapshots
+
+	msgs      chan quorum.Message
+	proposals chan proposal
+	reads     chan read
+	joins     chan quorum.Member
+
+	// Owned by Serve.
+	node    *quorum.Node
+	waiting map[uint64]proposal // by index
+	pending []read
+	snapAt  uint64
+
+	mu     sync.RWMutex // guards what follows
+	state  *state.State
+	status Status
+	change chan struct{} // closed and replaced when state or status changes
+}
+
+// Status is a replica's view of the group.
+type Status struct {
+	ID        quorum.MemberID `json:"id"`
+	Role      string          `json:"role"`
+	Term      uint64          `json:"term"`
+	Commit    uint64          `json:"commit"`
+	Last      uint64          `json:"last"`
+	Snapshot  uint64          `json:"snapshot"`
+	LogBytes  int64           `json:"log_bytes"`
+	Settled   bool            `json:"settled"`
+	Leader    quorum.Member   `json:"leader"`
+	Members   []quorum.Member `json:"members"`
+	ContactNS int64           `json:"-"` // quorum contact, Unix ns
+}
+
+type proposal struct {
+	data  []byte
+	term  uint64
+	reply chan outcome // buffered
+}
+
+type outcome struct {
+	result state.Result
+	err    error
+}
+
+type read struct {
+	at     time.Time
+	commit uint64
+	done   chan error // buffered
+}
+
+// ReplicaConfig sets up a Replica.
+type ReplicaConfig struct {
+	ElectionTimeout time.Duration
+	Heartbeat       time.Duration
+	SnapshotEvery   uint64
+	Seed            uint64
+}
+
+// NewReplica returns a replica that resumes from store.
+func NewReplica(cfg ReplicaConfig, store *disk.Store, send Sender, log zerolog.Logger, rec rudderfork.Recorder, now func() time.Time) (r *Replica, err error) {
+	defer errs.Annotate(&err, "replica")
+	hs, snap, entries := store.Loaded()
+	st, err := state.Decode(snap.Data)
+	if err != nil {
+		return nil, err
+	}
+	node := quorum.New(quorum.Config{
+		ID: store.Identity().ID, ElectionTimeout: cfg.ElectionTimeout, Heartbeat: cfg.Heartbeat, Seed: cfg.Seed,
+	}, hs, snap, entries, now())
+	r = &Replica{
+		log: log, rec: rec, now: now, send: send, store: store, every: cfg.SnapshotEvery,
+		msgs: make(chan quorum.Message, maxDrain), proposals: make(chan proposal, maxDrain),
+		reads: make(chan read, maxDrain), joins: make(chan quorum.Member, 1),
+		node: node, waiting: map[uint64]proposal{}, snapAt: snap.Index,
+		state: st, change: make(chan struct{}),
+	}
+	r.publish()
+	return r, nil
+}
+
+// Serve implements suture.Service.
+func (r *Replica) Serve(ctx context.Context) (err error) {
+	defer errs.Annotate(&err, "replica")
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		timer.Reset(max(0, r.node.NextDeadline().Sub(r.now())))
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case m := <-r.msgs:
+			r.node.Step(m, r.now())
+		case p := <-r.proposals:
+			r.propose(p)
+		case rd := <-r.reads:
+			r.startRead(rd)
+		case m := <-r.joins:
+			r.join(m)
+		case <-timer.C:
+			r.node.Tick(r.now())
+			r.repair()
+		}
+		r.drain()
+		if err := r.settle(); err != nil {
+			// What the disk holds is unknown now; only a fresh start may read it.
+			r.log.Error().Err(err).Msg("replica_failed")
+			return fmt.Errorf("%w: %w", suture.ErrTerminateSupervisorTree, err)
+		}
+	}
+}
+
+// drain handles more inputs that are there already.
+func (r *Replica) drain() {
+	for range maxDrain {
+		select {
+		case m := <-r.msgs:
+			r.node.Step(m, r.now())
+		case p := <-r.proposals:
+			r.propose(p)
+		case rd := <-r.reads:
+			r.startRead(rd)
+		default:
+			return
+		}
+	}
+}
+
+func (r *Replica) propose(p proposal) {
+	index, term, ok := r.node.Propose(p.data, r.now())
+	if !ok {
+		p.reply <- outcome{err: ErrNotLeader}
+		return
+	}
+	p.term = term
+	r.waiting[index] = p
+}
+
+func (r *Replica) startRead(rd read) {
+	if r.node.Role() != quorum.Leader {
+		rd.done <- ErrNotLeader
+		return
+	}
+	rd.at, rd.commit = r.now(), r.node.Commit()
+	r.pending = append(r.pending, rd)
+	if len(r.pending) == 1 {
+		r.node.Confirm(rd.at)
+	}
+}
+
+// settle does the work that the node asks for until there is none.
+func (r *Replica) settle() error {
+	for {
+		rd := r.node.Ready()
+		committed := r.node.Committed()
+		if rd.Empty() && len(committed) == 0 {
+			break
+		}
+		r.sendAll(rd.Early)
+		if err := r.store.Save(rd); err != nil {
+			return err
+		}
+		if rd.Snapshot != nil {
+			if err := r.install(*rd.Snapshot); err != nil {
+				return err
+			}
+		}
+		r.sendAll(rd.Messages)
+		r.node.Persisted(rd, r.now())
+		if err := r.apply(committed); err != nil {
+			return err
+		}
+	}
+	r.finishReads()
+	r.publish()
+	return r.maybeSnapshot()
+}
+
+func (r *Replica) sendAll(ms []quorum.Message) {
+	for _, m := range ms {
+		r.send.Send(m)
+	}
+}
+
+func (r *Replica) install(s quorum.Snapshot) error {
+	st, err := state.Decode(s.Data)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.state = st
+	r.mu.Unlock()
+	r.snapAt = s.Index
+	r.log.Info().Uint64("index", s.Index).Msg("snapshot_installed")
+	return nil
+}
+
+func (r *Replica) apply(es []quorum.Entry) error {
+	if len(es) == 0 {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range es {
+		res, err := r.applyEntry(e)
+		if err != nil {
+			return err
+		}
+		p, ok := r.waiting[e.Index]
+		if !ok {
+			continue
+		}
+		delete(r.waiting, e.Index)
+		if p.term != e.Term {
+			p.reply <- outcome{err: ErrSuperseded}
+			continue
+		}
+		p.reply <- outcome{result: res}
+	}
+	return nil
+}
+
+func (r *Replica) applyEntry(e quorum.Entry) (res state.Result, err error) {
+	if e.Kind != quorum.EntryCommand {
+		r.state.Skip(e.Index)
+		return res, nil
+	}
+	var c state.Command
+	if err := cbor.Unmarshal(e.Data, &c); err != nil {
+		return res, fmt.Errorf("entry %d: %w", e.Index, err)
+	}
+	return r.state.Apply(e.Index, c), nil
+}
+
+// finishReads answers reads that a quorum has confirmed since they came.
+func (r *Replica) finishReads() {
+	if len(r.pending) == 0 {
+		return
+	}
+	if r.node.Role() != quorum.Leader {
+		for _, rd := range r.pending {
+			rd.done <- ErrNotLeader
+		}
+		r.pending = nil
+		return
+	}
+	if !r.node.Settled() {
+		return
+	}
+	contact := r.node.QuorumContact(r.now())
+	var left []read
+	for _, rd := range r.pending {
+		if contact.Before(rd.at) {
+			left = append(left, rd)
+			continue
+		}
+		rd.done <- nil
+	}
+	if len(left) > 0 && len(left) < len(r.pending) {
+		r.node.Confirm(r.now()) // those that came after the last round
+	}
+	r.pending = left
+}
+
+// publish makes the node's status visible and wakes who waits for a change.
+func (r *Replica) publish() {
+	n := r.node
+	st := Status{
+		ID: n.ID(), Role: n.Role().String(), Term: n.Term(), Commit: n.Commit(), Last: n.Last(),
+		Snapshot: n.SnapshotIndex(), LogBytes: r.store.Size(), Settled: n.Settled(), Members: n.Members(),
+		ContactNS: n.QuorumContact(r.now()).UnixNano(),
+	}
+	st.Leader, _ = n.Member(n.Leader())
+	_, member := n.Member(n.ID())
+	r.send.SetMember(member)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old := r.status
+	r.status = st
+	if old.Role != st.Role || old.Term != st.Term {
+		r.log.Info().Str("role", st.Role).Uint64("term", st.Term).Msg("role_changed")
+		r.rec.Record(rudderfork.Event{Kind: "role", Subject: string(st.ID), Text: fmt.Sprintf("%s in term %d", st.Role, st.Term)})
+	}
+	if old.Commit != st.Commit || old.Role != st.Role || old.Term != st.Term || old.Settled != st.Settled {
+		close(r.change)
+		r.change = make(chan struct{})
+	}
+}
+
+// maybeSnapshot takes a snapshot when enough was applied since the last.
+func (r *Replica) maybeSnapshot() error {
+	applied := uint64(r.state.Applied())
+	if applied < r.snapAt+r.every {
+		return nil
+	}
+	data, err := r.state.Encode()
+	if err != nil {
+		return err
+	}
+	s := r.node.Compact(quorum.Snapshot{Index: applied, Data: data})
+	if err := r.store.Snapshot(s, r.node.After(applied)); err != nil {
+		return err
+	}
+	r.snapAt = applied
+	r.log.Info().Uint64("index", applied).Int("bytes", len(data)).Msg("snapshot_taken")
+	return nil
+}
+
+// Step hands a message from another replica to the node. It blocks while the
+// replica is busy.
+func (r *Replica) Step(ctx context.Context, m quorum.Message) {
+	select {
+	case r.msgs <- m:
+	case <-ctx.Done():
+	}
+}
+
+// Do commits a command and returns its result. After ErrUnknown the command may
+// still be committed.
+func (r *Replica) Do(ctx context.Context, c state.Command) (res state.Result, err error) {
+	c.At = rudderfork.Millis(r.now())
+	data, err := cbor.Marshal(c)
+	if err != nil {
+		return res, fmt.Errorf("encode command: %w", err)
+	}
+	p := proposal{data: data, reply: make(chan outcome, 1)}
+	select {
+	case r.proposals <- p:
+	case <-ctx.Done():
+		return res, ErrNotLeader // it was never proposed
+	}
+	select {
+	case o := <-p.reply:
+		return o.result, o.err
+	case <-ctx.Done():
+		return res, ErrUnknown
+	}
+}
+
+// Barrier returns nil once this replica is known to lead and to have applied
+// all that was committed before the call.
+func (r *Replica) Barrier(ctx context.Context) error {
+	rd := read{done: make(chan error, 1)}
+	select {
+	case r.reads <- rd:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case err := <-rd.done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// View calls f with the state, which f must not keep or change.
+func (r *Replica) View(f func(s *state.State)) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	f(r.state)
+}
+
+// Status returns the replica's view of the group.
+func (r *Replica) Status() Status {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.status
+}
+
+// Leads reports whether this replica is a settled leader.
+func (r *Replica) Leads() bool { return r.Status().leads() }
+
+func (s Status) leads() bool { return s.Settled && s.Role == quorum.Leader.String() }
+
+// Changed returns a channel that closes at the next change of state or role.
+func (r *Replica) Changed() <-chan struct{} {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.change
+}
+
+// Join asks that a replica be added. Nothing answers: the one that wants to
+// join asks again until it is a member.
+func (r *Replica) Join(m quorum.Member) {
+	select {
+	case r.joins <- m:
+	default:
+	}
+}
+
+func (r *Replica) join(m quorum.Member) {
+	next, ok := r.node.Join(m)
+	if !ok {
+		return
+	}
+	if _, ok := r.node.ProposeMembers(next, r.now()); ok {
+		r.log.Info().Str("member", string(m.ID)).Msg("member_joining")
+	}
+}
+
+// repair takes the next step of bringing a rejoined replica in.
+func (r *Replica) repair() {
+	if !r.node.Settled() {
+		return
+	}
+	next, ok := r.node.Repair()
+	if !ok {
+		return
+	}
+	if _, ok := r.node.ProposeMembers(next, r.now()); ok {
+		r.log.Info().Int("members", len(next)).Msg("members_changing")
+		r.rec.Record(rudderfork.Event{Kind: "members", Text: fmt.Sprintf("%v", next)})
+	}
+}
+
+// String names the service in the supervisor's log.
+func (r *Replica) String() string { return "replica" }
--- /dev/null
+++ b/control/session.go
@@ -0,0 +1,317 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/internal/steady"
+	"rudderfork.example/rudderfork/state"
+	"rudderfork.example/rudderfork/wire"
+)
+
+const (
+	// outQueue bounds the answers that wait for a node that does not read.
+	outQueue = 256
+	// commandTimeout bounds a command that a node asked for.
+	commandTimeout = 3 * time.Second
+)
+
+// session is the connection of one entry or agent. What it pushes is always the
+// whole of what is newer than what it last sent, so nothing has to be queued.
+type session struct {
+	hub   *hub
+	conn  *wire.Conn[wire.ToNode, wire.ToControl]
+	hello wire.Hello
+	epoch rudderfork.Token // 0 without a lease
+	out   chan wire.ToNode
+	woken chan struct{}
+
+	mu   sync.Mutex
+	sent pushed
+}
+
+// pushed is up to which revisions a session has sent each thing.
+type pushed struct {
+	table     rudderfork.Revision
+	upstreams rudderfork.Revision
+	assign    rudderfork.Revision
+	once      bool // something was sent; a node must hear also that it lacks nothing
+}
+
+func receiveHello(ctx context.Context, c *wire.Conn[wire.ToNode, wire.ToControl]) (*wire.Hello, error) {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	m, err := c.Receive(ctx)
+	switch {
+	case err != nil:
+		return nil, err
+	case m.Hello == nil:
+		return nil, errors.New("the first message is no hello")
+	case m.Hello.Version != wire.Version:
+		return nil, fmt.Errorf("%s speaks version %d; want %d", m.Hello.Process, m.Hello.Version, wire.Version)
+	}
+	return m.Hello, nil
+}
+
+func newSession(h *hub, c *wire.Conn[wire.ToNode, wire.ToControl], hello wire.Hello) *session {
+	s := &session{
+		hub: h, conn: c, hello: hello, sent: pushed{table: hello.Have},
+		out: make(chan wire.ToNode, outQueue), woken: make(chan struct{}, 1),
+	}
+	s.wake()
+	return s
+}
+
+// register commits the VM's registration, if the node has one.
+func (s *session) register(ctx context.Context) error {
+	if s.hello.Register == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	res, err := s.hub.rep.Do(ctx, state.Command{Register: s.hello.Register})
+	if err != nil {
+		return err
+	}
+	s.epoch = res.Epoch
+	s.hub.registered(s.hello.Place.VM)
+	return nil
+}
+
+func (s *session) wake() {
+	select {
+	case s.woken <- struct{}{}:
+	default:
+	}
+}
+
+// stale reports whether st holds something that the session has not sent, or
+// the session has to end.
+func (s *session) stale(st *state.State) bool {
+	s.mu.Lock()
+	sent := s.sent
+	s.mu.Unlock()
+	if st.Revision() > sent.table {
+		return true
+	}
+	if s.hello.Kind == wire.KindEntry {
+		return st.UpstreamRevision() > sent.upstreams
+	}
+	v := st.VM(s.hello.Place.VM)
+	return s.epoch != 0 && (v == nil || !v.Live || v.Epoch != s.epoch || v.Revision > sent.assign)
+}
+
+func (s *session) run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		defer s.conn.Close()
+		defer cancel()
+		s.write(ctx)
+	}()
+	for {
+		m, err := s.receive(ctx)
+		if err != nil {
+			return err
+		}
+		s.handle(ctx, m)
+	}
+}
+
+func (s *session) receive(ctx context.Context) (wire.ToControl, error) {
+	ctx, cancel := context.WithTimeout(ctx, silenceLimit)
+	defer cancel()
+	return s.conn.Receive(ctx)
+}
+
+// write sends what is new and the answers, until the session ends.
+func (s *session) write(ctx context.Context) {
+	welcome := wire.ToNode{Welcome: &wire.Welcome{Epoch: s.epoch}}
+	if s.conn.Send(ctx, welcome) != nil {
+		return
+	}
+	s.grant()
+	for {
+		// Answers first: a lease must not wait for a long update.
+		select {
+		case m := <-s.out:
+			if s.conn.Send(ctx, m) != nil {
+				return
+			}
+			continue
+		default:
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-s.out:
+			if s.conn.Send(ctx, m) != nil {
+				return
+			}
+		case <-s.woken:
+			if !s.push(ctx) {
+				return
+			}
+		}
+	}
+}
+
+// push sends all that is new; false ends the session.
+func (s *session) push(ctx context.Context) bool {
+	ms, lost := s.news()
+	if lost {
+		return false
+	}
+	for _, m := range ms {
+		if s.conn.Send(ctx, m) != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// news gathers what is newer than what was sent. lost is true if the VM's lease
+// is void, so that the agent must register again.
+func (s *session) news() (ms []wire.ToNode, lost bool) {
+	s.hub.rep.View(func(st *state.State) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if rev := st.Revision(); rev > s.sent.table || !s.sent.once {
+			cells := nodeCells(st.CellsAfter(s.sent.table))
+			ms = append(ms, wire.ToNode{Update: &wire.Update{From: s.sent.table, To: rev, Cells: cells}})
+			s.sent.table, s.sent.once = rev, true
+		}
+		if s.hello.Kind == wire.KindEntry {
+			if rev := st.UpstreamRevision(); rev > s.sent.upstreams {
+				ms = append(ms, wire.ToNode{Upstreams: &wire.Upstreams{Revision: rev, List: upstreams(st)}})
+				s.sent.upstreams = rev
+			}
+			return
+		}
+		if s.epoch == 0 {
+			return
+		}
+		v := st.VM(s.hello.Place.VM)
+		if v == nil || !v.Live || v.Epoch != s.epoch {
+			lost = true
+			return
+		}
+		if v.Revision > s.sent.assign {
+			ms = append(ms, wire.ToNode{Assign: &wire.Assign{
+				Epoch: s.epoch, Revision: v.Revision, Leases: st.Leases(v.Place.VM), Draining: v.Draining,
+			}})
+			s.sent.assign = v.Revision
+		}
+	})
+	return ms, lost
+}
+
+// nodeCells leaves out the rows of jobs, which only control reads.
+func nodeCells(cs []rudderfork.Cell) []rudderfork.Cell {
+	var out []rudderfork.Cell
+	for _, c := range cs {
+		if c.Key.Kind != rudderfork.RowJob {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func upstreams(st *state.State) []wire.UpstreamInfo {
+	var us []wire.UpstreamInfo
+	oldest := rudderfork.Millis(steady.Now().Add(-showLost))
+	for _, v := range st.VMs() {
+		if len(v.Services) == 0 || !v.Live && v.LostAt < oldest {
+			continue
+		}
+		us = append(us, wire.UpstreamInfo{Place: v.Place, Addr: v.Addr, Boot: v.Boot, Services: v.Services, Leaving: v.Draining})
+	}
+	return us
+}
+
+func (s *session) handle(ctx context.Context, m wire.ToControl) {
+	switch {
+	case m.Beat != nil:
+		s.beat(*m.Beat)
+	case m.Reports != nil:
+		go s.reports(ctx, *m.Reports)
+	case m.Claim != nil:
+		go s.command(ctx, m.Claim.ID, state.Command{Claim: &m.Claim.Ask})
+	case m.Settle != nil:
+		go s.command(ctx, m.Settle.ID, state.Command{Settle: &m.Settle.Settle})
+	case m.Notes != nil:
+		for _, n := range m.Notes {
+			s.hub.rec.Record(rudderfork.Event{Kind: n.What, Subject: string(n.Task), Text: n.Reason})
+		}
+	}
+}
+
+func (s *session) beat(b wire.Beat) {
+	var newest rudderfork.Revision
+	s.hub.rep.View(func(st *state.State) {
+		newest = st.Revision()
+		if s.hello.Kind == wire.KindAgent {
+			s.hub.learned.beat(st, s.hello.Place.VM, b, steady.Now())
+		}
+	})
+	s.hub.have(s.hello.Process, b.Have, newest)
+	if s.epoch == 0 {
+		s.answer(wire.ToNode{Grant: &wire.Grant{}})
+		return
+	}
+	if b.Epoch == s.epoch {
+		s.grant()
+	}
+}
+
+// grant answers with an extended lease, if the VM may have one.
+func (s *session) grant() {
+	if s.epoch == 0 {
+		return
+	}
+	if d, ok := s.hub.grant(s.hello.Place.VM); ok {
+		s.answer(wire.ToNode{Grant: &wire.Grant{Epoch: s.epoch, Deadline: rudderfork.Millis(d)}})
+	}
+}
+
+// answer queues a message; a node that does not read loses its session.
+func (s *session) answer(m wire.ToNode) {
+	select {
+	case s.out <- m:
+	default:
+		s.conn.Close()
+	}
+}
+
+// reports commits how attempts ended. Without an answer the agent sends again.
+func (s *session) reports(ctx context.Context, b wire.ReportBatch) {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	c := state.Command{Reports: &state.Reports{VM: s.hello.Place.VM, Reports: b.Reports}}
+	res, err := s.hub.rep.Do(ctx, c)
+	if err != nil {
+		return
+	}
+	for i, r := range b.Reports {
+		if !res.Taken[i] {
+			continue // it came before
+		}
+		s.hub.rec.Record(rudderfork.Event{Kind: "task_" + string(r.Outcome), Subject: string(r.Task), Text: fmt.Sprintf("token %d on %s, %d units saved %s", r.Token, s.hello.Place.VM, r.Checkpoint, r.Reason)})
+	}
+	s.answer(wire.ToNode{Taken: &wire.Taken{ID: b.ID}})
+}
+
+func (s *session) command(ctx context.Context, id uint64, c state.Command) {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	res, err := s.hub.rep.Do(ctx, c)
+	out := wire.CommandResult{ID: id, Result: res}
+	if err != nil {
+		out.Failed = err.Error()
+	}
+	s.answer(wire.ToNode{Result: &out})
+}
--- /dev/null
+++ b/disk/disk.go
@@ -0,0 +1,257 @@
+// Package disk keeps a replica's hard state, snapshot and log in one folder.
+//
+// The folder holds one generation g at a time: snap-g, the state up to some
+// index, and log-g, the records after it. Taking a snapshot writes generation
+// g+1 beside g and then removes g; the rename of log-(g+1) is the step that
+// makes it valid. identity holds the replica's member ID and the group's first
+// members; tail holds how far log-g was synced.
+//
+// A record is a length, a CRC-32C and a CBOR payload. Reading tells three
+// things apart: a record that ends past the end of the file beyond the synced
+// length is a torn write, which was never acknowledged, and is cut off; every
+// other mismatch is corruption, and Open fails with ErrCorrupt. A corrupt
+// folder is never read as valid, because what it lost may have been committed;
+// SetAside moves it away so that the replica can rejoin under a new ID
+// (after "Protocol-Aware Recovery", FAST 2018).
+package disk
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"rudderfork.example/rudderfork/internal/errs"
+	"rudderfork.example/rudderfork/quorum"
+)
+
+// ErrCorrupt marks a folder whose content does not match its checksums.
+var ErrCorrupt = errors.New("data folder is corrupt")
+
+// ErrEmpty marks a folder that was never formatted.
+var ErrEmpty = errors.New("data folder is empty")
+
+const (
+	headerSize = 8        // length and CRC, 4 bytes each
+	maxRecord  = 64 << 20 // bytes; a longer length is corruption
+	dirMode    = 0o755
+	fileMode   = 0o644
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// Identity says who the replica is. It is written once.
+type Identity struct {
+	ID      quorum.MemberID `cbor:"1,keyasint"`
+	Group   string          `cbor:"2,keyasint"`           // the same on all replicas of the group
+	Members []quorum.Member `cbor:"3,keyasint,omitempty"` // first members; empty for one that joins
+}
+
+// record is one entry of a log file.
+type record struct {
+	Hard  *quorum.HardState `cbor:"1,keyasint,omitempty"`
+	Entry *quorum.Entry     `cbor:"2,keyasint,omitempty"`
+}
+
+// Store is an open data folder. It is not safe for concurrent use.
+type Store struct {
+	dir  string
+	gen  uint64
+	log  *os.File
+	size int64
+	tail *os.File
+
+	identity Identity
+	hard     quorum.HardState
+	snap     quorum.Snapshot
+	entries  []quorum.Entry // as read by Open; released by Loaded
+}
+
+// Format writes the identity of a new replica into dir, which must be empty or
+// missing.
+func Format(dir string, id Identity) (err error) {
+	defer errs.Annotate(&err, "format %s", filepath.Base(dir))
+	if err := os.MkdirAll(dir, dirMode); err != nil {
+		return err
+	}
+	names, err := os.ReadDir(dir)
+	if err != nil {
+		return err
+	}
+	if len(names) > 0 {
+		return errors.New("the folder is not empty")
+	}
+	return writeSealed(filepath.Join(dir, "identity"), id)
+}
+
+// SetAside renames dir so that it can be formatted anew, and returns its new
+// path.
+func SetAside(dir string, now time.Time) (to string, err error) {
+	defer errs.Annotate(&err, "set aside %s", filepath.Base(dir))
+	to = fmt.Sprintf("%s.corrupt-%d", dir, now.UnixMilli())
+	return to, os.Rename(dir, to)
+}
+
+// Open reads dir. It fails with ErrEmpty or ErrCorrupt where that is so.
+func Open(dir string) (s *Store, err error) {
+	defer errs.Annotate(&err, "open %s", filepath.Base(dir))
+	s = &Store{dir: dir}
+	if err := readSealed(filepath.Join(dir, "identity"), &s.identity); err != nil {
+		if errors.Is(err, fs.ErrNotExist) && !s.anyLog() {
+			return nil, ErrEmpty
+		}
+		return nil, fmt.Errorf("identity: %w", asCorrupt(err))
+	}
+	s.snap.Members = s.identity.Members
+	if err := s.load(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Store) anyLog() bool {
+	names, _ := filepath.Glob(filepath.Join(s.dir, "log-*"))
+	return len(names) > 0
+}
+
+// Identity returns who the replica is.
+func (s *Store) Identity() Identity { return s.identity }
+
+// Loaded returns what Open read, and releases it.
+func (s *Store) Loaded() (hs quorum.HardState, snap quorum.Snapshot, entries []quorum.Entry) {
+	entries = s.entries
+	s.entries = nil
+	snap = s.snap
+	s.snap.Data = nil
+	return s.hard, snap, entries
+}
+
+// Size returns the bytes in the current log file.
+func (s *Store) Size() int64 { return s.size }
+
+// Close closes the files. It does not sync: all that matters is synced.
+func (s *Store) Close() error { return errors.Join(s.log.Close(), s.tail.Close()) }
+
+// Save makes rd durable. After an error the store must not be used: what the
+// disk holds is then unknown.
+func (s *Store) Save(rd quorum.Ready) (err error) {
+	defer errs.Annotate(&err, "save")
+	if rd.HardState != nil {
+		s.hard = *rd.HardState
+	}
+	if rd.Snapshot != nil {
+		return s.Snapshot(*rd.Snapshot, rd.Entries)
+	}
+	if rd.HardState == nil && len(rd.Entries) == 0 {
+		return nil
+	}
+	buf, err := encodeRecords(rd.HardState, rd.Entries)
+	if err != nil {
+		return err
+	}
+	if _, err := s.log.WriteAt(buf, s.size); err != nil {
+		return err
+	}
+	if err := datasync(s.log); err != nil {
+		return err
+	}
+	s.size += int64(len(buf))
+	return s.markTail()
+}
+
+// Snapshot starts a new generation from snap and the entries after it.
+func (s *Store) Snapshot(snap quorum.Snapshot, after []quorum.Entry) (err error) {
+	defer errs.Annotate(&err, "snapshot at %d", snap.Index)
+	gen := s.gen + 1
+	if err := writeSealed(s.path("snap", gen), snap); err != nil {
+		return err
+	}
+	buf, err := encodeRecords(&s.hard, after)
+	if err != nil {
+		return err
+	}
+	if err := writeAtomic(s.path("log", gen), buf); err != nil {
+		return err
+	}
+	old := s.gen
+	if err := s.openLog(gen, int64(len(buf))); err != nil {
+		return err
+	}
+	s.removeGeneration(old)
+	return nil
+}
+
+func (s *Store) openLog(gen uint64, size int64) error {
+	f, err := os.OpenFile(s.path("log", gen), os.O_RDWR|os.O_CREATE, fileMode)
+	if err != nil {
+		return err
+	}
+	if s.log != nil {
+		_ = s.log.Close() // an old generation; nothing in it matters any more
+	}
+	s.log, s.gen, s.size = f, gen, size
+	if err := syncDir(s.dir); err != nil {
+		return err
+	}
+	return s.markTail()
+}
+
+func (s *Store) removeGeneration(gen uint64) {
+	_ = os.Remove(s.path("log", gen)) // left-overs are removed by the next Open
+	_ = os.Remove(s.path("snap", gen))
+}
+
+func (s *Store) path(kind string, gen uint64) string {
+	return filepath.Join(s.dir, fmt.Sprintf("%s-%08d", kind, gen))
+}
+
+// markTail notes how far the log is synced. It is written without a sync of
+// its own: after a power loss it may be too low, never too high, which is
+// enough to tell a log that was cut off later from a torn write.
+func (s *Store) markTail() error {
+	if s.tail == nil {
+		f, err := os.OpenFile(filepath.Join(s.dir, "tail"), os.O_RDWR|os.O_CREATE, fileMode)
+		if err != nil {
+			return err
+		}
+		s.tail = f
+	}
+	buf := make([]byte, 0, tailSize)
+	buf = binary.LittleEndian.AppendUint64(buf, s.gen)
+	buf = binary.LittleEndian.AppendUint64(buf, uint64(s.size))
+	buf = binary.LittleEndian.AppendUint32(buf, crc32.Checksum(buf, castagnoli))
+	_, err := s.tail.WriteAt(buf, 0)
+	return err
+}
+
+const tailSize = 20
+
+func encodeRecords(hs *quorum.HardState, es []quorum.Entry) (buf []byte, err error) {
+	if hs != nil {
+		if buf, err = appendRecord(buf, record{Hard: hs}); err != nil {
+			return nil, err
+		}
+	}
+	for i := range es {
+		if buf, err = appendRecord(buf, record{Entry: &es[i]}); err != nil {
+			return nil, err
+		}
+	}
+	return buf, nil
+}
+
+func appendRecord(buf []byte, v any) ([]byte, error) {
+	payload, err := cbor.Marshal(v)
+	if err != nil {
+		return nil, err
+	}
+	buf = binary.LittleEndian.AppendUint32(buf, uint32(len(payload)))
+	buf = binary.LittleEndian.AppendUint32(buf, crc32.Checksum(payload, castagnoli))
+	return append(buf, payload...), nil
+}
--- /dev/null
+++ b/disk/load.go
@@ -0,0 +1,198 @@
+package disk
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io/fs"
+	"math"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"rudderfork.example/rudderfork/quorum"
+)
+
+// decoder allows the large arrays that a snapshot or a batch may hold.
+var decoder = func() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: math.MaxInt32, MaxMapPairs: math.MaxInt32}.DecMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return m
+}()
+
+// load reads the newest generation.
+func (s *Store) load() error {
+	gen, err := s.newest()
+	if err != nil {
+		return err
+	}
+	if gen == 0 {
+		return s.openLog(1, 0)
+	}
+	if err := s.loadSnapshot(gen); err != nil {
+		return err
+	}
+	data, err := os.ReadFile(s.path("log", gen))
+	if err != nil {
+		return err
+	}
+	size, err := s.loadLog(data, s.syncedSize(gen))
+	if err != nil {
+		return fmt.Errorf("log-%08d: %w", gen, err)
+	}
+	if err := s.openLog(gen, size); err != nil {
+		return err
+	}
+	if err := s.log.Truncate(size); err != nil {
+		return err
+	}
+	return s.removeOthers(gen)
+}
+
+// newest returns the highest generation that has a log, or 0. A tail that
+// speaks of a newer one means that its log is gone.
+func (s *Store) newest() (gen uint64, err error) {
+	names, err := filepath.Glob(filepath.Join(s.dir, "log-*"))
+	if err != nil {
+		return 0, err
+	}
+	for _, name := range names {
+		if g, ok := generation(name); ok {
+			gen = max(gen, g)
+		}
+	}
+	if tailGen, _, ok := s.readTail(); ok && tailGen > gen {
+		return 0, fmt.Errorf("log-%08d is missing: %w", tailGen, ErrCorrupt)
+	}
+	return gen, nil
+}
+
+func generation(name string) (gen uint64, ok bool) {
+	_, digits, _ := strings.Cut(filepath.Base(name), "-")
+	gen, err := strconv.ParseUint(digits, 10, 64)
+	return gen, err == nil
+}
+
+func (s *Store) loadSnapshot(gen uint64) error {
+	err := readSealed(s.path("snap", gen), &s.snap)
+	if errors.Is(err, fs.ErrNotExist) && gen == 1 {
+		return nil // the first generation starts from nothing
+	}
+	if err != nil {
+		return fmt.Errorf("snap-%08d: %w", gen, asCorrupt(err))
+	}
+	return nil
+}
+
+// readTail returns how far a log was synced; ok is false without a valid mark.
+func (s *Store) readTail() (gen uint64, size int64, ok bool) {
+	b, err := os.ReadFile(filepath.Join(s.dir, "tail"))
+	if err != nil || len(b) != tailSize {
+		return 0, 0, false
+	}
+	if crc32.Checksum(b[:16], castagnoli) != binary.LittleEndian.Uint32(b[16:]) {
+		return 0, 0, false
+	}
+	return binary.LittleEndian.Uint64(b), int64(binary.LittleEndian.Uint64(b[8:])), true
+}
+
+func (s *Store) syncedSize(gen uint64) int64 {
+	g, size, ok := s.readTail()
+	if !ok || g != gen {
+		return 0
+	}
+	return size
+}
+
+// loadLog reads records and returns the length of the valid part.
+func (s *Store) loadLog(data []byte, synced int64) (size int64, err error) {
+	if int64(len(data)) < synced {
+		return 0, fmt.Errorf("%d bytes, but %d were synced: %w", len(data), synced, ErrCorrupt)
+	}
+	off := 0
+	for off < len(data) {
+		payload, torn, err := recordAt(data, off)
+		if torn && int64(off) >= synced {
+			return int64(off), nil
+		}
+		if err != nil {
+			return 0, fmt.Errorf("offset %d: %w", off, err)
+		}
+		if err := s.takeRecord(payload); err != nil {
+			return 0, fmt.Errorf("offset %d: %w", off, err)
+		}
+		off += headerSize + len(payload)
+	}
+	return int64(off), nil
+}
+
+// recordAt returns the payload at off. torn is true if the file ends before
+// the record does.
+func recordAt(data []byte, off int) (payload []byte, torn bool, err error) {
+	rest := data[off:]
+	if len(rest) < headerSize {
+		return nil, true, fmt.Errorf("cut record: %w", ErrCorrupt)
+	}
+	n := binary.LittleEndian.Uint32(rest)
+	if n > maxRecord {
+		return nil, false, fmt.Errorf("length %d: %w", n, ErrCorrupt)
+	}
+	if int(n) > len(rest)-headerSize {
+		return nil, true, fmt.Errorf("cut record: %w", ErrCorrupt)
+	}
+	payload = rest[headerSize : headerSize+int(n)]
+	if crc32.Checksum(payload, castagnoli) != binary.LittleEndian.Uint32(rest[4:]) {
+		return nil, false, fmt.Errorf("checksum: %w", ErrCorrupt)
+	}
+	return payload, false, nil
+}
+
+func (s *Store) takeRecord(payload []byte) error {
+	var r record
+	if err := decoder.Unmarshal(payload, &r); err != nil {
+		return asCorrupt(err)
+	}
+	if r.Hard != nil {
+		s.hard = *r.Hard
+	}
+	if r.Entry == nil {
+		return nil
+	}
+	return s.takeEntry(*r.Entry)
+}
+
+// takeEntry adds e; entries at or past its index were replaced by it.
+func (s *Store) takeEntry(e quorum.Entry) error {
+	first := s.snap.Index + 1
+	if e.Index < first {
+		return nil
+	}
+	at := e.Index - first
+	if at > uint64(len(s.entries)) {
+		return fmt.Errorf("entry %d after %d: %w", e.Index, s.snap.Index+uint64(len(s.entries)), ErrCorrupt)
+	}
+	s.entries = append(s.entries[:at], e)
+	return nil
+}
+
+func (s *Store) removeOthers(gen uint64) error {
+	names, err := os.ReadDir(s.dir)
+	if err != nil {
+		return err
+	}
+	for _, n := range names {
+		g, ok := generation(n.Name())
+		if ok && g != gen || strings.HasSuffix(n.Name(), ".tmp") {
+			if err := os.Remove(filepath.Join(s.dir, n.Name())); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/attempt.go
@@ -0,0 +1,124 @@
+package entry
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/internal/problem"
+	"rudderfork.example/rudderfork/internal/steady"
+	"rudderfork.example/rudderfork/relay"
+)
+
+// maxProblem bounds an agent's refusal, in bytes.
+const maxProblem = 64 << 10
+
+// attempt is one try at one upstream: an answer, or a problem that says whether
+// the request ran.
+type attempt struct {
+	c       *call
+	vm      rudderfork.VMID
+	start   time.Time
+	resp    *http.Response
+	problem *rudderfork.Problem
+	final   bool // no other upstream would do better
+}
+
+// send passes the request to a VM's agent. cl is nil without a claim.
+func (c *call) send(vm rudderfork.VMID, cl *claimed) *attempt {
+	a := &attempt{c: c, vm: vm, start: steady.Now()}
+	info, ok := c.h.fleet.info(vm)
+	if !ok {
+		c.pool.done(vm, 0, true)
+		a.problem = c.unavailable("no-upstream", "the upstream has left")
+		return a
+	}
+	req, err := http.NewRequestWithContext(c.ctx, c.r.Method, "http://"+info.Addr+c.url.RequestURI(), nil)
+	if err != nil {
+		c.pool.done(vm, 0, false)
+		a.problem = problem.New(http.StatusBadRequest, "malformed", err.Error(), rudderfork.RanNo)
+		a.final = true
+		return a
+	}
+	c.fill(req, cl)
+	resp, err := c.h.fleet.hc.RoundTrip(req)
+	if err != nil {
+		a.failed(err)
+		return a
+	}
+	if l, ok := relay.DecodeLoad(resp.Header.Get(relay.HeaderLoad)); ok {
+		c.pool.observe(vm, l)
+	}
+	if resp.Header.Get(problem.Header) != "" {
+		a.refused(resp)
+		return a
+	}
+	a.resp = resp
+	return a
+}
+
+// fill sets the headers and the body of a request to an agent.
+func (c *call) fill(req *http.Request, cl *claimed) {
+	relay.CopyHeader(req.Header, c.r.Header)
+	req.Header.Set(relay.HeaderService, string(c.service))
+	req.Header.Set(relay.HeaderRequest, c.id)
+	req.Header.Del(relay.HeaderDeadline)
+	if !c.deadline.IsZero() {
+		req.Header.Set(relay.HeaderDeadline, strconv.FormatInt(rudderfork.Millis(c.deadline), 10))
+	}
+	if cl != nil {
+		req.Header.Set(relay.HeaderClaim, strconv.FormatUint(uint64(cl.claim.Token), 10))
+		req.Header.Set(relay.HeaderBoot, cl.claim.Boot)
+		req.Header.Set(relay.HeaderExpires, strconv.FormatInt(cl.claim.Expires, 10))
+	}
+	relay.HideKey(req.Header)
+	req.Host = c.r.Host
+	c.body.attach(req)
+}
+
+// failed notes an attempt that got no answer.
+func (a *attempt) failed(err error) {
+	c := a.c
+	switch {
+	case relay.NotSent(err):
+		c.pool.done(a.vm, 0, true)
+		a.problem = c.unavailable("unreachable", "the upstream "+string(a.vm)+" cannot be reached")
+	case deadlinePassed(err):
+		c.pool.done(a.vm, steady.Now().Sub(a.start), false)
+		a.problem = problem.New(http.StatusGatewayTimeout, "deadline", "no answer came by the deadline", rudderfork.RanUnknown)
+		a.problem.RetryAt = steady.Now().Add(retryPause)
+		a.final = true
+	default:
+		c.pool.done(a.vm, 0, c.r.Context().Err() == nil)
+		a.problem = problem.New(http.StatusBadGateway, "upstream-failed", "the connection to "+string(a.vm)+" broke before an answer came", rudderfork.RanUnknown)
+		a.problem.RetryAt = steady.Now().Add(retryPause)
+	}
+}
+
+// refused reads an agent's refusal.
+func (a *attempt) refused(resp *http.Response) {
+	defer resp.Body.Close()
+	a.problem = &rudderfork.Problem{}
+	err := json.NewDecoder(io.LimitReader(resp.Body, maxProblem)).Decode(a.problem)
+	if err != nil || a.problem.Ran == "" {
+		a.problem = problem.New(http.StatusBadGateway, "upstream-failed", "the agent's refusal broke off", rudderfork.RanUnknown)
+	}
+	a.final = a.problem.Status == http.StatusBadRequest || a.problem.Status == http.StatusNotFound
+	kind := a.problem.Type
+	broken := kind == problem.TypeBase+"upstream-down" || kind == problem.TypeBase+"upstream-failed"
+	a.c.pool.done(a.vm, steady.Now().Sub(a.start), broken)
+}
+
+// close ends an attempt that was answered. It must be called after the body was
+// read, also if that broke off.
+func (a *attempt) close() {
+	_ = a.resp.Body.Close() // an answer that broke off is cut for the caller too
+	took := steady.Now().Sub(a.start)
+	if a.c.feed {
+		took = 0
+	}
+	a.c.pool.done(a.vm, took, a.resp.StatusCode >= http.StatusInternalServerError)
+}
--- /dev/null
+++ b/entry/body.go
@@ -0,0 +1,82 @@
+package entry
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+)
+
+const (
+	// maxReplay bounds a body that is kept for another attempt, in bytes.
+	maxReplay = 64 << 10
+	// maxKeyed bounds the body of a keyed request, which is read whole for its
+	// digest, in bytes.
+	maxKeyed = 1 << 20
+)
+
+// body is a request's body: short ones are kept, long ones stream once.
+type body struct {
+	src    io.ReadCloser
+	length int64
+	kept   []byte
+	whole  bool // kept holds all of it
+	used   bool
+}
+
+func newBody(r *http.Request) *body {
+	b := &body{src: r.Body, length: r.ContentLength}
+	if r.ContentLength == 0 || r.Body == nil {
+		b.whole = true
+	} else if r.ContentLength > 0 && r.ContentLength <= maxReplay {
+		// A body that breaks off is noticed when it is sent.
+		if kept, err := io.ReadAll(r.Body); err == nil {
+			b.kept, b.whole = kept, true
+		} else {
+			b.src = io.NopCloser(io.MultiReader(bytes.NewReader(kept), &errReader{err}))
+		}
+	}
+	return b
+}
+
+// errReader fails.
+type errReader struct{ err error }
+
+// Read implements io.Reader.
+func (e *errReader) Read([]byte) (int, error) { return 0, e.err }
+
+// keep reads the body whole; an error if it is larger than maxKeyed.
+func (b *body) keep() error {
+	if b.whole {
+		return nil
+	}
+	kept, err := io.ReadAll(io.LimitReader(b.src, maxKeyed+1))
+	if err != nil {
+		return err
+	}
+	if len(kept) > maxKeyed {
+		return errTooLarge
+	}
+	b.kept, b.whole, b.length = kept, true, int64(len(kept))
+	return nil
+}
+
+var errTooLarge = errors.New("the body is too large")
+
+// replayable reports whether the body can be sent (again).
+func (b *body) replayable() bool { return b.whole || !b.used }
+
+// attach gives the body to a request. It never sets GetBody, so that the
+// standard client cannot repeat the request by itself.
+func (b *body) attach(req *http.Request) {
+	switch {
+	case b.whole && len(b.kept) == 0:
+	case b.whole:
+		req.Body = io.NopCloser(bytes.NewReader(b.kept))
+		req.ContentLength = int64(len(b.kept))
+	default:
+		b.used = true
+		req.Body = struct{ io.ReadCloser }{b.src}
+		req.ContentLength = b.length
+	}
+}
--- /dev/null
+++ b/entry/handler.go
@@ -0,0 +1,231 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/internal/admin"
+	"rudderfork.example/rudderfork/internal/problem"
+	"rudderfork.example/rudderfork/internal/steady"
+	"rudderfork.example/rudderfork/node"
+	"rudderfork.example/rudderfork/relay"
+	"rudderfork.example/rudderfork/timeline"
+)
+
+// pathPrefix is how callers name a service: /svc/SERVICE/path.
+const pathPrefix = "/svc/"
+
+// retryPause is when to come back after a refusal that no queue explains.
+const retryPause = 500 * time.Millisecond
+
+// handler serves callers.
+type handler struct {
+	cfg     Settings
+	table   *node.Table
+	client  *node.Client
+	fleet   *fleet
+	metrics *metrics
+	ring    *timeline.Ring
+	log     zerolog.Logger
+}
+
+func newHandler(cfg Settings, t *node.Table, c *node.Client, f *fleet, m *metrics, ring *timeline.Ring, log zerolog.Logger) *handler {
+	return &handler{cfg, t, c, f, m, ring, log}
+}
+
+// call is one request of a caller.
+type call struct {
+	h        *handler
+	w        http.ResponseWriter
+	r        *http.Request
+	ctx      context.Context //nolint:containedctx // it lives as long as the call
+	id       string
+	service  rudderfork.Service
+	pool     *pool
+	url      *url.URL // path and query for the upstream
+	deadline time.Time
+	feed     bool
+	body     *body
+
+	// A keyed request may have run before, under the same key. vouched is set
+	// once a claim shows that it has not.
+	keyed   bool
+	vouched bool
+}
+
+// ServeHTTP implements http.Handler.
+func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c, p := h.parse(w, r)
+	if p != nil {
+		c.fail(p)
+		return
+	}
+	if !c.deadline.IsZero() {
+		var cancel context.CancelFunc
+		c.ctx, cancel = context.WithDeadline(c.ctx, c.deadline)
+		defer cancel()
+	}
+	start := steady.Now()
+	defer func() {
+		h.metrics.seconds.WithLabelValues(string(c.service)).Observe(steady.Now().Sub(start).Seconds())
+	}()
+	c.pool.request()
+	c.event("received", r.Method+" "+c.url.Path)
+	if c.keyed {
+		c.runClaimed(r.Header.Get(relay.HeaderKey))
+		return
+	}
+	c.run()
+}
+
+// parse reads what the entry must know of a request.
+func (h *handler) parse(w http.ResponseWriter, r *http.Request) (c *call, p *rudderfork.Problem) {
+	c = &call{h: h, w: w, r: r, ctx: r.Context(), id: r.Header.Get(relay.HeaderRequest), feed: relay.Feed(r.Header)}
+	if c.id == "" || len(c.id) > maxID {
+		c.id = rand.Text()
+	}
+	c.keyed = r.Header.Get(relay.HeaderKey) != "" && !relay.Safe(r.Method)
+	rest, ok := strings.CutPrefix(r.URL.Path, pathPrefix)
+	name, path, _ := strings.Cut(rest, "/")
+	if !ok || name == "" {
+		return c, problem.New(http.StatusNotFound, "no-service", "want a path "+pathPrefix+"SERVICE/...", rudderfork.RanNo)
+	}
+	c.service = rudderfork.Service(name)
+	c.url = &url.URL{Path: "/" + path, RawQuery: r.URL.RawQuery}
+	if !h.table.Known() {
+		return c, c.unavailable("no-table", "the table is not known here yet")
+	}
+	if c.pool = h.fleet.lookup(c.service); c.pool == nil {
+		return c, problem.New(http.StatusNotFound, "no-service", fmt.Sprintf("no service %q is known", name), rudderfork.RanNo)
+	}
+	var err error
+	if c.deadline, err = relay.Deadline(r.Header); err != nil {
+		return c, problem.New(http.StatusBadRequest, "malformed", err.Error(), rudderfork.RanNo)
+	}
+	if c.deadline.IsZero() && !c.feed {
+		c.deadline = steady.Now().Add(h.cfg.Timeout)
+	}
+	c.body = newBody(r)
+	return c, nil
+}
+
+// maxID bounds a caller's request id, in bytes.
+const maxID = 128
+
+// unavailable refuses a request that this entry has sent nowhere.
+func (c *call) unavailable(kind, detail string) *rudderfork.Problem {
+	ran := rudderfork.RanNo
+	if c.keyed && !c.vouched {
+		ran = rudderfork.RanUnknown
+	}
+	p := problem.New(http.StatusServiceUnavailable, kind, detail, ran)
+	p.RetryAt = steady.Now().Add(retryPause)
+	return p
+}
+
+func (c *call) event(kind, text string) {
+	c.h.ring.Record(rudderfork.Event{Kind: kind, Subject: c.id, Revision: c.h.table.Revision(), Text: text})
+}
+
+// fail answers with a problem, at once.
+func (c *call) fail(p *rudderfork.Problem) {
+	p.Request = c.id
+	p.Version = c.h.table.Revision()
+	c.event("refused", fmt.Sprintf("%d %s, ran: %s", p.Status, p.Detail, p.Ran))
+	c.h.metrics.requests.WithLabelValues(string(c.service), "ran_"+string(p.Ran)).Inc()
+	problem.Write(c.w, p)
+}
+
+// run serves a request without a claim.
+func (c *call) run() {
+	repeatable := relay.Safe(c.r.Method) || c.r.Header.Get(relay.HeaderRepeatable) == "yes"
+	var tried []rudderfork.VMID
+	var last *attempt
+	for range maxAttempts {
+		vm, why, ok := c.pool.pick(tried)
+		if !ok {
+			break
+		}
+		c.event("chosen", string(vm)+": "+why)
+		a := c.send(vm, nil)
+		tried = append(tried, vm)
+		if a.resp != nil {
+			c.answer(a, nil)
+			return
+		}
+		last = a
+		again := a.problem.Ran == rudderfork.RanNo || repeatable
+		if !again || !c.body.replayable() || c.ctx.Err() != nil || !c.mayRetry(a) {
+			break
+		}
+	}
+	c.giveUp(last)
+}
+
+// maxAttempts bounds how often one request is tried.
+const maxAttempts = 3
+
+// mayRetry reports whether another attempt fits the budget.
+func (c *call) mayRetry(a *attempt) bool {
+	if a.final {
+		return false
+	}
+	ok := c.pool.mayRetry()
+	if ok {
+		c.h.metrics.retries.WithLabelValues(string(c.service)).Inc()
+		c.event("retry", a.problem.Detail)
+	}
+	return ok
+}
+
+// giveUp answers with what the last attempt met.
+func (c *call) giveUp(last *attempt) {
+	if last == nil {
+		c.fail(c.unavailable("no-upstream", "no upstream of the service can take a request now"))
+		return
+	}
+	c.fail(last.problem)
+}
+
+// answer passes an upstream's answer on.
+func (c *call) answer(a *attempt, cp *relay.Capture) {
+	defer a.close()
+	c.w.Header().Set(relay.HeaderRequest, c.id)
+	c.w.Header().Set(relay.HeaderUpstream, string(a.vm))
+	c.h.metrics.requests.WithLabelValues(string(c.service), "answered").Inc()
+	c.event("answering", fmt.Sprintf("%d from %s", a.resp.StatusCode, a.vm))
+	if cp == nil {
+		relay.WriteAnswer(c.w, a.resp, nil)
+		return
+	}
+	relay.WriteAnswer(c.w, a.resp, cp)
+}
+
+// explain gives the reasons for what was decided about a request.
+func (h *handler) explain(w http.ResponseWriter, r *http.Request) {
+	id := r.FormValue("subject")
+	var lines []string
+	for _, e := range h.ring.Select(timeline.Query{Subject: id}) {
+		if e.Subject == id {
+			lines = append(lines, fmt.Sprintf("%s: request %s by entry %s, with the table at revision %d: %s.",
+				time.UnixMicro(e.At).UTC().Format("15:04:05.000000"), e.Kind, e.Process, e.Revision, e.Text))
+		}
+	}
+	if len(lines) == 0 {
+		problem.Write(w, problem.New(http.StatusNotFound, "not-found", "request "+id+" is unknown here, or it was forgotten", rudderfork.RanUnknown))
+		return
+	}
+	admin.WriteJSON(w, map[string]any{"subject": id, "sentences": lines})
+}
+
+// deadlinePassed reports whether the caller's deadline has.
+func deadlinePassed(err error) bool { return errors.Is(err, context.DeadlineExceeded) }
--- /dev/null
+++ b/entry/link.go
@@ -0,0 +1,190 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/internal/steady"
+	"rudderfork.example/rudderfork/state"
+	"rudderfork.example/rudderfork/wire"
+)
+
+// errNoAgent means that the agent could not be asked, or did not answer.
+var errNoAgent = errors.New("the agent cannot be reached")
+
+const (
+	// redialPause is the rest after a broken link.
+	redialPause = 200 * time.Millisecond
+	// probeTimeout is after how long without an answer the link is given up.
+	probeTimeout = 2 * time.Second
+)
+
+// agentLink is the session with one agent, for probes and fences.
+type agentLink struct {
+	fleet  *fleet
+	vm     rudderfork.VMID
+	addr   string
+	boot   string
+	names  []rudderfork.Service
+	cancel context.CancelFunc
+
+	mu    sync.Mutex
+	out   chan wire.ToAgent // nil without a connection
+	asked map[uint64]chan wire.Fenced
+	next  uint64
+}
+
+func newAgentLink(f *fleet, i wire.UpstreamInfo, cancel context.CancelFunc) *agentLink {
+	return &agentLink{
+		fleet: f, vm: i.Place.VM, addr: i.Addr, boot: i.Boot, names: i.Services, cancel: cancel,
+		asked: map[uint64]chan wire.Fenced{},
+	}
+}
+
+// run keeps the session up until ctx ends.
+func (l *agentLink) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := l.session(ctx); err != nil && ctx.Err() == nil {
+			l.report(rudderfork.Load{Down: true})
+		}
+		t := time.NewTimer(redialPause)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+// report tells the pickers of all services here.
+func (l *agentLink) report(load rudderfork.Load) {
+	for _, p := range l.fleet.poolsOf(l.names) {
+		p.observe(l.vm, load)
+	}
+}
+
+func (l *agentLink) session(ctx context.Context) error {
+	c, err := wire.Dial[wire.ToAgent, wire.ToEntry](ctx, "ws://"+l.addr+"/rudderfork/session")
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	out := make(chan wire.ToAgent, 64)
+	l.open(out)
+	defer l.close()
+	go func() {
+		defer c.Close()
+		defer cancel()
+		l.write(ctx, c, out)
+	}()
+	for {
+		m, err := l.receive(ctx, c)
+		if err != nil {
+			return err
+		}
+		switch {
+		case m.Load != nil:
+			if p := l.fleet.lookup(m.Load.Service); p != nil {
+				p.observe(l.vm, m.Load.Load)
+			}
+		case m.Fenced != nil:
+			l.answer(*m.Fenced)
+		}
+	}
+}
+
+func (l *agentLink) receive(ctx context.Context, c *wire.Conn[wire.ToAgent, wire.ToEntry]) (wire.ToEntry, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeIdle+probeTimeout)
+	defer cancel()
+	return c.Receive(ctx)
+}
+
+// write sends probes, more often while there are requests.
+func (l *agentLink) write(ctx context.Context, c *wire.Conn[wire.ToAgent, wire.ToEntry], out chan wire.ToAgent) {
+	tick := time.NewTicker(probeBusy)
+	defer tick.Stop()
+	var probed time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-out:
+			if c.Send(ctx, m) != nil {
+				return
+			}
+		case <-tick.C:
+			now := steady.Now()
+			for s, p := range l.fleet.poolsOf(l.names) {
+				if !p.busy(now) && now.Sub(probed) < probeIdle {
+					continue
+				}
+				if c.Send(ctx, wire.ToAgent{Probe: &wire.Probe{Service: s}}) != nil {
+					return
+				}
+				probed = now
+			}
+		}
+	}
+}
+
+func (l *agentLink) open(out chan wire.ToAgent) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.out = out
+}
+
+func (l *agentLink) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.out = nil
+	for id, ch := range l.asked {
+		close(ch)
+		delete(l.asked, id)
+	}
+}
+
+func (l *agentLink) answer(f wire.Fenced) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if ch := l.asked[f.ID]; ch != nil {
+		ch <- f
+		delete(l.asked, f.ID)
+	}
+}
+
+// fence asks the agent what became of a claimed request.
+func (l *agentLink) fence(ctx context.Context, c *state.Claim) (out wire.Fenced, err error) {
+	ch := make(chan wire.Fenced, 1)
+	l.mu.Lock()
+	if l.out == nil {
+		l.mu.Unlock()
+		return out, errNoAgent
+	}
+	l.next++
+	id := l.next
+	l.asked[id] = ch
+	select {
+	case l.out <- wire.ToAgent{Fence: &wire.Fence{ID: id, Key: c.Key, Token: c.Token, Boot: c.Boot}}:
+	default:
+	}
+	l.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	select {
+	case f, ok := <-ch:
+		if !ok {
+			return out, errNoAgent
+		}
+		return f, nil
+	case <-ctx.Done():
+		l.mu.Lock()
+		delete(l.asked, id)
+		l.mu.Unlock()
+		return out, errNoAgent
+	}
+}
--- /dev/null
+++ b/entry/settings.go
@@ -0,0 +1,50 @@
+package entry
+
+import (
+	"time"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/settings"
+)
+
+// Settings are those of an entry.
+type Settings struct {
+	Name       string
+	Place      rudderfork.Place
+	Listen     string
+	Admin      string
+	Control    []string
+	Beat       time.Duration
+	LeaveGrace time.Duration // between being no longer ready and closing
+	DrainLimit time.Duration
+	Timeout    time.Duration // for requests without a deadline
+	Picker     string        // "probing", or a baseline for comparison
+}
+
+const (
+	defaultBeat    = time.Second
+	defaultGrace   = 3 * time.Second
+	defaultDrain   = 4 * time.Hour
+	defaultTimeout = 30 * time.Second
+)
+
+// ReadSettings reads the settings of an entry.
+func ReadSettings(path string) (cfg Settings, err error) {
+	f := settings.Open(path)
+	cfg = Settings{
+		Place:      f.Place(),
+		Name:       f.Name("entry", "name"),
+		Listen:     f.Addr("entry", "listen"),
+		Admin:      f.Addr("entry", "admin"),
+		Control:    f.Addrs("entry", "control"),
+		Beat:       f.Duration("entry", "beat", defaultBeat, 50*time.Millisecond, time.Minute),
+		LeaveGrace: f.Duration("entry", "leave_grace", defaultGrace, 0, time.Minute),
+		DrainLimit: f.Duration("entry", "drain_limit", defaultDrain, time.Second, 48*time.Hour),
+		Timeout:    f.Duration("entry", "timeout", defaultTimeout, 100*time.Millisecond, time.Hour),
+		Picker:     f.Optional("entry", "picker", pickerProbing),
+	}
+	if newPicker(cfg, 1) == nil {
+		f.Wrong("entry", "picker", "is unknown; want probing, random, round-robin or least-in-flight")
+	}
+	return cfg, f.Err()
+}
--- /dev/null
+++ b/event.go
@@ -0,0 +1,42 @@
+package rudderfork
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Event is one entry of the time line.
+type Event struct {
+	At       int64    `cbor:"1,keyasint" json:"at"` // Unix microseconds
+	Process  string   `cbor:"2,keyasint" json:"process"`
+	VM       VMID     `cbor:"3,keyasint" json:"vm"`
+	Domain   Domain   `cbor:"4,keyasint" json:"domain"`
+	Seq      uint64   `cbor:"5,keyasint" json:"seq"` // order within the process
+	Kind     string   `cbor:"6,keyasint" json:"kind"`
+	Subject  string   `cbor:"7,keyasint,omitempty" json:"subject,omitempty"` // request, task, job, VM or cell
+	Revision Revision `cbor:"8,keyasint,omitempty" json:"revision,omitempty"`
+	Text     string   `cbor:"9,keyasint,omitempty" json:"text,omitempty"`
+}
+
+// String gives the event as one line of the time line.
+func (e Event) String() string {
+	var b strings.Builder
+	at := time.UnixMicro(e.At).UTC().Format("15:04:05.000000")
+	fmt.Fprintf(&b, "%s vm=%s domain=%s process=%s event=%s", at, e.VM, e.Domain, e.Process, e.Kind)
+	if e.Subject != "" {
+		fmt.Fprintf(&b, " subject=%s", e.Subject)
+	}
+	if e.Revision != 0 {
+		fmt.Fprintf(&b, " revision=%d", e.Revision)
+	}
+	if e.Text != "" {
+		fmt.Fprintf(&b, " text=%q", e.Text)
+	}
+	return b.String()
+}
+
+// Recorder takes events. Implementations add time, process, place and order.
+type Recorder interface {
+	Record(e Event)
+}
--- /dev/null
+++ b/internal/harness/wait.go
@@ -0,0 +1,205 @@
+package harness
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/standin"
+	"rudderfork.example/rudderfork/timeline"
+)
+
+// poll is the pause between two looks at a condition.
+const poll = 20 * time.Millisecond
+
+// Until waits for a condition; its last error is in the answer if ctx ends.
+func Until(ctx context.Context, what string, cond func() error) error {
+	for {
+		err := cond()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("waiting for %s: %w (%w)", what, err, ctx.Err())
+		case <-time.After(poll):
+		}
+	}
+}
+
+// WaitReady waits until every entry is ready and knows every agent.
+func (c *Cluster) WaitReady(ctx context.Context) error {
+	for i := range c.opt.Entries {
+		p := c.procs[name("e", i)]
+		if err := Until(ctx, p.Name+" to be ready", func() error { return getOK(ctx, "http://"+p.Admin()+"/ready") }); err != nil {
+			return err
+		}
+	}
+	return Until(ctx, "all VMs to be live", func() error {
+		vms, err := c.Operator().VMs(ctx)
+		if err != nil {
+			return err
+		}
+		live := 0
+		for _, v := range vms {
+			if v.Live {
+				live++
+			}
+		}
+		if live < c.opt.Agents {
+			return fmt.Errorf("%d of %d VMs are live", live, c.opt.Agents)
+		}
+		return nil
+	})
+}
+
+func getOK(ctx context.Context, url string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.New(resp.Status)
+	}
+	return nil
+}
+
+// WaitInForce waits until n entries and agents confirm the table's revision.
+func (c *Cluster) WaitInForce(ctx context.Context, rev rudderfork.Revision, n int) error {
+	return Until(ctx, "the table to be in force", func() error {
+		ns, err := c.Operator().Nodes(ctx)
+		if err != nil {
+			return err
+		}
+		have := 0
+		for _, o := range ns {
+			if o.Have >= rev {
+				have++
+			}
+		}
+		if have < n {
+			return fmt.Errorf("%d of %d have revision %d", have, n, rev)
+		}
+		return nil
+	})
+}
+
+// WaitJob waits until a job has finished with all tasks done.
+func (c *Cluster) WaitJob(ctx context.Context, id rudderfork.JobID) error {
+	return Until(ctx, "job "+string(id), func() error {
+		j, err := c.Operator().Job(ctx, id)
+		if err != nil {
+			return err
+		}
+		if j.Done != j.Tasks {
+			return fmt.Errorf("%d of %d tasks are done, %d running, %d failed", j.Done, j.Tasks, j.Running, j.Failed)
+		}
+		return nil
+	})
+}
+
+// Timeline returns the events about one subject, over all processes.
+func (c *Cluster) Timeline(ctx context.Context, subject string) ([]rudderfork.Event, error) {
+	op := c.Operator()
+	var lists [][]rudderfork.Event
+	for _, n := range c.order {
+		p := c.procs[n]
+		if p.Admin() == "" || !p.Running() {
+			continue
+		}
+		es, err := op.Timeline(ctx, p.Admin(), subject, time.Time{}, 0)
+		if err != nil {
+			return nil, err
+		}
+		lists = append(lists, es)
+	}
+	return timeline.Merge(lists...), nil
+}
+
+// readAudit calls f with each line of an audit file.
+func readAudit[T any](path string, f func(T)) error {
+	file, err := os.Open(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	sc := bufio.NewScanner(file)
+	for sc.Scan() {
+		var v T
+		if err := json.Unmarshal(sc.Bytes(), &v); err != nil {
+			return fmt.Errorf("%s: %w", path, err)
+		}
+		f(v)
+	}
+	return sc.Err()
+}
+
+// Runs returns how often each keyed request ran, over all upstreams.
+func (c *Cluster) Runs() (map[string]int, error) {
+	runs := map[string]int{}
+	for i := range c.opt.Agents {
+		err := readAudit(c.Audit(name("u", i)), func(r standin.Run) {
+			if r.Key != "" && !r.Whole {
+				runs[r.Key]++
+			}
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
+	return runs, nil
+}
+
+// Units returns the lines of all workers' audits.
+func (c *Cluster) Units() (us []standin.Unit, err error) {
+	for i := range c.opt.Agents {
+		err := readAudit(c.Audit(name("w", i)), func(u standin.Unit) { us = append(us, u) })
+		if err != nil {
+			return nil, err
+		}
+	}
+	return us, nil
+}
+
+// StopAll stops entries, agents and controls as planned, and checks that each
+// ends with code 0.
+func (c *Cluster) StopAll(ctx context.Context) error {
+	for _, kind := range []byte{'e', 'a', 'c'} {
+		var ps []*Proc
+		for _, n := range c.order {
+			if p := c.procs[n]; n[0] == kind && p.Running() {
+				p.Term()
+				ps = append(ps, p)
+			}
+		}
+		for _, p := range ps {
+			err := Until(ctx, p.Name+" to stop", func() error {
+				if p.Running() {
+					return errors.New("it runs")
+				}
+				return nil
+			})
+			if err != nil {
+				return err
+			}
+			if p.Code() != 0 {
+				return fmt.Errorf("%s stopped with code %d", p.Name, p.Code())
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/job.go
@@ -0,0 +1,105 @@
+package rudderfork
+
+import "fmt"
+
+// JobSpec is what an operator submits. Sizes stand in the job's row of the
+// table; the spec holds what cannot change.
+type JobSpec struct {
+	ID       JobID            `cbor:"1,keyasint" json:"id"`
+	Team     Team             `cbor:"2,keyasint" json:"team"`
+	Kind     string           `cbor:"3,keyasint" json:"kind"`  // groups jobs whose interference is alike
+	Tasks    int              `cbor:"4,keyasint" json:"tasks"` // number of tasks
+	Units    int64            `cbor:"5,keyasint" json:"units"` // steps of work in each task
+	Cells    map[string]int64 `cbor:"6,keyasint,omitempty" json:"cells,omitempty"`
+	Attempts int              `cbor:"7,keyasint,omitempty" json:"attempts,omitempty"` // failures a task may have; 0 means 5
+}
+
+// Bounds of a job's spec.
+const (
+	MaxTasks        = 10_000
+	MaxUnits        = 1_000_000_000
+	DefaultAttempts = 5
+	maxAttempts     = 100
+)
+
+// Check reports the first thing wrong with the spec.
+func (s JobSpec) Check() error {
+	if err := CheckName(string(s.ID)); err != nil {
+		return fmt.Errorf("job id: %w", err)
+	}
+	if err := CheckName(string(s.Team)); err != nil {
+		return fmt.Errorf("job %s: team: %w", s.ID, err)
+	}
+	if err := CheckName(s.Kind); err != nil {
+		return fmt.Errorf("job %s: kind: %w", s.ID, err)
+	}
+	if s.Tasks < 1 || s.Tasks > MaxTasks {
+		return fmt.Errorf("job %s: tasks: %d is out of range; want 1 to %d", s.ID, s.Tasks, MaxTasks)
+	}
+	if s.Units < 1 || s.Units > MaxUnits {
+		return fmt.Errorf("job %s: units: %d is out of range; want 1 to %d", s.ID, s.Units, MaxUnits)
+	}
+	if s.Attempts < 0 || s.Attempts > maxAttempts {
+		return fmt.Errorf("job %s: attempts: %d is out of range; want 0 to %d", s.ID, s.Attempts, maxAttempts)
+	}
+	for col, v := range s.Cells {
+		if err := CheckCell(CellKey{RowJob, string(s.ID), col}, v); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// TaskPhase is where a task stands.
+type TaskPhase string
+
+// The phases of a task. Only a running or evicting task holds capacity.
+const (
+	TaskPending   TaskPhase = "pending"
+	TaskRunning   TaskPhase = "running"
+	TaskEvicting  TaskPhase = "evicting"
+	TaskDone      TaskPhase = "done"
+	TaskFailed    TaskPhase = "failed"
+	TaskCancelled TaskPhase = "cancelled"
+)
+
+// Final reports whether a task in this phase will never run again.
+func (p TaskPhase) Final() bool { return p == TaskDone || p == TaskFailed || p == TaskCancelled }
+
+// Holds reports whether a task in this phase holds capacity on a VM.
+func (p TaskPhase) Holds() bool { return p == TaskRunning || p == TaskEvicting }
+
+// Lease permits one VM to run one attempt of a task. It is in force while the
+// VM's own lease is: until the deadline that control last granted to the VM.
+type Lease struct {
+	Task       TaskID    `cbor:"1,keyasint" json:"task"`
+	Token      Token     `cbor:"2,keyasint" json:"token"`
+	Size       Resources `cbor:"3,keyasint" json:"size"`
+	Kind       string    `cbor:"4,keyasint,omitempty" json:"kind,omitempty"`
+	Checkpoint int64     `cbor:"5,keyasint,omitempty" json:"checkpoint,omitempty"` // units already done
+	Units      int64     `cbor:"6,keyasint,omitempty" json:"units,omitempty"`
+	Stop       bool      `cbor:"7,keyasint,omitempty" json:"stop,omitempty"` // checkpoint and stop
+	Discard    bool      `cbor:"8,keyasint,omitempty" json:"discard,omitempty"`
+	Weight     int64     `cbor:"9,keyasint,omitempty" json:"weight,omitempty"`
+}
+
+// Outcome is how an attempt ended.
+type Outcome string
+
+// The outcomes an agent reports for an attempt.
+const (
+	OutcomeDone    Outcome = "done"
+	OutcomeFailed  Outcome = "failed"
+	OutcomeStopped Outcome = "stopped" // checkpointed and stopped when asked
+	OutcomeLost    Outcome = "lost"    // the worker restarted or stopped it for want of a lease
+)
+
+// Report tells control how an attempt ended. It may arrive late or twice:
+// control takes it only if the token is that of the task's current lease.
+type Report struct {
+	Task       TaskID  `cbor:"1,keyasint" json:"task"`
+	Token      Token   `cbor:"2,keyasint" json:"token"`
+	Outcome    Outcome `cbor:"3,keyasint" json:"outcome"`
+	Checkpoint int64   `cbor:"4,keyasint,omitempty" json:"checkpoint,omitempty"`
+	Reason     string  `cbor:"5,keyasint,omitempty" json:"reason,omitempty"`
+}
--- /dev/null
+++ b/node/client.go
@@ -0,0 +1,282 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"rudderfork.example/rudderfork/state"
+	"rudderfork.example/rudderfork/wire"
+)
+
+// ErrNoControl means that no leader of control is connected; nothing was asked.
+var ErrNoControl = errors.New("control cannot be reached")
+
+// ErrUnknown means that the answer of control did not come; what was asked may
+// have been done.
+var ErrUnknown = errors.New("control did not answer")
+
+const (
+	// redialPause is the rest after a failed attempt, for each address.
+	redialPause = 50 * time.Millisecond
+	// silenceBeats is how many beats without an answer end a session.
+	silenceBeats = 3
+	// outQueue bounds the messages that wait for control.
+	outQueue = 1024
+)
+
+// Handler takes what control pushes. Calls come from one goroutine.
+type Handler interface {
+	// Hello describes this process at the start of a session.
+	Hello() wire.Hello
+	// Beat describes its state, once a beat.
+	Beat() wire.Beat
+	// Handle takes a message that is neither an update nor a result.
+	Handle(m wire.ToNode)
+}
+
+// Client keeps a session with the leader of control. It is safe for concurrent
+// use.
+type Client struct {
+	addrs []string
+	every time.Duration
+	table *Table
+	h     Handler
+	log   zerolog.Logger
+
+	mu      sync.Mutex
+	next    int
+	out     chan wire.ToControl // nil without a session
+	asked   map[uint64]chan wire.CommandResult
+	askedID uint64
+	kick    context.CancelFunc
+}
+
+// NewClient returns a client of the control processes at addrs, which beats at
+// the given interval.
+func NewClient(addrs []string, every time.Duration, t *Table, h Handler, log zerolog.Logger) *Client {
+	return &Client{addrs: addrs, every: every, table: t, h: h, log: log, asked: map[uint64]chan wire.CommandResult{}}
+}
+
+// String names the service in the supervisor's log.
+func (c *Client) String() string { return "control-session" }
+
+// Serve implements suture.Service.
+func (c *Client) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		addr := c.addrs[c.next%len(c.addrs)]
+		err := c.session(ctx, addr)
+		c.log.Debug().Str("addr", addr).AnErr("error", err).Msg("control_session_ended")
+		c.next++
+		t := time.NewTimer(redialPause)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+	return ctx.Err()
+}
+
+// Reconnect ends the session, so that the next one says hello anew.
+func (c *Client) Reconnect() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.kick != nil {
+		c.kick()
+	}
+}
+
+// Connected reports whether a leader is connected.
+func (c *Client) Connected() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.out != nil
+}
+
+func (c *Client) session(ctx context.Context, addr string) error {
+	conn, err := wire.Dial[wire.ToControl, wire.ToNode](ctx, "ws://"+addr+"/node")
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	hello := c.h.Hello()
+	hello.Version = wire.Version
+	hello.Have = c.table.Revision()
+	if err := conn.Send(ctx, wire.ToControl{Hello: &hello}); err != nil {
+		return err
+	}
+	out := make(chan wire.ToControl, outQueue)
+	go func() {
+		defer conn.Close()
+		defer cancel()
+		c.write(ctx, conn, out)
+	}()
+	defer c.close()
+	return c.read(ctx, conn, out, cancel)
+}
+
+func (c *Client) read(ctx context.Context, conn *wire.Conn[wire.ToControl, wire.ToNode], out chan wire.ToControl, kick context.CancelFunc) error {
+	for {
+		m, err := c.receive(ctx, conn)
+		if err != nil {
+			return err
+		}
+		switch {
+		case m.Redirect != nil:
+			c.prefer(m.Redirect.Addr)
+			return ErrNoControl
+		case m.Welcome != nil:
+			c.open(out, kick)
+			c.h.Handle(m)
+		case m.Update != nil:
+			if c.table.Apply(*m.Update) {
+				c.log.Info().Uint64("revision", uint64(m.Update.To)).Int("cells", len(m.Update.Cells)).Msg("table_in_force")
+				c.h.Handle(m)
+				c.beat(out) // confirm at once
+			}
+		case m.Result != nil:
+			c.answer(*m.Result)
+		default:
+			c.h.Handle(m)
+		}
+	}
+}
+
+func (c *Client) receive(ctx context.Context, conn *wire.Conn[wire.ToControl, wire.ToNode]) (wire.ToNode, error) {
+	ctx, cancel := context.WithTimeout(ctx, silenceBeats*c.every)
+	defer cancel()
+	return conn.Receive(ctx)
+}
+
+// prefer tries the leader's address next, if it is one of the settings.
+func (c *Client) prefer(addr string) {
+	for i, a := range c.addrs {
+		if a == addr {
+			c.next = i - 1 + len(c.addrs) // Serve adds one
+		}
+	}
+}
+
+func (c *Client) write(ctx context.Context, conn *wire.Conn[wire.ToControl, wire.ToNode], out chan wire.ToControl) {
+	tick := time.NewTicker(c.every)
+	defer tick.Stop()
+	for {
+		var m wire.ToControl
+		select {
+		case <-ctx.Done():
+			return
+		case m = <-out:
+		case <-tick.C:
+			m = c.beatMessage()
+		}
+		if conn.Send(ctx, m) != nil {
+			return
+		}
+	}
+}
+
+func (c *Client) beatMessage() wire.ToControl {
+	b := c.h.Beat()
+	b.Have = c.table.Revision()
+	return wire.ToControl{Beat: &b}
+}
+
+func (c *Client) beat(out chan wire.ToControl) {
+	select {
+	case out <- c.beatMessage():
+	default:
+	}
+}
+
+func (c *Client) open(out chan wire.ToControl, kick context.CancelFunc) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.out, c.kick = out, kick
+}
+
+// close ends the session; what was asked in it gets no answer.
+func (c *Client) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.out, c.kick = nil, nil
+	for id, ch := range c.asked {
+		close(ch)
+		delete(c.asked, id)
+	}
+}
+
+func (c *Client) answer(r wire.CommandResult) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if ch := c.asked[r.ID]; ch != nil {
+		ch <- r
+		delete(c.asked, r.ID)
+	}
+}
+
+// Send queues a message; false means that it was surely not sent.
+func (c *Client) Send(m wire.ToControl) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.out == nil {
+		return false
+	}
+	select {
+	case c.out <- m:
+		return true
+	default:
+		return false
+	}
+}
+
+// Claim asks for a claim.
+func (c *Client) Claim(ctx context.Context, a state.ClaimAsk) (state.Result, error) {
+	return c.ask(ctx, func(id uint64) wire.ToControl {
+		return wire.ToControl{Claim: &wire.ClaimRequest{ID: id, Ask: a}}
+	})
+}
+
+// Settle records how a claimed request ended.
+func (c *Client) Settle(ctx context.Context, s state.Settle) (state.Result, error) {
+	return c.ask(ctx, func(id uint64) wire.ToControl {
+		return wire.ToControl{Settle: &wire.SettleRequest{ID: id, Settle: s}}
+	})
+}
+
+func (c *Client) ask(ctx context.Context, build func(id uint64) wire.ToControl) (res state.Result, err error) {
+	ch := make(chan wire.CommandResult, 1)
+	id := c.expect(ch)
+	defer c.forget(id)
+	if !c.Send(build(id)) {
+		return res, ErrNoControl
+	}
+	select {
+	case r, ok := <-ch:
+		if !ok || r.Failed != "" {
+			return res, ErrUnknown
+		}
+		return r.Result, nil
+	case <-ctx.Done():
+		return res, ErrUnknown
+	}
+}
+
+func (c *Client) expect(ch chan wire.CommandResult) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.askedID++
+	c.asked[c.askedID] = ch
+	return c.askedID
+}
+
+func (c *Client) forget(id uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.asked, id)
+}
--- /dev/null
+++ b/node/table.go
@@ -0,0 +1,79 @@
+// Package node is the common part of entries and agents: the session with
+// control and the copy of the table that is in force here.
+//
+// The copy's revision only rises. A process that has just started has no copy
+// and serves nothing until control's leader, confirmed by a quorum after the
+// process asked, has sent the whole; so a restart falls back neither to an older
+// revision nor to defaults. While control cannot be reached, a running process
+// goes on with the copy it has.
+package node
+
+import (
+	"sync"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/wire"
+)
+
+// Table is the copy of the table that is in force in this process. It is safe
+// for concurrent use, and implements rudderfork.Table.
+type Table struct {
+	mu       sync.RWMutex
+	cells    map[rudderfork.CellKey]rudderfork.Cell
+	revision rudderfork.Revision
+	known    bool
+}
+
+// NewTable returns a table that is not known yet.
+func NewTable() *Table { return &Table{cells: map[rudderfork.CellKey]rudderfork.Cell{}} }
+
+// Apply takes an update and reports whether it changed anything. Updates that
+// start after the revision held, or end at or before it, are refused.
+func (t *Table) Apply(u wire.Update) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if u.From > t.revision || t.known && u.To <= t.revision {
+		return false
+	}
+	for _, c := range u.Cells {
+		if old, ok := t.cells[c.Key]; !ok || c.Revision > old.Revision {
+			t.cells[c.Key] = c
+		}
+	}
+	t.revision, t.known = u.To, true
+	return true
+}
+
+// Value implements rudderfork.Table.
+func (t *Table) Value(k rudderfork.CellKey) int64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	if c, ok := t.cells[k]; ok && !c.Removed {
+		return c.Value
+	}
+	return k.Default()
+}
+
+// Revision implements rudderfork.Table.
+func (t *Table) Revision() rudderfork.Revision {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.revision
+}
+
+// Known reports whether the table was received since the process started.
+func (t *Table) Known() bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.known
+}
+
+// Service reads a cell of a service's row.
+func (t *Table) Service(s rudderfork.Service, column string) int64 {
+	return t.Value(rudderfork.CellKey{Kind: rudderfork.RowService, Row: string(s), Column: column})
+}
+
+// TeamWeight reads a team's weight.
+func (t *Table) TeamWeight(team rudderfork.Team) int64 {
+	return t.Value(rudderfork.CellKey{Kind: rudderfork.RowTeam, Row: string(team), Column: rudderfork.ColWeight})
+}
--- /dev/null
+++ b/quorum/leader.go
@@ -0,0 +1,283 @@
+package quorum
+
+import (
+	"slices"
+	"time"
+)
+
+func (n *Node) becomeLeader(now time.Time) {
+	n.role = Leader
+	n.leader = n.cfg.ID
+	n.peers = map[MemberID]*progress{}
+	n.termStart = n.log.last() + 1
+	n.resetElection(now)
+	n.syncPeers()
+	n.log.push(Entry{Index: n.termStart, Term: n.hard.Term, Kind: EntryNoop})
+	n.broadcast(now)
+}
+
+// syncPeers makes peers match the members.
+func (n *Node) syncPeers() {
+	keep := map[MemberID]bool{}
+	for _, m := range n.log.members() {
+		keep[m.ID] = true
+		if n.peers[m.ID] == nil && m.ID != n.cfg.ID {
+			n.peers[m.ID] = &progress{next: n.log.last() + 1}
+		}
+	}
+	for id := range n.peers {
+		if !keep[id] {
+			delete(n.peers, id)
+		}
+	}
+}
+
+func (n *Node) tickLeader(now time.Time) {
+	if now.Sub(n.QuorumContact(now)) > 2*n.cfg.ElectionTimeout && now.After(n.electionAt) {
+		// No quorum answers; whoever can reach one must be free to lead.
+		n.becomeFollower(n.hard.Term, "", now)
+		return
+	}
+	if !now.Before(n.heartbeatAt) {
+		n.broadcast(now)
+	}
+}
+
+// broadcast sends every other replica an append, empty where it has all.
+func (n *Node) broadcast(now time.Time) {
+	n.heartbeatAt = now.Add(n.cfg.Heartbeat)
+	for _, m := range n.log.members() {
+		if p := n.peers[m.ID]; p != nil {
+			n.sendAppend(m.ID, p, now, true)
+		}
+	}
+}
+
+// Confirm sends appends at once, so that QuorumContact soon passes now.
+func (n *Node) Confirm(now time.Time) {
+	if n.role == Leader {
+		n.broadcast(now)
+	}
+}
+
+// Propose appends a command. ok is false unless this replica leads.
+func (n *Node) Propose(data []byte, now time.Time) (index, term uint64, ok bool) {
+	if n.role != Leader {
+		return 0, 0, false
+	}
+	index = n.appendEntry(Entry{Kind: EntryCommand, Data: data})
+	n.flush(now)
+	return index, n.hard.Term, true
+}
+
+// ProposeBatch appends several commands and sends them together.
+func (n *Node) ProposeBatch(datas [][]byte, now time.Time) (first, term uint64, ok bool) {
+	if n.role != Leader || len(datas) == 0 {
+		return 0, 0, false
+	}
+	first = n.log.last() + 1
+	for _, d := range datas {
+		n.appendEntry(Entry{Kind: EntryCommand, Data: d})
+	}
+	n.flush(now)
+	return first, n.hard.Term, true
+}
+
+func (n *Node) appendEntry(e Entry) uint64 {
+	e.Index = n.log.last() + 1
+	e.Term = n.hard.Term
+	n.log.push(e)
+	return e.Index
+}
+
+func (n *Node) flush(now time.Time) {
+	for _, m := range n.log.members() {
+		if p := n.peers[m.ID]; p != nil {
+			n.sendAppend(m.ID, p, now, false)
+		}
+	}
+}
+
+// sendAppend sends entries from p.next on. Without force it stays quiet if
+// there are none or too many are unacknowledged.
+func (n *Node) sendAppend(id MemberID, p *progress, now time.Time, force bool) {
+	prevTerm, ok := n.log.term(p.next - 1)
+	if !ok {
+		n.sendSnapshot(id, p, now)
+		return
+	}
+	var es []Entry
+	if p.next-p.match <= maxUnacked {
+		es = n.log.slice(p.next, n.cfg.MaxBatch)
+	}
+	if len(es) == 0 && !force {
+		return
+	}
+	n.out.Early = append(n.out.Early, Message{
+		Type: MsgAppend, From: n.cfg.ID, To: id, Term: n.hard.Term,
+		LogIndex: p.next - 1, LogTerm: prevTerm, Commit: n.commit, Entries: es, Sent: now.UnixNano(),
+	})
+	p.next += uint64(len(es))
+}
+
+// sendSnapshot sends the snapshot, at most once an election timeout.
+func (n *Node) sendSnapshot(id MemberID, p *progress, now time.Time) {
+	if now.Before(p.snapAfter) {
+		return
+	}
+	p.snapAfter = now.Add(n.cfg.ElectionTimeout)
+	s := n.log.snap
+	n.out.Early = append(n.out.Early, Message{
+		Type: MsgSnapshot, From: n.cfg.ID, To: id, Term: n.hard.Term, Snapshot: &s, Commit: n.commit, Sent: now.UnixNano(),
+	})
+}
+
+func (n *Node) onAppend(m Message, now time.Time) {
+	n.follow(m.From, now)
+	reply := Message{Type: MsgAppendReply, To: m.From, Sent: m.Sent}
+	if m.LogIndex < n.commit {
+		// All up to commit is equal already; skip what the message repeats.
+		skip := n.commit - m.LogIndex
+		if skip >= uint64(len(m.Entries)) {
+			reply.Match = n.commit
+			n.send(reply)
+			return
+		}
+		m.LogIndex, m.LogTerm = n.commit, m.Entries[skip-1].Term
+		m.Entries = m.Entries[skip:]
+	}
+	if t, ok := n.log.term(m.LogIndex); !ok || t != m.LogTerm {
+		reply.Reject = true
+		reply.Match = min(n.log.last(), m.LogIndex-1)
+		n.send(reply)
+		return
+	}
+	n.takeEntries(m.Entries)
+	reply.Match = m.LogIndex + uint64(len(m.Entries))
+	n.commit = max(n.commit, min(m.Commit, reply.Match))
+	n.send(reply)
+}
+
+func (n *Node) follow(leader MemberID, now time.Time) {
+	if n.role != Follower || n.leader != leader {
+		n.becomeFollower(n.hard.Term, leader, now)
+	}
+	n.heardAt = now
+	n.resetElection(now)
+}
+
+// takeEntries appends what is new and replaces what differs. It never replaces
+// a committed entry, since those were skipped.
+func (n *Node) takeEntries(es []Entry) {
+	for _, e := range es {
+		if t, ok := n.log.term(e.Index); ok {
+			if t == e.Term {
+				continue
+			}
+			n.log.truncate(e.Index)
+			n.stable = min(n.stable, e.Index-1)
+		}
+		n.log.push(e)
+	}
+}
+
+func (n *Node) onSnapshot(m Message, now time.Time) {
+	n.follow(m.From, now)
+	reply := Message{Type: MsgAppendReply, To: m.From, Sent: m.Sent}
+	s := m.Snapshot
+	if s == nil {
+		return
+	}
+	if s.Index > n.commit {
+		n.log.reset(*s)
+		n.commit, n.applied, n.stable = s.Index, s.Index, s.Index
+		n.out.Snapshot = s
+	}
+	reply.Match = n.commit
+	n.send(reply)
+}
+
+func (n *Node) onAppendReply(m Message, now time.Time) {
+	p := n.peers[m.From]
+	if n.role != Leader || p == nil {
+		return
+	}
+	p.acked = max(p.acked, m.Sent)
+	if m.Reject {
+		if m.Match+1 < p.next {
+			p.next = max(m.Match, p.match) + 1
+		}
+		n.sendAppend(m.From, p, now, true)
+		return
+	}
+	if m.Match > p.match {
+		p.match = m.Match
+		p.snapAfter = time.Time{}
+	}
+	p.next = max(p.next, p.match+1)
+	n.advanceCommit(now)
+	if p.next <= n.log.last() {
+		n.sendAppend(m.From, p, now, false)
+	}
+}
+
+// advanceCommit commits what a quorum holds durably. An entry of an earlier
+// term commits only together with one of the leader's own term (Raft 5.4.2).
+func (n *Node) advanceCommit(now time.Time) {
+	voters := n.voters()
+	if len(voters) == 0 {
+		return
+	}
+	matches := make([]uint64, 0, len(voters))
+	for _, id := range voters {
+		if id == n.cfg.ID {
+			matches = append(matches, n.stable)
+		} else {
+			matches = append(matches, n.peers[id].match)
+		}
+	}
+	slices.Sort(matches)
+	idx := matches[(len(matches)-1)/2]
+	if idx <= n.commit || idx < n.termStart {
+		return
+	}
+	n.commit = idx
+	n.afterCommit(now)
+}
+
+// afterCommit lets a leader that is no longer a member step down.
+func (n *Node) afterCommit(now time.Time) {
+	if _, ok := n.Member(n.cfg.ID); !ok && n.commit >= n.log.configs[len(n.log.configs)-1].index {
+		n.becomeFollower(n.hard.Term, "", now)
+	}
+}
+
+// QuorumContact is the newest time T such that a quorum acknowledged appends
+// sent at T or later. It is zero unless this replica leads.
+func (n *Node) QuorumContact(now time.Time) time.Time {
+	if n.role != Leader {
+		return time.Time{}
+	}
+	voters := n.voters()
+	times := make([]int64, 0, len(voters))
+	for _, id := range voters {
+		if id == n.cfg.ID {
+			times = append(times, now.UnixNano())
+		} else {
+			times = append(times, n.peers[id].acked)
+		}
+	}
+	if len(times) == 0 {
+		return time.Time{}
+	}
+	slices.Sort(times)
+	return time.Unix(0, times[(len(times)-1)/2])
+}
+
+// Match returns the highest index known equal on another replica.
+func (n *Node) Match(id MemberID) uint64 {
+	if p := n.peers[id]; p != nil {
+		return p.match
+	}
+	return 0
+}
--- /dev/null
+++ b/quorum/node.go
@@ -0,0 +1,294 @@
+package quorum
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	defaultMaxBatch = 1 << 20
+	// keepEntries is how many entries stay behind a snapshot, so that a replica
+	// that lags a little is brought up by entries.
+	keepEntries = 2000
+	// maxUnacked bounds entries sent ahead of a replica's acknowledgement.
+	maxUnacked = 4096
+)
+
+// Node is one replica. It is not safe for concurrent use.
+type Node struct {
+	cfg    Config
+	rng    *rand.Rand
+	log    *log
+	hard   HardState
+	role   Role
+	leader MemberID
+
+	commit  uint64
+	applied uint64
+	stable  uint64 // highest index known durable here
+
+	// electionAt is when silence turns into a campaign; heardAt is when the
+	// present leader was last heard.
+	electionAt time.Time
+	heardAt    time.Time
+
+	votes map[MemberID]bool
+
+	// Leader only.
+	peers       map[MemberID]*progress
+	heartbeatAt time.Time
+	termStart   uint64 // index of the first entry of the leader's own term
+
+	out       Ready
+	hardDirty bool
+}
+
+// progress is what a leader knows of another replica.
+type progress struct {
+	match     uint64
+	next      uint64
+	acked     int64 // newest of the leader's clocks that it echoed, Unix ns
+	snapAfter time.Time
+}
+
+// New returns a replica that resumes from what its disk holds. A replica whose
+// ID is not among the members never campaigns; it waits to be added.
+func New(cfg Config, hs HardState, snap Snapshot, entries []Entry, now time.Time) *Node {
+	if cfg.MaxBatch == 0 {
+		cfg.MaxBatch = defaultMaxBatch
+	}
+	n := &Node{
+		cfg: cfg, hard: hs,
+		rng:    rand.New(rand.NewPCG(cfg.Seed, 1)),
+		log:    newLog(snap, entries),
+		commit: snap.Index, applied: snap.Index,
+	}
+	n.stable = n.log.last()
+	n.resetElection(now)
+	return n
+}
+
+// ID returns the replica's own ID.
+func (n *Node) ID() MemberID { return n.cfg.ID }
+
+// Role returns the replica's part in its term.
+func (n *Node) Role() Role { return n.role }
+
+// Term returns the current term.
+func (n *Node) Term() uint64 { return n.hard.Term }
+
+// Leader returns the known leader's ID, or "".
+func (n *Node) Leader() MemberID { return n.leader }
+
+// Members returns the group's members as the newest entry sets them.
+func (n *Node) Members() []Member { return n.log.members() }
+
+// Commit returns the highest index known committed.
+func (n *Node) Commit() uint64 { return n.commit }
+
+// Last returns the index of the last entry.
+func (n *Node) Last() uint64 { return n.log.last() }
+
+// SnapshotIndex returns the index of the newest snapshot.
+func (n *Node) SnapshotIndex() uint64 { return n.log.snap.Index }
+
+// Settled reports whether this leader has committed an entry of its own term;
+// before that it may not know of all that is committed.
+func (n *Node) Settled() bool { return n.role == Leader && n.commit >= n.termStart }
+
+// Member returns the member with the given ID.
+func (n *Node) Member(id MemberID) (Member, bool) {
+	for _, m := range n.log.members() {
+		if m.ID == id {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+func (n *Node) voter() bool {
+	m, ok := n.Member(n.cfg.ID)
+	return ok && m.Voter
+}
+
+func (n *Node) voters() []MemberID {
+	var ids []MemberID
+	for _, m := range n.log.members() {
+		if m.Voter {
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
+}
+
+// NextDeadline is when Tick is next due.
+func (n *Node) NextDeadline() time.Time {
+	if n.role == Leader {
+		return n.heartbeatAt
+	}
+	return n.electionAt
+}
+
+// Tick acts on deadlines that have passed.
+func (n *Node) Tick(now time.Time) {
+	if n.role == Leader {
+		n.tickLeader(now)
+		return
+	}
+	if now.Before(n.electionAt) {
+		return
+	}
+	n.resetElection(now)
+	if n.voter() {
+		n.campaign(PreCandidate, now)
+	}
+}
+
+func (n *Node) resetElection(now time.Time) {
+	extra := time.Duration(n.rng.Int64N(int64(n.cfg.ElectionTimeout)))
+	n.electionAt = now.Add(n.cfg.ElectionTimeout + extra)
+}
+
+// Step takes one message from another replica.
+func (n *Node) Step(m Message, now time.Time) {
+	if m.To != n.cfg.ID {
+		return // meant for an earlier life of this replica's name
+	}
+	if m.Term > n.hard.Term && !n.stepHigherTerm(m, now) {
+		return
+	}
+	if m.Term < n.hard.Term {
+		n.rejectOld(m)
+		return
+	}
+	switch m.Type {
+	case MsgAppend:
+		n.onAppend(m, now)
+	case MsgSnapshot:
+		n.onSnapshot(m, now)
+	case MsgAppendReply:
+		n.onAppendReply(m, now)
+	case MsgPreVote, MsgVote:
+		n.onVoteRequest(m, now)
+	case MsgPreVoteReply, MsgVoteReply:
+		n.onVoteReply(m, now)
+	}
+}
+
+// stepHigherTerm moves to the message's term where that is right, and reports
+// whether the message is to be handled further.
+func (n *Node) stepHigherTerm(m Message, now time.Time) bool {
+	switch m.Type {
+	case MsgPreVote:
+		n.onVoteRequest(m, now) // a pre-vote never changes a term
+		return false
+	case MsgPreVoteReply:
+		if !m.Reject {
+			n.onVoteReply(m, now)
+			return false
+		}
+	case MsgVote:
+		if n.leaderAlive(now) {
+			return false
+		}
+	}
+	n.becomeFollower(m.Term, "", now)
+	return true
+}
+
+// rejectOld tells a sender of a past term about the present one.
+func (n *Node) rejectOld(m Message) {
+	switch m.Type {
+	case MsgAppend, MsgSnapshot:
+		n.send(Message{Type: MsgAppendReply, To: m.From, Reject: true, Match: n.log.last()})
+	case MsgPreVote:
+		n.send(Message{Type: MsgPreVoteReply, To: m.From, Reject: true})
+	}
+}
+
+func (n *Node) becomeFollower(term uint64, leader MemberID, now time.Time) {
+	if term != n.hard.Term {
+		n.hard = HardState{Term: term}
+		n.hardDirty = true
+	}
+	n.role = Follower
+	n.leader = leader
+	n.peers = nil
+	n.votes = nil
+	n.resetElection(now)
+}
+
+// leaderAlive reports whether a leader was heard within the least election
+// timeout, or this replica leads with a quorum behind it. Votes for others are
+// refused then.
+func (n *Node) leaderAlive(now time.Time) bool {
+	if n.role == Leader {
+		return now.Sub(n.QuorumContact(now)) < n.cfg.ElectionTimeout
+	}
+	return n.leader != "" && now.Sub(n.heardAt) < n.cfg.ElectionTimeout
+}
+
+func (n *Node) send(m Message) {
+	m.From = n.cfg.ID
+	if m.Term == 0 {
+		m.Term = n.hard.Term
+	}
+	n.out.Messages = append(n.out.Messages, m)
+}
+
+// Ready returns the work that has gathered, and forgets it.
+func (n *Node) Ready() Ready {
+	rd := n.out
+	n.out = Ready{}
+	if n.hardDirty {
+		hs := n.hard
+		rd.HardState = &hs
+		n.hardDirty = false
+		// A new term must be durable before anything is sent in it.
+		rd.Messages = append(rd.Early, rd.Messages...)
+		rd.Early = nil
+	}
+	if first := n.stable + 1; first <= n.log.last() {
+		rd.Entries = n.log.slice(first, int(^uint(0)>>1))
+	}
+	return rd
+}
+
+// Persisted notes that rd is durable.
+func (n *Node) Persisted(rd Ready, now time.Time) {
+	if k := len(rd.Entries); k > 0 {
+		e := rd.Entries[k-1]
+		// The entry may have been replaced since; then its successor is not
+		// durable yet.
+		if t, ok := n.log.term(e.Index); ok && t == e.Term && e.Index > n.stable {
+			n.stable = e.Index
+		}
+	}
+	if n.role == Leader {
+		n.advanceCommit(now)
+	}
+}
+
+// Committed returns entries that are newly committed, and counts them applied.
+func (n *Node) Committed() []Entry {
+	if n.applied >= n.commit {
+		return nil
+	}
+	es := n.log.slice(n.applied+1, int(^uint(0)>>1))
+	if k := n.commit - n.applied; uint64(len(es)) > k {
+		es = es[:k]
+	}
+	n.applied = n.commit
+	return es
+}
+
+// After returns the entries after index.
+func (n *Node) After(index uint64) []Entry { return n.log.slice(index+1, int(^uint(0)>>1)) }
+
+// Compact replaces the log up to s.Index, which must be applied, by s. It
+// returns the snapshot with its membership, for the disk.
+func (n *Node) Compact(s Snapshot) Snapshot {
+	s.Term, _ = n.log.term(s.Index)
+	n.log.compact(s, keepEntries)
+	return n.log.snap
+}
--- /dev/null
+++ b/resources.go
@@ -0,0 +1,41 @@
+package rudderfork
+
+import "fmt"
+
+// Resources is an amount of what a VM has and a task takes.
+type Resources struct {
+	CPUMilli     int64 `cbor:"1,keyasint,omitempty" json:"cpu_milli"`    // thousandths of a core
+	MemoryMB     int64 `cbor:"2,keyasint,omitempty" json:"memory_mb"`    // 10^6 bytes
+	Accelerators int64 `cbor:"3,keyasint,omitempty" json:"accelerators"` // whole devices
+}
+
+// Add returns the sum of r and o.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{r.CPUMilli + o.CPUMilli, r.MemoryMB + o.MemoryMB, r.Accelerators + o.Accelerators}
+}
+
+// Sub returns r less o. Parts may become negative.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{r.CPUMilli - o.CPUMilli, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
+}
+
+// Fits reports whether r is at most room in every part.
+func (r Resources) Fits(room Resources) bool { return r.Lacking(room) == "" }
+
+// Lacking names the first part in which r exceeds room, or is empty if none.
+func (r Resources) Lacking(room Resources) string {
+	switch {
+	case r.CPUMilli > room.CPUMilli:
+		return "processors"
+	case r.MemoryMB > room.MemoryMB:
+		return "memory"
+	case r.Accelerators > room.Accelerators:
+		return "accelerators"
+	}
+	return ""
+}
+
+// String gives the amount in operators' units.
+func (r Resources) String() string {
+	return fmt.Sprintf("%.2f cores, %d MB, %d accelerators", float64(r.CPUMilli)/1000, r.MemoryMB, r.Accelerators)
+}
--- /dev/null
+++ b/standin/upstream/upstream.go
@@ -0,0 +1,159 @@
+// Package upstream stands in for an operator's own service: it holds seats,
+// streams feeds and answers at a chosen speed.
+package upstream
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"rudderfork.example/rudderfork/standin"
+)
+
+// Config sets up an upstream.
+type Config struct {
+	VM   string
+	Work time.Duration // of a request that asks for none
+	Slow func() float64
+}
+
+// Upstream answers requests.
+type Upstream struct {
+	cfg   Config
+	audit *standin.Audit
+	runs  atomic.Int64
+	now   atomic.Int64 // requests in progress
+	peak  atomic.Int64
+
+	mu    sync.Mutex
+	seats map[string]string // seat to key
+}
+
+// New returns an upstream.
+func New(cfg Config, audit *standin.Audit) *Upstream {
+	return &Upstream{cfg: cfg, audit: audit, seats: map[string]string{}}
+}
+
+// Handler returns the service.
+func (u *Upstream) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /hold", u.counted(u.hold))
+	mux.HandleFunc("GET /echo", u.counted(u.echo))
+	mux.HandleFunc("POST /echo", u.counted(u.echo))
+	mux.HandleFunc("GET /big", u.counted(u.big))
+	mux.HandleFunc("GET /feed", u.feed)
+	mux.HandleFunc("GET /stats", u.stats)
+	return mux
+}
+
+// counted notes each run in the audit, at its start and when it is whole.
+func (u *Upstream) counted(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		u.runs.Add(1)
+		n := u.now.Add(1)
+		defer u.now.Add(-1)
+		for p := u.peak.Load(); n > p && !u.peak.CompareAndSwap(p, n); p = u.peak.Load() {
+		}
+		run := standin.Run{
+			VM: u.cfg.VM, Request: r.Header.Get("Rudderfork-Request"), Key: r.Header.Get("Idempotency-Key"),
+			Path: r.URL.RequestURI(), At: time.Now().UnixMicro(),
+		}
+		u.audit.Write(run)
+		h(w, r)
+		run.Whole = true
+		u.audit.Write(run)
+	}
+}
+
+// work takes as long as the request asks for, or is left alone by its caller.
+func (u *Upstream) work(r *http.Request) bool {
+	d := u.cfg.Work
+	if ms, err := strconv.Atoi(r.FormValue("ms")); err == nil {
+		d = time.Duration(ms) * time.Millisecond
+	}
+	if u.cfg.Slow != nil {
+		d = time.Duration(float64(d) * u.cfg.Slow())
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// Hold is the answer to POST /hold.
+type Hold struct {
+	Seat string `json:"seat"`
+	VM   string `json:"vm"`
+	Run  int64  `json:"run"`
+	Tag  string `json:"tag"`
+}
+
+func (u *Upstream) hold(w http.ResponseWriter, r *http.Request) {
+	run := u.runs.Load()
+	if !u.work(r) {
+		return
+	}
+	u.mu.Lock()
+	u.seats[r.FormValue("seat")] = r.Header.Get("Idempotency-Key")
+	u.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(Hold{r.FormValue("seat"), u.cfg.VM, run, r.FormValue("tag")})
+}
+
+// echo gives back the query's tag and the body.
+func (u *Upstream) echo(w http.ResponseWriter, r *http.Request) {
+	if !u.work(r) {
+		return
+	}
+	fmt.Fprintf(w, "tag=%s vm=%s body=", r.URL.Query().Get("tag"), u.cfg.VM)
+	_, _ = io.Copy(w, r.Body)
+}
+
+// big answers with n bytes that all carry the tag.
+func (u *Upstream) big(w http.ResponseWriter, r *http.Request) {
+	n, _ := strconv.Atoi(r.FormValue("n"))
+	tag := r.FormValue("tag") + "\n"
+	w.Header().Set("Content-Length", strconv.Itoa(n/len(tag)*len(tag)))
+	_, _ = io.WriteString(w, strings.Repeat(tag, n/len(tag)))
+}
+
+// feed sends a line every few milliseconds until count lines are out.
+func (u *Upstream) feed(w http.ResponseWriter, r *http.Request) {
+	count, _ := strconv.Atoi(r.FormValue("count"))
+	ms, _ := strconv.Atoi(r.FormValue("ms"))
+	w.Header().Set("Content-Type", "text/event-stream")
+	rc := http.NewResponseController(w)
+	tick := time.NewTicker(time.Duration(max(1, ms)) * time.Millisecond)
+	defer tick.Stop()
+	for i := range count {
+		fmt.Fprintf(w, "data: %s %d\n\n", r.FormValue("tag"), i)
+		_ = rc.Flush()
+		select {
+		case <-tick.C:
+		case <-r.Context().Done():
+			return
+		}
+	}
+	fmt.Fprint(w, "data: end\n\n")
+}
+
+// Stats is the answer to GET /stats.
+type Stats struct {
+	VM   string `json:"vm"`
+	Runs int64  `json:"runs"`
+	Peak int64  `json:"peak"`
+}
+
+func (u *Upstream) stats(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(Stats{u.cfg.VM, u.runs.Load(), u.peak.Load()})
+}
--- /dev/null
+++ b/state/claim.go
@@ -0,0 +1,126 @@
+package state
+
+import (
+	"rudderfork.example/rudderfork"
+)
+
+// ClaimKey names a request that must run at most once.
+type ClaimKey struct {
+	Service rudderfork.Service `cbor:"1,keyasint"`
+	Key     string             `cbor:"2,keyasint"` // the caller's Idempotency-Key
+}
+
+// ClaimPhase is what is known of a claimed request.
+type ClaimPhase string
+
+// The phases of a claim.
+const (
+	ClaimHeld ClaimPhase = "held" // an entry may have sent it to the VM
+	ClaimDone ClaimPhase = "done" // it ran; the answer stands in the claim
+)
+
+// Claim is the right to run one request, once. The token rises when the claim
+// passes on, which happens only when the request surely did not run under the
+// older token.
+type Claim struct {
+	Key     ClaimKey         `cbor:"1,keyasint"`
+	Token   rudderfork.Token `cbor:"2,keyasint"`
+	Digest  []byte           `cbor:"3,keyasint"` // of method, path and body
+	VM      rudderfork.VMID  `cbor:"4,keyasint"`
+	Boot    string           `cbor:"5,keyasint"` // of the VM's agent
+	Phase   ClaimPhase       `cbor:"6,keyasint"`
+	Expires int64            `cbor:"7,keyasint"` // Unix ms
+	Answer  *Answer          `cbor:"8,keyasint,omitempty"`
+}
+
+// Answer is a recorded answer.
+type Answer struct {
+	Status      int    `cbor:"1,keyasint"`
+	ContentType string `cbor:"2,keyasint,omitempty"`
+	Body        []byte `cbor:"3,keyasint,omitempty"`
+	Partial     bool   `cbor:"4,keyasint,omitempty"` // the body was too large to keep
+}
+
+// MaxAnswer bounds a recorded body, in bytes.
+const MaxAnswer = 16 << 10
+
+// ClaimAsk asks for a claim. With After 0 it is granted only if there is none;
+// with After set it takes over from that token, which the asker has fenced off
+// at the VM's agent.
+type ClaimAsk struct {
+	Key     ClaimKey         `cbor:"1,keyasint"`
+	After   rudderfork.Token `cbor:"2,keyasint,omitempty"`
+	Digest  []byte           `cbor:"3,keyasint"`
+	VM      rudderfork.VMID  `cbor:"4,keyasint"`
+	Boot    string           `cbor:"5,keyasint"`
+	Expires int64            `cbor:"6,keyasint"`
+}
+
+// Settle records how a claimed request ended. NotRun gives the claim back.
+type Settle struct {
+	Key    ClaimKey         `cbor:"1,keyasint"`
+	Token  rudderfork.Token `cbor:"2,keyasint"`
+	Answer *Answer          `cbor:"3,keyasint,omitempty"`
+	NotRun bool             `cbor:"4,keyasint,omitempty"`
+}
+
+// claimExpiry orders claims for removal.
+type claimExpiry struct {
+	Key     ClaimKey `cbor:"1,keyasint"`
+	Expires int64    `cbor:"2,keyasint"`
+}
+
+func (s *State) claim(a ClaimAsk, at int64) Result {
+	s.expireClaims(at)
+	old := s.claims[a.Key]
+	if old != nil && (old.Phase == ClaimDone || a.After != old.Token) {
+		r := s.ok()
+		r.Claim = old
+		return r
+	}
+	if old == nil && a.After != 0 {
+		return s.reject(CodeNotFound, "the claim is gone")
+	}
+	c := &Claim{Key: a.Key, Token: a.After + 1, Digest: a.Digest, VM: a.VM, Boot: a.Boot, Phase: ClaimHeld, Expires: a.Expires}
+	if old == nil {
+		// The index makes tokens rise also over claims that were given back.
+		c.Token = rudderfork.Token(s.revision)
+		s.claimQueue = append(s.claimQueue, claimExpiry{a.Key, a.Expires})
+	} else {
+		c.Expires = old.Expires
+	}
+	s.claims[a.Key] = c
+	r := s.ok()
+	r.Claim, r.Granted = c, true
+	return r
+}
+
+func (s *State) settle(st Settle, at int64) Result {
+	s.expireClaims(at)
+	c := s.claims[st.Key]
+	if c == nil || c.Token != st.Token || c.Phase == ClaimDone {
+		return s.reject(CodeConflict, "the claim is not held under token %d", st.Token)
+	}
+	if st.NotRun {
+		delete(s.claims, st.Key)
+		return s.ok()
+	}
+	done := *c // results that were handed out keep the older record
+	done.Phase, done.Answer = ClaimDone, st.Answer
+	s.claims[st.Key] = &done
+	return s.ok()
+}
+
+// expireClaims forgets claims past their window, a few at each step.
+func (s *State) expireClaims(at int64) {
+	for i := 0; i < 4 && len(s.claimQueue) > 0 && s.claimQueue[0].Expires <= at; i++ {
+		e := s.claimQueue[0]
+		s.claimQueue = s.claimQueue[1:]
+		if c := s.claims[e.Key]; c != nil && c.Expires <= at {
+			delete(s.claims, e.Key)
+		}
+	}
+}
+
+// Claims returns how many claims are remembered.
+func (s *State) Claims() int { return len(s.claims) }
--- /dev/null
+++ b/state/command.go
@@ -0,0 +1,54 @@
+package state
+
+import (
+	"fmt"
+
+	"rudderfork.example/rudderfork"
+)
+
+// Command is one change. Exactly one of the pointers is set.
+type Command struct {
+	At       int64     `cbor:"1,keyasint"` // the proposer's clock, Unix ms
+	Edit     *Edit     `cbor:"2,keyasint,omitempty"`
+	Submit   *Submit   `cbor:"3,keyasint,omitempty"`
+	Cancel   *Cancel   `cbor:"4,keyasint,omitempty"`
+	Register *Register `cbor:"5,keyasint,omitempty"`
+	Lost     *Lost     `cbor:"6,keyasint,omitempty"`
+	Drain    *Drain    `cbor:"7,keyasint,omitempty"`
+	Place    *Place    `cbor:"8,keyasint,omitempty"`
+	Evict    *Evict    `cbor:"9,keyasint,omitempty"`
+	Reports  *Reports  `cbor:"10,keyasint,omitempty"`
+	Claim    *ClaimAsk `cbor:"11,keyasint,omitempty"`
+	Settle   *Settle   `cbor:"12,keyasint,omitempty"`
+}
+
+// Code says how a command ended.
+type Code string
+
+// The codes of a Result.
+const (
+	CodeOK       Code = "ok"
+	CodeConflict Code = "conflict" // the state moved on since the command was decided
+	CodeInvalid  Code = "invalid"
+	CodeNotFound Code = "not-found"
+)
+
+// Result is what Apply returns. It is the same on every replica.
+type Result struct {
+	Code     Code                `cbor:"1,keyasint" json:"code"`
+	Text     string              `cbor:"2,keyasint,omitempty" json:"text,omitempty"`
+	Revision rudderfork.Revision `cbor:"3,keyasint" json:"revision"`
+	Cells    []rudderfork.Cell   `cbor:"4,keyasint,omitempty" json:"cells,omitempty"` // on a conflict, as they stand
+	Repeated bool                `cbor:"5,keyasint,omitempty" json:"repeated,omitempty"`
+	Epoch    rudderfork.Token    `cbor:"6,keyasint,omitempty" json:"epoch,omitempty"`
+	Placed   []bool              `cbor:"7,keyasint,omitempty" json:"-"`  // per placement asked for
+	Taken    []bool              `cbor:"10,keyasint,omitempty" json:"-"` // per report that arrived
+	Claim    *Claim              `cbor:"8,keyasint,omitempty" json:"-"`
+	Granted  bool                `cbor:"9,keyasint,omitempty" json:"-"` // the asker holds the claim
+}
+
+func (s *State) ok() Result { return Result{Code: CodeOK, Revision: s.revision} }
+
+func (s *State) reject(c Code, format string, args ...any) Result {
+	return Result{Code: c, Text: fmt.Sprintf(format, args...), Revision: s.revision}
+}
--- /dev/null
+++ b/state/state.go
@@ -0,0 +1,134 @@
+// Package state is the replicated state machine: the table, jobs and tasks,
+// VMs and the ledger of their capacity, and the claims of requests that must
+// run at most once.
+//
+// It is changed only by Apply, which every replica calls with the same commands
+// in the same order. Apply reads no clock and no randomness: the leader puts its
+// time into the command. A command that was decided on an older state is
+// checked again here, so racing leaders and late answers cannot break what must
+// hold:
+//
+//   - the sum of the sizes of a VM's tasks never exceeds its capacity less what
+//     is reserved for its services (checkPlacement);
+//   - a task holds at most one lease, and its token rises with each (place);
+//   - a task leaves its VM only by a report that carries its current token, or
+//     when the VM's lease has run out (report, lost);
+//   - a cell changes only from the revision that the edit names (edit).
+//
+// Records are plain data with exported fields, since they travel and rest as
+// CBOR; callers get them read-only.
+package state
+
+import (
+	"maps"
+	"slices"
+
+	"rudderfork.example/rudderfork"
+)
+
+// State is the replicated state. It is not safe for concurrent use.
+type State struct {
+	revision rudderfork.Revision // index of the last applied entry
+	tableRev rudderfork.Revision // of the newest cell
+	cells    map[rudderfork.CellKey]rudderfork.Cell
+	edits    *editWindow
+
+	vms      map[rudderfork.VMID]*VM
+	jobs     map[rudderfork.JobID]*Job
+	tasks    map[rudderfork.TaskID]*Task
+	finished []rudderfork.JobID // oldest first, bounded by keepFinished
+	usage    map[rudderfork.Team]rudderfork.Resources
+	onVM     map[rudderfork.VMID]map[rudderfork.TaskID]*Task
+	pending  map[rudderfork.TaskID]*Task
+
+	upstreamRev rudderfork.Revision // of the newest change of the VMs that serve
+
+	claims     map[ClaimKey]*Claim
+	claimQueue []claimExpiry
+}
+
+// New returns an empty state.
+func New() *State {
+	return &State{
+		cells:   map[rudderfork.CellKey]rudderfork.Cell{},
+		edits:   newEditWindow(),
+		vms:     map[rudderfork.VMID]*VM{},
+		jobs:    map[rudderfork.JobID]*Job{},
+		tasks:   map[rudderfork.TaskID]*Task{},
+		usage:   map[rudderfork.Team]rudderfork.Resources{},
+		onVM:    map[rudderfork.VMID]map[rudderfork.TaskID]*Task{},
+		pending: map[rudderfork.TaskID]*Task{},
+		claims:  map[ClaimKey]*Claim{},
+	}
+}
+
+// Applied returns the index of the last applied entry.
+func (s *State) Applied() rudderfork.Revision { return s.revision }
+
+// Skip notes an entry that carries no command.
+func (s *State) Skip(index uint64) { s.revision = rudderfork.Revision(index) }
+
+// Apply applies the command that stands at index.
+func (s *State) Apply(index uint64, c Command) Result {
+	s.revision = rudderfork.Revision(index)
+	switch {
+	case c.Edit != nil:
+		return s.applyEdit(*c.Edit)
+	case c.Submit != nil:
+		return s.submit(*c.Submit, c.At)
+	case c.Cancel != nil:
+		return s.cancel(*c.Cancel, c.At)
+	case c.Register != nil:
+		return s.register(*c.Register, c.At)
+	case c.Lost != nil:
+		return s.lost(*c.Lost, c.At)
+	case c.Drain != nil:
+		return s.drain(*c.Drain)
+	case c.Place != nil:
+		return s.place(*c.Place, c.At)
+	case c.Evict != nil:
+		return s.evict(*c.Evict, c.At)
+	case c.Reports != nil:
+		return s.reports(*c.Reports, c.At)
+	case c.Claim != nil:
+		return s.claim(*c.Claim, c.At)
+	case c.Settle != nil:
+		return s.settle(*c.Settle, c.At)
+	}
+	return s.reject(CodeInvalid, "the command is empty")
+}
+
+// VMs returns all VMs in the order of their names.
+func (s *State) VMs() []*VM { return sorted(s.vms) }
+
+// UpstreamRevision is that of the newest change of the VMs that serve.
+func (s *State) UpstreamRevision() rudderfork.Revision { return s.upstreamRev }
+
+// VM returns a VM, or nil.
+func (s *State) VM(id rudderfork.VMID) *VM { return s.vms[id] }
+
+// Jobs returns all jobs in the order of their names.
+func (s *State) Jobs() []*Job { return sorted(s.jobs) }
+
+// Job returns a job, or nil.
+func (s *State) Job(id rudderfork.JobID) *Job { return s.jobs[id] }
+
+// Task returns a task, or nil.
+func (s *State) Task(id rudderfork.TaskID) *Task { return s.tasks[id] }
+
+// Pending returns the tasks that wait for a place, in no order.
+func (s *State) Pending() map[rudderfork.TaskID]*Task { return s.pending }
+
+// TasksOn returns the tasks that hold capacity on a VM, in no order.
+func (s *State) TasksOn(vm rudderfork.VMID) map[rudderfork.TaskID]*Task { return s.onVM[vm] }
+
+// Usage returns what a team's tasks hold.
+func (s *State) Usage(t rudderfork.Team) rudderfork.Resources { return s.usage[t] }
+
+func sorted[K ~string, V any](m map[K]V) []V {
+	vs := make([]V, 0, len(m))
+	for _, k := range slices.Sorted(maps.Keys(m)) {
+		vs = append(vs, m[k])
+	}
+	return vs
+}
--- /dev/null
+++ b/timeline/timeline.go
@@ -0,0 +1,84 @@
+// Package timeline keeps a process's newest events and merges those of many
+// processes into one order.
+//
+// Each process keeps its own ring, in memory and bounded. Nothing is sent until
+// an operator asks, so the time line costs no traffic. Events are ordered by
+// time, then by process and the order within it; clocks of different VMs agree
+// only within the bound that the settings state.
+package timeline
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"rudderfork.example/rudderfork"
+)
+
+// Ring keeps the newest events of one process. It is safe for concurrent use.
+type Ring struct {
+	process string
+	place   rudderfork.Place
+	now     func() time.Time
+
+	mu     sync.Mutex
+	events []rudderfork.Event // a ring once full
+	next   int
+	seq    uint64
+	size   int
+}
+
+// NewRing returns a ring that keeps size events.
+func NewRing(process string, place rudderfork.Place, size int, now func() time.Time) *Ring {
+	return &Ring{process: process, place: place, now: now, size: size}
+}
+
+// Record implements rudderfork.Recorder.
+func (r *Ring) Record(e rudderfork.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seq++
+	e.At, e.Seq = r.now().UnixMicro(), r.seq
+	e.Process, e.VM, e.Domain = r.process, r.place.VM, r.place.Domain
+	if len(r.events) < r.size {
+		r.events = append(r.events, e)
+		return
+	}
+	r.events[r.next] = e
+	r.next = (r.next + 1) % r.size
+}
+
+// Query picks events.
+type Query struct {
+	Subject string // part of the subject; empty for all
+	After   int64  // Unix µs
+	Limit   int    // newest ones; 0 for all
+}
+
+// Select returns the events that q picks, oldest first.
+func (r *Ring) Select(q Query) []rudderfork.Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var es []rudderfork.Event
+	for i := range r.events {
+		e := r.events[(r.next+i)%len(r.events)]
+		if e.At > q.After && strings.Contains(e.Subject, q.Subject) {
+			es = append(es, e)
+		}
+	}
+	if q.Limit > 0 && len(es) > q.Limit {
+		es = es[len(es)-q.Limit:]
+	}
+	return es
+}
+
+// Merge puts the events of several processes into one order.
+func Merge(lists ...[]rudderfork.Event) []rudderfork.Event {
+	all := slices.Concat(lists...)
+	slices.SortStableFunc(all, func(a, b rudderfork.Event) int {
+		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Process, b.Process), cmp.Compare(a.Seq, b.Seq))
+	})
+	return all
+}
--- /dev/null
+++ b/worker/worker.go
@@ -0,0 +1,159 @@
+// Package worker is the client of the platform's worker: HTTP with JSON, as
+// docs/API.md gives it.
+//
+//	GET  /tasks     the worker's boot and all attempts it remembers
+//	POST /start     start an attempt; repeated with the same token, no change
+//	POST /renew     run until the deadline, then stop every task
+//	POST /stop      checkpoint and stop an attempt, and refuse it from now on
+//	POST /throttle  slow an attempt: 0 for full speed to 3 for a standstill
+//	POST /forget    drop the record of an attempt that has ended
+package worker
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/internal/errs"
+	"rudderfork.example/rudderfork/lease"
+)
+
+// callTimeout bounds one call to the worker, which is on the same VM.
+const callTimeout = 2 * time.Second
+
+// maxAnswer bounds an answer of the worker, in bytes.
+const maxAnswer = 16 << 20
+
+// Task is an attempt as the worker reports it.
+type Task struct {
+	Task       rudderfork.TaskID    `json:"task"`
+	Token      rudderfork.Token     `json:"token"`
+	Phase      lease.WorkerPhase    `json:"phase"`
+	Size       rudderfork.Resources `json:"size"`
+	Used       rudderfork.Resources `json:"used"`
+	Checkpoint int64                `json:"checkpoint"`
+	Progress   int64                `json:"progress"`
+	Throttle   int                  `json:"throttle"`
+	Reason     string               `json:"reason,omitempty"`
+	At         int64                `json:"at"`
+}
+
+// List is the answer to GET /tasks.
+type List struct {
+	Boot  string `json:"boot"`
+	Tasks []Task `json:"tasks"`
+}
+
+// Start is the body of POST /start. Times are Unix milliseconds.
+type Start struct {
+	Task       rudderfork.TaskID    `json:"task"`
+	Token      rudderfork.Token     `json:"token"`
+	Size       rudderfork.Resources `json:"size"`
+	Kind       string               `json:"kind"`
+	Units      int64                `json:"units"`
+	Checkpoint int64                `json:"checkpoint"`
+	Deadline   int64                `json:"deadline"`
+}
+
+// Change is the body of the other calls.
+type Change struct {
+	Task       rudderfork.TaskID `json:"task,omitempty"`
+	Token      rudderfork.Token  `json:"token,omitempty"`
+	Checkpoint bool              `json:"checkpoint,omitempty"`
+	Level      int               `json:"level,omitempty"`
+	Deadline   int64             `json:"deadline,omitempty"`
+}
+
+// Client calls one worker. It is safe for concurrent use.
+type Client struct {
+	url string
+	hc  *http.Client
+}
+
+// New returns a client of the worker at addr, host:port.
+func New(addr string) *Client {
+	return &Client{url: "http://" + addr, hc: &http.Client{Timeout: callTimeout}}
+}
+
+// List asks for the worker's attempts.
+func (c *Client) List(ctx context.Context) (boot string, ts []lease.WorkerTask, err error) {
+	defer errs.Annotate(&err, "list tasks")
+	var l List
+	if err := c.call(ctx, http.MethodGet, "/tasks", nil, &l); err != nil {
+		return "", nil, err
+	}
+	for _, t := range l.Tasks {
+		ts = append(ts, lease.WorkerTask(t))
+	}
+	return l.Boot, ts, nil
+}
+
+// Start starts an attempt that runs until the deadline at most.
+func (c *Client) Start(ctx context.Context, l rudderfork.Lease, deadline time.Time) (err error) {
+	defer errs.Annotate(&err, "start %s", l.Task)
+	return c.call(ctx, http.MethodPost, "/start", Start{
+		Task: l.Task, Token: l.Token, Size: l.Size, Kind: l.Kind, Units: l.Units,
+		Checkpoint: l.Checkpoint, Deadline: rudderfork.Millis(deadline),
+	}, nil)
+}
+
+// Renew moves the deadline of all attempts.
+func (c *Client) Renew(ctx context.Context, deadline time.Time) (err error) {
+	defer errs.Annotate(&err, "renew")
+	return c.call(ctx, http.MethodPost, "/renew", Change{Deadline: rudderfork.Millis(deadline)}, nil)
+}
+
+// Stop ends an attempt.
+func (c *Client) Stop(ctx context.Context, s lease.StopTask) (err error) {
+	defer errs.Annotate(&err, "stop %s", s.Task)
+	return c.call(ctx, http.MethodPost, "/stop", Change{Task: s.Task, Token: s.Token, Checkpoint: s.Checkpoint}, nil)
+}
+
+// Throttle slows an attempt.
+func (c *Client) Throttle(ctx context.Context, s lease.SetThrottle) (err error) {
+	defer errs.Annotate(&err, "throttle %s", s.Task)
+	return c.call(ctx, http.MethodPost, "/throttle", Change{Task: s.Task, Token: s.Token, Level: s.Level}, nil)
+}
+
+// Forget drops an attempt that has ended.
+func (c *Client) Forget(ctx context.Context, r lease.AttemptRef) (err error) {
+	defer errs.Annotate(&err, "forget %s", r.Task)
+	return c.call(ctx, http.MethodPost, "/forget", Change{Task: r.Task, Token: r.Token}, nil)
+}
+
+func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return err
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.url+path, body)
+	if err != nil {
+		return err
+	}
+	resp, err := c.hc.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return fmt.Errorf("worker answered %s: %s", resp.Status, strings.TrimSpace(string(data)))
+	}
+	if out == nil {
+		return nil
+	}
+	return json.Unmarshal(data, out)
+}
