--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -90,8 +91,8 @@
 // watchWorker returns a function that gives the present slowdown: each task at
 // the worker adds slowdown, halved with each throttle level.
 func watchWorker(ctx context.Context, addr string, slowdown float64) func() float64 {
-	var factor atomic.Value
-	factor.Store(1.0)
+	var factor atomic.Uint64 // bits of a float64
+	factor.Store(math.Float64bits(1))
 	hc := &http.Client{Timeout: time.Second}
 	go func() {
 		for ctx.Err() == nil {
@@ -106,11 +107,11 @@
 					sum += slowdown / float64(int(1)<<t.Throttle)
 				}
 			}
-			factor.Store(sum)
+			factor.Store(math.Float64bits(sum))
 			time.Sleep(100 * time.Millisecond)
 		}
 	}()
-	return func() float64 { return factor.Load().(float64) }
+	return func() float64 { return math.Float64frombits(factor.Load()) }
 }
 
 type workerCommand struct {
--- /dev/null
+++ b/disk/disk_test.go
@@ -0,0 +1,211 @@
+package disk
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rudderfork.example/rudderfork/quorum"
+)
+
+var members = []quorum.Member{{ID: "c1#1", Name: "c1", Voter: true}}
+
+func newStore(t *testing.T) (dir string, s *Store) {
+	t.Helper()
+	dir = filepath.Join(t.TempDir(), "data")
+	assert.NilError(t, Format(dir, Identity{ID: "c1#1", Group: "test", Members: members}))
+	s, err := Open(dir)
+	assert.NilError(t, err)
+	return dir, s
+}
+
+func entries(from, to uint64, term uint64) (es []quorum.Entry) {
+	for i := from; i <= to; i++ {
+		es = append(es, quorum.Entry{Index: i, Term: term, Kind: quorum.EntryCommand, Data: fmt.Appendf(nil, "entry %d", i)})
+	}
+	return es
+}
+
+func save(t *testing.T, s *Store, rd quorum.Ready) {
+	t.Helper()
+	assert.NilError(t, s.Save(rd))
+}
+
+func reopen(t *testing.T, dir string, s *Store) *Store {
+	t.Helper()
+	assert.NilError(t, s.Close())
+	s, err := Open(dir)
+	assert.NilError(t, err)
+	return s
+}
+
+func checkEntries(t *testing.T, got, want []quorum.Entry) {
+	t.Helper()
+	assert.Equal(t, len(got), len(want))
+	for i := range want {
+		assert.Equal(t, got[i].Index, want[i].Index)
+		assert.Equal(t, got[i].Term, want[i].Term)
+		assert.Equal(t, string(got[i].Data), string(want[i].Data))
+	}
+}
+
+func TestReopen(t *testing.T) {
+	dir, s := newStore(t)
+	save(t, s, quorum.Ready{HardState: &quorum.HardState{Term: 3, Vote: "c2#1"}, Entries: entries(1, 10, 3)})
+	// A new leader replaces the tail.
+	save(t, s, quorum.Ready{HardState: &quorum.HardState{Term: 4}, Entries: entries(8, 9, 4)})
+
+	s = reopen(t, dir, s)
+	hs, snap, es := s.Loaded()
+	assert.Equal(t, hs, quorum.HardState{Term: 4})
+	assert.Equal(t, len(snap.Members), 1)
+	checkEntries(t, es, append(entries(1, 7, 3), entries(8, 9, 4)...))
+
+	t.Run("snapshot", func(t *testing.T) {
+		assert.NilError(t, s.Snapshot(quorum.Snapshot{Index: 8, Term: 4, Members: members, Data: []byte("state")}, entries(9, 9, 4)))
+		save(t, s, quorum.Ready{Entries: entries(10, 11, 4)})
+		s = reopen(t, dir, s)
+		hs, snap, es := s.Loaded()
+		assert.Equal(t, hs.Term, uint64(4))
+		assert.Equal(t, string(snap.Data), "state")
+		checkEntries(t, es, entries(9, 11, 4))
+		left, err := filepath.Glob(filepath.Join(dir, "*-00000001"))
+		assert.NilError(t, err)
+		assert.Equal(t, len(left), 0, "the old generation is still there: %v", left)
+	})
+}
+
+func TestIdentity(t *testing.T) {
+	dir, s := newStore(t)
+	assert.Equal(t, s.Identity().ID, quorum.MemberID("c1#1"))
+	assert.NilError(t, s.Close())
+	t.Run("a folder in use is not formatted again", func(t *testing.T) {
+		assert.ErrorContains(t, Format(dir, Identity{}), "not empty")
+	})
+	t.Run("an empty folder says so", func(t *testing.T) {
+		_, err := Open(t.TempDir())
+		assert.Assert(t, errors.Is(err, ErrEmpty))
+	})
+	t.Run("a lost identity beside a log is corrupt", func(t *testing.T) {
+		assert.NilError(t, os.Remove(filepath.Join(dir, "identity")))
+		_, err := Open(dir)
+		assert.Assert(t, errors.Is(err, ErrCorrupt))
+	})
+	t.Run("a folder set aside can be formatted", func(t *testing.T) {
+		_, err := SetAside(dir, time.UnixMilli(1))
+		assert.NilError(t, err)
+		assert.NilError(t, Format(dir, Identity{ID: "c1#2"}))
+	})
+}
+
+// filled returns a folder with a snapshot and ten entries, closed.
+func filled(t *testing.T) (dir string) {
+	t.Helper()
+	dir, s := newStore(t)
+	save(t, s, quorum.Ready{HardState: &quorum.HardState{Term: 1}, Entries: entries(1, 5, 1)})
+	assert.NilError(t, s.Snapshot(quorum.Snapshot{Index: 5, Term: 1, Members: members, Data: []byte("state")}, nil))
+	for i := uint64(6); i <= 10; i++ {
+		save(t, s, quorum.Ready{Entries: entries(i, i, 1)})
+	}
+	assert.NilError(t, s.Close())
+	return dir
+}
+
+func change(t *testing.T, path string, f func(b []byte) []byte) {
+	t.Helper()
+	b, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	assert.NilError(t, os.WriteFile(path, f(b), fileMode))
+}
+
+// TestEveryFlippedBit flips each byte of each file that matters: Open must
+// either refuse, or return exactly what was synced.
+func TestEveryFlippedBit(t *testing.T) {
+	dir := filled(t)
+	for _, file := range []string{"identity", "snap-00000002", "log-00000002"} {
+		path := filepath.Join(dir, file)
+		whole, err := os.ReadFile(path)
+		assert.NilError(t, err)
+		for at := range whole {
+			change(t, path, func(b []byte) []byte { b[at] ^= 0x10; return b })
+			_, err := Open(dir)
+			assert.Assert(t, errors.Is(err, ErrCorrupt), "%s: byte %d was flipped: %v", file, at, err)
+			assert.NilError(t, os.WriteFile(path, whole, fileMode))
+		}
+	}
+}
+
+// TestEveryTruncation cuts the log at each length: what was synced is missed,
+// and Open refuses.
+func TestEveryTruncation(t *testing.T) {
+	dir := filled(t)
+	path := filepath.Join(dir, "log-00000002")
+	whole, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	for n := range whole {
+		assert.NilError(t, os.WriteFile(path, whole[:n], fileMode))
+		_, err := Open(dir)
+		assert.Assert(t, errors.Is(err, ErrCorrupt), "cut to %d bytes: %v", n, err)
+	}
+	t.Run("a log that is gone", func(t *testing.T) {
+		assert.NilError(t, os.Remove(path))
+		_, err := Open(dir)
+		assert.Assert(t, errors.Is(err, ErrCorrupt), "%v", err)
+	})
+}
+
+// TestTornWrite appends each part of a record past what was synced, as a crash
+// in the middle of a write leaves it: it is cut off and nothing else is lost.
+func TestTornWrite(t *testing.T) {
+	dir := filled(t)
+	path := filepath.Join(dir, "log-00000002")
+	whole, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	next := entries(11, 11, 1)
+	rec, err := encodeRecords(nil, next)
+	assert.NilError(t, err)
+	for n := range rec {
+		assert.NilError(t, os.WriteFile(path, append(append([]byte(nil), whole...), rec[:n]...), fileMode))
+		s, err := Open(dir)
+		assert.NilError(t, err, "torn after %d bytes", n)
+		_, _, es := s.Loaded()
+		checkEntries(t, es, entries(6, 10, 1))
+		save(t, s, quorum.Ready{Entries: next})
+		assert.NilError(t, s.Close())
+		s, err = Open(dir)
+		assert.NilError(t, err)
+		_, _, es = s.Loaded()
+		checkEntries(t, es, entries(6, 11, 1))
+		assert.NilError(t, s.Close())
+		assert.NilError(t, os.WriteFile(path, whole, fileMode))
+		s, err = Open(dir) // moves the mark back to the whole
+		if err == nil {
+			assert.NilError(t, s.Close())
+		} else {
+			assert.NilError(t, os.Remove(filepath.Join(dir, "tail")))
+		}
+	}
+}
+
+// TestCrashInSnapshot stops a snapshot between its steps.
+func TestCrashInSnapshot(t *testing.T) {
+	for _, left := range []string{"snap-00000003", "snap-00000003.tmp", "log-00000003.tmp"} {
+		t.Run(left, func(t *testing.T) {
+			dir := filled(t)
+			assert.NilError(t, os.WriteFile(filepath.Join(dir, left), []byte("half"), fileMode))
+			s, err := Open(dir)
+			assert.NilError(t, err)
+			_, snap, es := s.Loaded()
+			assert.Equal(t, string(snap.Data), "state")
+			checkEntries(t, es, entries(6, 10, 1))
+			_, err = os.Stat(filepath.Join(dir, left))
+			assert.Assert(t, os.IsNotExist(err), "%s is still there", left)
+			assert.NilError(t, s.Close())
+		})
+	}
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -89,7 +89,7 @@
 	}
 	r.vms = p.views(s, now)
 	p.checkJobs(r)
-	for _, t := range p.order(s, now) {
+	for _, t := range p.order(s) {
 		if len(r.plan.Place.Placements) >= maxRound {
 			break
 		}
@@ -124,7 +124,7 @@
 
 // order returns pending tasks: by priority, then by the nearest deadline, then
 // by the share that the team holds for its weight, then by age.
-func (p *Planner) order(s *state.State, now time.Time) []*state.Task {
+func (p *Planner) order(s *state.State) []*state.Task {
 	type key struct {
 		t        *state.Task
 		priority int64
--- /dev/null
+++ b/quorum/quorum_test.go
@@ -0,0 +1,415 @@
+package quorum
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// replica is a node with a disk that survives crashes.
+type replica struct {
+	id      MemberID
+	node    *Node // nil while crashed
+	frozen  bool
+	hard    HardState
+	snap    Snapshot
+	entries []Entry // after snap
+	applied []Entry // commands, in order
+}
+
+// group runs replicas over a network that loses, doubles and reorders.
+type group struct {
+	t        *testing.T
+	rng      *rand.Rand
+	now      time.Time
+	replicas map[MemberID]*replica
+	order    []MemberID
+	net      []Message
+	cut      map[[2]MemberID]bool
+	loss     float64
+
+	committed map[uint64]Entry    // by index, as first applied anywhere
+	leaders   map[uint64]MemberID // by term
+	members   []Member
+}
+
+func newGroup(t *testing.T, n int, seed uint64) *group {
+	g := &group{
+		t: t, rng: rand.New(rand.NewPCG(seed, 9)), now: time.Unix(1000, 0), replicas: map[MemberID]*replica{},
+		cut: map[[2]MemberID]bool{}, committed: map[uint64]Entry{}, leaders: map[uint64]MemberID{},
+	}
+	for i := range n {
+		id := MemberID(fmt.Sprintf("c%d#1", i+1))
+		g.members = append(g.members, Member{ID: id, Name: string(id[:2]), Voter: true})
+	}
+	for _, m := range g.members {
+		g.add(m.ID, Snapshot{Members: g.members})
+	}
+	return g
+}
+
+func (g *group) add(id MemberID, s Snapshot) {
+	g.replicas[id] = &replica{id: id, snap: s}
+	g.order = append(g.order, id)
+	g.start(id)
+}
+
+func (g *group) start(id MemberID) {
+	r := g.replicas[id]
+	r.applied = nil
+	r.node = New(Config{ID: id, ElectionTimeout: 100 * time.Millisecond, Heartbeat: 20 * time.Millisecond, Seed: g.rng.Uint64()},
+		r.hard, r.snap, append([]Entry(nil), r.entries...), g.now)
+}
+
+func (g *group) crash(id MemberID) { g.replicas[id].node = nil }
+
+// ready does the work that a node asks for. crash, if not nil, may stop it
+// between two steps.
+func (g *group) ready(r *replica, crash func() bool) {
+	for r.node != nil {
+		rd := r.node.Ready()
+		es := r.node.Committed()
+		if rd.Empty() && len(es) == 0 {
+			break
+		}
+		g.net = append(g.net, rd.Early...)
+		if crash != nil && crash() {
+			g.crash(r.id)
+			return
+		}
+		r.save(rd)
+		if crash != nil && crash() {
+			g.crash(r.id)
+			return
+		}
+		g.net = append(g.net, rd.Messages...)
+		r.node.Persisted(rd, g.now)
+		g.apply(r, es)
+	}
+	g.checkLeader(r)
+}
+
+func (r *replica) save(rd Ready) {
+	if rd.HardState != nil {
+		r.hard = *rd.HardState
+	}
+	if rd.Snapshot != nil {
+		r.snap, r.entries = *rd.Snapshot, nil
+	}
+	for _, e := range rd.Entries {
+		r.entries = append(r.entries[:e.Index-r.snap.Index-1:e.Index-r.snap.Index-1], e)
+	}
+}
+
+func (g *group) apply(r *replica, es []Entry) {
+	for _, e := range es {
+		if old, ok := g.committed[e.Index]; ok {
+			assert.Equal(g.t, old.Term, e.Term, "index %d on %s", e.Index, r.id)
+			assert.Equal(g.t, string(old.Data), string(e.Data), "index %d on %s", e.Index, r.id)
+		}
+		g.committed[e.Index] = e
+		r.applied = append(r.applied, e)
+	}
+}
+
+func (g *group) checkLeader(r *replica) {
+	if r.node == nil || r.node.Role() != Leader {
+		return
+	}
+	other, ok := g.leaders[r.node.Term()]
+	assert.Assert(g.t, !ok || other == r.id, "term %d has leaders %s and %s", r.node.Term(), other, r.id)
+	g.leaders[r.node.Term()] = r.id
+}
+
+// step advances the time by a little and delivers some messages.
+func (g *group) step(crash func() bool) {
+	g.now = g.now.Add(5 * time.Millisecond)
+	g.rng.Shuffle(len(g.net), func(i, j int) { g.net[i], g.net[j] = g.net[j], g.net[i] })
+	batch := g.net
+	g.net = nil
+	for _, m := range batch {
+		switch {
+		case g.cut[[2]MemberID{m.From, m.To}] || g.rng.Float64() < g.loss:
+			continue
+		case g.rng.Float64() < 0.1:
+			g.net = append(g.net, m) // late
+			continue
+		case g.rng.Float64() < g.loss:
+			g.net = append(g.net, m) // twice
+		}
+		if r := g.replicas[m.To]; r != nil && r.node != nil && !r.frozen {
+			r.node.Step(m, g.now)
+			g.ready(r, crash)
+		}
+	}
+	for _, id := range g.order {
+		if r := g.replicas[id]; r.node != nil && !r.frozen {
+			r.node.Tick(g.now)
+			g.ready(r, crash)
+		}
+	}
+}
+
+func (g *group) run(steps int) {
+	for range steps {
+		g.step(nil)
+	}
+}
+
+func (g *group) leader() *replica {
+	var best *replica
+	for _, id := range g.order {
+		r := g.replicas[id]
+		if r.node != nil && !r.frozen && r.node.Settled() && (best == nil || r.node.Term() > best.node.Term()) {
+			best = r
+		}
+	}
+	return best
+}
+
+func (g *group) waitLeader() *replica {
+	for range 1000 {
+		if r := g.leader(); r != nil {
+			return r
+		}
+		g.step(nil)
+	}
+	g.t.Fatal("no leader")
+	return nil
+}
+
+func (g *group) propose(data string) (index uint64, ok bool) {
+	l := g.leader()
+	if l == nil {
+		return 0, false
+	}
+	index, _, ok = l.node.Propose([]byte(data), g.now)
+	g.ready(l, nil)
+	return index, ok
+}
+
+func (g *group) heal() {
+	clear(g.cut)
+	g.loss = 0
+	for _, id := range g.order {
+		g.replicas[id].frozen = false
+		if g.replicas[id].node == nil {
+			g.start(id)
+		}
+	}
+}
+
+func (g *group) hasCommitted(data string) bool {
+	for _, e := range g.committed {
+		if string(e.Data) == data {
+			return true
+		}
+	}
+	return false
+}
+
+// TestFaults drives groups through lost, doubled, late and reordered messages,
+// cuts, freezes and crashes between any two steps of the work, with fixed seeds.
+// apply and checkLeader hold the invariants at every step.
+func TestFaults(t *testing.T) {
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			g := newGroup(t, 3+2*int(seed%2), seed)
+			acked := faults(g, 2000)
+			g.heal()
+			g.run(200)
+			l := g.waitLeader()
+			g.run(50)
+			assert.Assert(t, len(acked) > 0, "nothing was committed under faults")
+			for _, id := range g.order {
+				assert.Equal(t, g.replicas[id].node.Commit(), l.node.Commit(), "replica %s", id)
+			}
+			for _, data := range acked {
+				assert.Assert(t, g.hasCommitted(data), "acknowledged entry %s is lost", data)
+			}
+		})
+	}
+}
+
+// faults breaks things at random and returns what was applied by a leader, that
+// is, acknowledged.
+func faults(g *group, steps int) (acked []string) {
+	crash := func() bool { return g.rng.Float64() < 0.003 }
+	open := map[uint64]string{}
+	g.loss = 0.05
+	for i := range steps {
+		id := g.order[g.rng.IntN(len(g.order))]
+		other := g.order[g.rng.IntN(len(g.order))]
+		switch g.rng.IntN(60) {
+		case 0:
+			g.cut[[2]MemberID{id, other}] = true // one way
+		case 1:
+			clear(g.cut)
+		case 2:
+			g.replicas[id].frozen = !g.replicas[id].frozen
+		case 3:
+			g.crash(id)
+		case 4, 5, 6, 7:
+			g.replicas[id].frozen = false
+			if g.replicas[id].node == nil {
+				g.start(id)
+			}
+		case 8:
+			g.snapshot(id)
+		}
+		data := fmt.Sprintf("entry-%d", i)
+		if index, ok := g.propose(data); ok {
+			open[index] = data
+		}
+		g.step(crash)
+		for index, data := range open {
+			if e, ok := g.committed[index]; ok {
+				if string(e.Data) == data {
+					acked = append(acked, data)
+				}
+				delete(open, index)
+			}
+		}
+	}
+	return acked
+}
+
+func (g *group) snapshot(id MemberID) {
+	r := g.replicas[id]
+	if r.node == nil || r.node.applied <= r.snap.Index {
+		return
+	}
+	s := r.node.Compact(Snapshot{Index: r.node.applied, Data: []byte("state")})
+	keep := r.entries[s.Index-r.snap.Index:]
+	r.snap, r.entries = s, append([]Entry(nil), keep...)
+}
+
+func TestLostDisk(t *testing.T) {
+	g := newGroup(t, 3, 1)
+	g.waitLeader()
+	_, ok := g.propose("before")
+	assert.Assert(t, ok)
+	g.run(50)
+
+	// c3 loses its disk and comes back under a new ID.
+	g.crash("c3#1")
+	rejoin(g, "c3#2", "c3")
+	assert.Equal(t, voterCount(g), 3)
+	assert.Equal(t, g.replicas["c3#2"].node.Commit(), g.waitLeader().node.Commit())
+
+	// A second one is lost right after the repair: the two that are left go on
+	// and have lost nothing.
+	g.crash("c1#1")
+	g.run(300)
+	_, ok = g.propose("after")
+	assert.Assert(t, ok)
+	g.run(100)
+	assert.Assert(t, g.hasCommitted("before") && g.hasCommitted("after"))
+	rejoin(g, "c1#2", "c1")
+	assert.Equal(t, voterCount(g), 3)
+}
+
+// rejoin adds an empty replica and lets the leader bring it in.
+func rejoin(g *group, id MemberID, name string) {
+	g.add(id, Snapshot{})
+	for range 400 {
+		l := g.waitLeader()
+		if next, ok := l.node.Join(Member{ID: id, Name: name}); ok {
+			l.node.ProposeMembers(next, g.now)
+		} else if next, ok := l.node.Repair(); ok {
+			l.node.ProposeMembers(next, g.now)
+		}
+		g.ready(l, nil)
+		g.step(nil)
+	}
+}
+
+func voterCount(g *group) int { return len(g.waitLeader().node.voters()) }
+
+func TestEmptyReplicaDoesNotVote(t *testing.T) {
+	g := newGroup(t, 3, 2)
+	g.waitLeader()
+	g.crash("c1#1")
+	g.crash("c2#1")
+	g.add("c2#2", Snapshot{})
+	g.run(1000)
+	assert.Assert(t, g.leader() == nil, "a leader was elected with the vote of an empty replica")
+}
+
+func TestCutLeader(t *testing.T) {
+	g := newGroup(t, 3, 3)
+	old := g.waitLeader()
+	for _, id := range g.order {
+		if id != old.id {
+			g.cut[[2]MemberID{old.id, id}] = true
+			g.cut[[2]MemberID{id, old.id}] = true
+		}
+	}
+	at := g.now
+	old.node.Propose([]byte("cut off"), g.now)
+	g.ready(old, nil)
+	g.run(400)
+
+	t.Run("it does not commit", func(t *testing.T) {
+		assert.Assert(t, !g.hasCommitted("cut off"))
+	})
+	t.Run("it does not confirm reads", func(t *testing.T) {
+		assert.Assert(t, !old.node.QuorumContact(g.now).After(at))
+		assert.Assert(t, old.node.Role() != Leader, "it still leads after %v", g.now.Sub(at))
+	})
+	t.Run("it does not disturb the others when it is back", func(t *testing.T) {
+		l := g.waitLeader()
+		term := l.node.Term()
+		clear(g.cut)
+		g.run(300)
+		assert.Equal(t, g.waitLeader().id, l.id)
+		assert.Equal(t, l.node.Term(), term)
+		assert.Equal(t, old.node.Commit(), l.node.Commit())
+	})
+}
+
+// TestContactBoundsElections shows what leases rest on: when a leader is
+// elected, no earlier leader's QuorumContact lies after the election.
+func TestContactBoundsElections(t *testing.T) {
+	for seed := range uint64(40) {
+		g := newGroup(t, 3, 100+seed)
+		g.loss = 0.05
+		elected := map[uint64]time.Time{}
+		for range 800 {
+			if g.rng.IntN(30) == 0 {
+				id := g.order[g.rng.IntN(len(g.order))]
+				g.replicas[id].frozen = !g.replicas[id].frozen
+			}
+			g.step(nil)
+			for _, id := range g.order {
+				n := g.replicas[id].node
+				if n.Role() != Leader {
+					continue
+				}
+				if _, ok := elected[n.Term()]; !ok {
+					elected[n.Term()] = g.now
+				}
+				for term, at := range elected {
+					if term > n.Term() {
+						contact := n.QuorumContact(g.now)
+						assert.Assert(t, !contact.After(at), "seed %d: leader of term %d has contact after term %d began", seed, n.Term(), term)
+					}
+				}
+			}
+		}
+	}
+}
+
+func TestMembersOneAtATime(t *testing.T) {
+	g := newGroup(t, 3, 5)
+	l := g.waitLeader()
+	_, ok := l.node.ProposeMembers(g.members[:1], g.now)
+	assert.Assert(t, !ok, "two voters were removed at once")
+	_, ok = l.node.ProposeMembers(g.members[:2], g.now)
+	assert.Assert(t, ok)
+	_, ok = l.node.ProposeMembers(g.members, g.now)
+	assert.Assert(t, !ok, "a change was taken while another was under way")
+}
--- a/state/state.go
+++ b/state/state.go
@@ -79,7 +79,7 @@
 	case c.Cancel != nil:
 		return s.cancel(*c.Cancel, c.At)
 	case c.Register != nil:
-		return s.register(*c.Register, c.At)
+		return s.register(*c.Register)
 	case c.Lost != nil:
 		return s.lost(*c.Lost, c.At)
 	case c.Drain != nil:
--- a/state/vm.go
+++ b/state/vm.go
@@ -75,7 +75,7 @@
 	Off bool            `cbor:"2,keyasint,omitempty"`
 }
 
-func (s *State) register(r Register, at int64) Result {
+func (s *State) register(r Register) Result {
 	v := s.vms[r.Place.VM]
 	if v == nil {
 		v = &VM{}
