Keep reads from putting off a leader's checks

Cause: TestProveConfig passed, but a lost disk took 31 s to repair, as long as the operators went on reading. Each linearizable read confirms the leader by an append to all, and that append moved the one deadline at which the leader also looks whether a quorum answers and whether a member is to be promoted. With reads coming faster than the heartbeat it never looked; a leader that was cut off would not have stepped down either.

Ruled out: a joiner that lags too far under load (its status showed it one entry behind for 15 s; promoting by rounds changed nothing: 32.5 s); a timer starved by messages (checking after every input changed nothing: 33.8 s). Both tries are reverted; their tests hold either way and stay.

Change: the check has a deadline of its own. The test group ticks at NextDeadline, as the real loop does, so TestCutLeaderUnderReads fails without the change and passes with it.

--- /dev/null
+++ b/control/replica_test.go
@@ -0,0 +1,75 @@
+package control
+
+import (
+	"context"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/disk"
+	"rudderfork.example/rudderfork/internal/steady"
+	"rudderfork.example/rudderfork/quorum"
+	"rudderfork.example/rudderfork/state"
+)
+
+// nobody is the sender and the recorder of a replica that is alone.
+type nobody struct{}
+
+func (nobody) Send(quorum.Message)     {}
+func (nobody) SetMember(bool)          {}
+func (nobody) Record(rudderfork.Event) {}
+
+// newReplica returns a running replica that is its group's only member.
+func newReplica(t *testing.T) *Replica {
+	t.Helper()
+	dir := filepath.Join(t.TempDir(), "data")
+	self := quorum.Member{ID: "c1#1", Name: "c1", Voter: true}
+	assert.NilError(t, disk.Format(dir, disk.Identity{ID: self.ID, Members: []quorum.Member{self}}))
+	store, err := disk.Open(dir)
+	assert.NilError(t, err)
+	cfg := ReplicaConfig{ElectionTimeout: 50 * time.Millisecond, Heartbeat: 10 * time.Millisecond, SnapshotEvery: 50}
+	r, err := NewReplica(cfg, store, nobody{}, zerolog.Nop(), nobody{}, steady.Now)
+	assert.NilError(t, err)
+	return r
+}
+
+func serve(t *testing.T, r *Replica) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = r.Serve(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+}
+
+// TestTicksUnderLoad floods a replica with messages: it must still act on its
+// deadlines.
+func TestTicksUnderLoad(t *testing.T) {
+	r := newReplica(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	flooded := make(chan struct{})
+	go func() {
+		defer close(flooded)
+		for ctx.Err() == nil {
+			r.Step(ctx, quorum.Message{To: "someone else"})
+		}
+	}()
+	serve(t, r)
+	// Only an election, which a deadline starts, lets a command through.
+	for {
+		dctx, stop := context.WithTimeout(t.Context(), time.Second)
+		res, err := r.Do(dctx, state.Command{Edit: &state.Edit{ID: "e", Writes: []state.CellWrite{{
+			Key: rudderfork.CellKey{Kind: rudderfork.RowTeam, Row: "x", Column: rudderfork.ColWeight}, Value: 5,
+		}}}})
+		stop()
+		if err == nil {
+			assert.Equal(t, res.Code, state.CodeOK)
+			break
+		}
+	}
+	cancel()
+	<-flooded
+}
--- a/proof/batch_test.go
+++ b/proof/batch_test.go
@@ -215,9 +215,17 @@
 // handOver are the points at which TestProveHandOver kills a process, with the
 // role that has them.
 var handOver = []struct{ role, point string }{
-	{"control", crash.ControlSave}, {"control", crash.ControlSaved}, {"control", crash.ControlApplied}, {"control", crash.ControlSnapshot},
-	{"agent", crash.AgentStart}, {"agent", crash.AgentStarted}, {"agent", crash.AgentStop}, {"agent", crash.AgentStopped},
-	{"agent", crash.AgentReport}, {"agent", crash.AgentReported}, {"agent", crash.AgentForget},
+	{"control", crash.ControlSave},
+	{"control", crash.ControlSaved},
+	{"control", crash.ControlApplied},
+	{"control", crash.ControlSnapshot},
+	{"agent", crash.AgentStart},
+	{"agent", crash.AgentStarted},
+	{"agent", crash.AgentStop},
+	{"agent", crash.AgentStopped},
+	{"agent", crash.AgentReport},
+	{"agent", crash.AgentReported},
+	{"agent", crash.AgentForget},
 }
 
 // TestProveHandOver kills the acting process at each step of a hand-over: place,
--- a/proof/main_test.go
+++ b/proof/main_test.go
@@ -20,7 +20,7 @@
 )
 
 // testLimit bounds one proof. It ends a proof that hangs; no promise rests on it.
-const testLimit = 150 * time.Second
+const testLimit = 100 * time.Second
 
 // start starts a cluster and waits until it serves.
 func start(t *testing.T, opt harness.Options) (context.Context, *harness.Cluster) {
--- a/quorum/leader.go
+++ b/quorum/leader.go
@@ -11,6 +11,7 @@
 	n.peers = map[MemberID]*progress{}
 	n.termStart = n.log.last() + 1
 	n.resetElection(now)
+	n.checkAt = now
 	n.syncPeers()
 	n.log.push(Entry{Index: n.termStart, Term: n.hard.Term, Kind: EntryNoop})
 	n.broadcast(now)
@@ -33,6 +34,9 @@
 }
 
 func (n *Node) tickLeader(now time.Time) {
+	if !now.Before(n.checkAt) {
+		n.checkAt = now.Add(n.cfg.Heartbeat)
+	}
 	if now.Sub(n.QuorumContact(now)) > 2*n.cfg.ElectionTimeout && now.After(n.electionAt) {
 		// No quorum answers; whoever can reach one must be free to lead.
 		n.becomeFollower(n.hard.Term, "", now)
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -36,8 +36,9 @@
 
 	// Leader only.
 	peers       map[MemberID]*progress
-	heartbeatAt time.Time
-	termStart   uint64 // index of the first entry of the leader's own term
+	heartbeatAt time.Time // appends are due; reads put it off
+	checkAt     time.Time // the leader looks whether a quorum answers
+	termStart   uint64    // index of the first entry of the leader's own term
 
 	out       Ready
 	hardDirty bool
@@ -123,6 +124,9 @@
 
 // NextDeadline is when Tick is next due.
 func (n *Node) NextDeadline() time.Time {
+	if n.role == Leader && n.checkAt.Before(n.heartbeatAt) {
+		return n.checkAt
+	}
 	if n.role == Leader {
 		return n.heartbeatAt
 	}
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -146,7 +146,7 @@
 		}
 	}
 	for _, id := range g.order {
-		if r := g.replicas[id]; r.node != nil && !r.frozen {
+		if r := g.replicas[id]; r.node != nil && !r.frozen && !g.now.Before(r.node.NextDeadline()) {
 			r.node.Tick(g.now)
 			g.ready(r, crash)
 		}
@@ -327,6 +327,29 @@
 	}
 }
 
+// TestJoinUnderLoad brings a replica in while commands keep coming.
+func TestJoinUnderLoad(t *testing.T) {
+	g := newGroup(t, 3, 4)
+	g.waitLeader()
+	g.crash("c3#1")
+	g.add("c3#2", Snapshot{})
+	for i := range 200 {
+		l := g.waitLeader()
+		for k := range 50 {
+			l.node.Propose(fmt.Appendf(nil, "load-%d-%d", i, k), g.now)
+		}
+		if next, ok := l.node.Join(Member{ID: "c3#2", Name: "c3"}); ok {
+			l.node.ProposeMembers(next, g.now)
+		} else if next, ok := l.node.Repair(); ok && i%10 == 0 {
+			l.node.ProposeMembers(next, g.now)
+		}
+		g.ready(l, nil)
+		g.step(nil)
+	}
+	m, ok := g.waitLeader().node.Member("c3#2")
+	assert.Assert(t, ok && m.Voter, "after 200 steps under load the members are %v", g.waitLeader().node.Members())
+}
+
 func voterCount(g *group) int { return len(g.waitLeader().node.voters()) }
 
 func TestEmptyReplicaDoesNotVote(t *testing.T) {
@@ -403,6 +426,23 @@
 	}
 }
 
+// TestCutLeaderUnderReads keeps asking a cut-off leader to confirm itself. (Each
+// read put off the deadline at which a leader looks whether a quorum answers,
+// so that it never stepped down, and repairs waited until the reads ended.)
+func TestCutLeaderUnderReads(t *testing.T) {
+	g := newGroup(t, 3, 6)
+	old := g.waitLeader()
+	for _, id := range g.order {
+		g.cut[[2]MemberID{old.id, id}] = true
+		g.cut[[2]MemberID{id, old.id}] = true
+	}
+	for range 200 {
+		old.node.Confirm(g.now)
+		g.step(nil)
+	}
+	assert.Assert(t, old.node.Role() != Leader, "it leads though nobody has answered for a second")
+}
+
 func TestMembersOneAtATime(t *testing.T) {
 	g := newGroup(t, 3, 5)
 	l := g.waitLeader()
