Prove the promises about requests, leaving and planned stops

Cause: none of the five was proved.

Change: three proofs with real processes. Callers hold seats with and without a key and ask for long answers through both entries, while every role is killed and frozen, every kind of link is cut, deaf, short or late, and entry and agent die at five named points. The upstreams' audits say what ran. Leaving and planned stops run under load.

Found: a first run waited for ever for a restarted entry to take a keyed request. Ruled out: the entry (its time line shows none arrived), control (claims through the other entry took 2 ms).

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -202,7 +202,11 @@
 	c.w.Header().Set(relay.HeaderRequest, c.id)
 	c.w.Header().Set(relay.HeaderUpstream, string(a.vm))
 	c.h.metrics.requests.WithLabelValues(string(c.service), "answered").Inc()
-	c.event("answering", fmt.Sprintf("%d from %s", a.resp.StatusCode, a.vm))
+	kind := "request"
+	if c.feed {
+		kind = "feed"
+	}
+	c.event("answering", fmt.Sprintf("%s: %d from %s", kind, a.resp.StatusCode, a.vm))
 	if cp == nil {
 		relay.WriteAnswer(c.w, a.resp, nil)
 		return
--- a/internal/harness/caller.go
+++ b/internal/harness/caller.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"rudderfork.example/rudderfork"
@@ -21,16 +22,34 @@
 
 // Caller sends requests to one entry, as a kiosk would.
 type Caller struct {
-	base string
-	hc   *http.Client
+	base  string
+	hc    *http.Client
+	ready atomic.Bool // as the platform's balancer last saw its entry
 }
 
 // Caller returns a caller of the entry with the given name.
 func (c *Cluster) Caller(entry string) *Caller {
 	tr := &http.Transport{MaxIdleConnsPerHost: 256, DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext}
-	return &Caller{base: "http://" + c.procs[entry].Listen() + "/svc/" + c.opt.Service, hc: &http.Client{Transport: tr}}
+	cl := &Caller{base: "http://" + c.Link("caller", entry).Addr() + "/svc/" + c.opt.Service, hc: &http.Client{Transport: tr}}
+	cl.ready.Store(true)
+	return cl
 }
 
+// balance plays the platform's balancer for one entry until stop closes.
+func (c *Cluster) balance(cl *Caller, entry string, stop <-chan struct{}) {
+	for {
+		cl.ready.Store(getOK(context.Background(), "http://"+c.procs[entry].Admin()+"/ready") == nil)
+		select {
+		case <-stop:
+			return
+		case <-time.After(balancePause):
+		}
+	}
+}
+
+// balancePause is how often the balancer looks at an entry.
+const balancePause = 50 * time.Millisecond
+
 // Answer is what a caller got.
 type Answer struct {
 	Status  int
@@ -112,6 +131,18 @@
 	return nil
 }
 
+// checkAnswer checks that a is the whole answer to request id.
+func checkAnswer(a Answer, id string, big int) error {
+	if big == 0 {
+		return checkHold(a, id, id)
+	}
+	line := id + "\n"
+	if string(a.Body) != strings.Repeat(line, big/len(line)) {
+		return fmt.Errorf("the long answer to %s is wrong: %d bytes", id, len(a.Body))
+	}
+	return nil
+}
+
 // Feed reads a feed of count lines and checks that it comes whole.
 func (cl *Caller) Feed(ctx context.Context, tag string, count, ms int) error {
 	url := fmt.Sprintf("%s/feed?tag=%s&count=%d&ms=%d", cl.base, tag, count, ms)
@@ -153,9 +184,23 @@
 	Callers, Each int
 	Keyed         bool
 	Prefix        string
-	Pause         time.Duration // of a caller between two requests
-	Path          string        // of a request; a hold by default
-	Resend        int           // how often a keyed hold without an answer is sent again
+	Pause         time.Duration   // of a caller between two requests
+	Resend        int             // how often a keyed hold without an answer is sent again
+	Stop          <-chan struct{} // callers end when it closes
+	Balanced      bool            // use only entries that say they are ready, as a balancer does
+	Query         string          // added to each hold, as in "&ms=20"
+	Timeout       time.Duration   // of a caller's patience; none by default
+	Big           int             // ask for a long answer of so many bytes instead of a hold
+}
+
+// stopped reports whether the callers are to end.
+func (l Load) stopped() bool {
+	select {
+	case <-l.Stop:
+		return true
+	default:
+		return false
+	}
 }
 
 // Calls sums up what callers got.
@@ -182,17 +227,23 @@
 	out := &Calls{}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	for i := range l.Callers {
-		cl := make([]*Caller, c.opt.Entries)
-		for e := range cl {
-			cl[e] = c.Caller(name("e", e))
+	cl := make([]*Caller, c.opt.Entries)
+	for e := range cl {
+		cl[e] = c.Caller(name("e", e))
+		if l.Balanced {
+			go c.balance(cl[e], name("e", e), l.Stop)
 		}
+	}
+	for i := range l.Callers {
 		wg.Go(func() {
 			for k := range l.Each {
+				if l.stopped() {
+					return
+				}
 				id := fmt.Sprintf("%s-%d-%d", l.Prefix, i, k)
 				a, took := hammerOnce(ctx, cl, i+k, id, l)
 				mu.Lock()
-				out.add(a, id, took)
+				out.add(a, id, took, l.Big)
 				mu.Unlock()
 				if l.Pause > 0 {
 					time.Sleep(l.Pause)
@@ -204,6 +255,30 @@
 	return out
 }
 
+// pickEntry takes the entries in turn, passing over those that are not ready if
+// a balancer is played.
+func pickEntry(cl []*Caller, n int, balanced bool) *Caller {
+	for i := range cl {
+		if c := cl[(n+i)%len(cl)]; !balanced || c.ready.Load() {
+			return c
+		}
+	}
+	return cl[n%len(cl)]
+}
+
+// once sends one request of a load.
+func once(ctx context.Context, cl *Caller, id, key string, l Load) Answer {
+	if l.Timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, l.Timeout)
+		defer cancel()
+	}
+	if l.Big > 0 {
+		return cl.Do(ctx, http.MethodGet, fmt.Sprintf("/big?tag=%s&n=%d", id, l.Big), nil, nil)
+	}
+	return cl.HoldOnce(ctx, id, key, id+l.Query)
+}
+
 // hammerOnce sends one hold, and again through other entries while its fate is
 // unknown.
 func hammerOnce(ctx context.Context, cl []*Caller, first int, id string, l Load) (Answer, time.Duration) {
@@ -214,11 +289,14 @@
 	var a Answer
 	for try := range l.Resend + 1 {
 		start := time.Now()
-		a = cl[(first+try)%len(cl)].HoldOnce(ctx, id, key, id)
+		a = once(ctx, pickEntry(cl, first+try, l.Balanced), id, key, l)
 		took := time.Since(start)
 		if a.Ran() == rudderfork.RanYes || ctx.Err() != nil {
 			return a, took
 		}
+		if key == "" {
+			return a, took // without a key it must not be sent again
+		}
 		if try < l.Resend {
 			time.Sleep(200 * time.Millisecond)
 		}
@@ -226,7 +304,7 @@
 	return a, 0
 }
 
-func (c *Calls) add(a Answer, id string, took time.Duration) {
+func (c *Calls) add(a Answer, id string, took time.Duration, big int) {
 	switch {
 	case a.Err != nil:
 		c.Unknown++
@@ -243,7 +321,7 @@
 		c.Whole++
 		c.Took = append(c.Took, took)
 		c.Ok = append(c.Ok, id)
-		if err := checkHold(a, id, id); err != nil {
+		if err := checkAnswer(a, id, big); err != nil {
 			c.Wrong = append(c.Wrong, err.Error())
 		}
 	}
--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -6,6 +6,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"time"
 
 	"rudderfork.example/rudderfork/internal/crash"
@@ -66,7 +67,9 @@
 	opt      Options
 	procs    map[string]*Proc
 	order    []string
-	links    map[string]*Link
+
+	mu    sync.Mutex // guards links
+	links map[string]*Link
 }
 
 // New prepares a cluster whose files live below dir and whose programs below
@@ -140,6 +143,8 @@
 // asked for.
 func (c *Cluster) Link(from, to string) *Link {
 	key := from + ">" + to
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	l := c.links[key]
 	if l == nil {
 		var err error
@@ -161,6 +166,8 @@
 func (c *Cluster) Rejoin(name string) { c.eachLinkOf(name, (*Link).Heal) }
 
 func (c *Cluster) eachLinkOf(name string, f func(*Link)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for key, l := range c.links {
 		from, to, _ := strings.Cut(key, ">")
 		if from == name || to == name {
@@ -203,6 +210,8 @@
 	if err := p.start(); err != nil {
 		return err
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for key, l := range c.links {
 		if strings.HasSuffix(key, ">"+name) {
 			if err := l.lead(p.Listen()); err != nil {
--- a/internal/harness/wait.go
+++ b/internal/harness/wait.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/url"
 	"os"
 	"time"
 
@@ -148,20 +149,32 @@
 	return sc.Err()
 }
 
-// Runs returns how often each keyed request ran, over all upstreams.
-func (c *Cluster) Runs() (map[string]int, error) {
-	runs := map[string]int{}
+// RunList returns the starts of requests in all upstreams' audits.
+func (c *Cluster) RunList() (rs []standin.Run, err error) {
 	for i := range c.opt.Agents {
 		err := readAudit(c.Audit(name("u", i)), func(r standin.Run) {
-			if r.Key != "" && !r.Whole {
-				runs[r.Key]++
+			if !r.Whole {
+				rs = append(rs, r)
 			}
 		})
 		if err != nil {
 			return nil, err
 		}
 	}
-	return runs, nil
+	return rs, nil
+}
+
+// Runs returns how often each seat was held, over all upstreams. Callers of
+// Hammer give each request a seat of its own.
+func (c *Cluster) Runs() (map[string]int, error) {
+	rs, err := c.RunList()
+	runs := map[string]int{}
+	for _, r := range rs {
+		if u, perr := url.Parse(r.Path); perr == nil && u.Path == "/hold" {
+			runs[u.Query().Get("seat")]++
+		}
+	}
+	return runs, err
 }
 
 // Units returns the lines of all workers' audits.
--- /dev/null
+++ b/proof/requests_test.go
@@ -0,0 +1,313 @@
+//go:build proof
+
+package proof
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/internal/crash"
+	"rudderfork.example/rudderfork/internal/harness"
+	"rudderfork.example/rudderfork/operator"
+)
+
+// spell is how long a fault on the request path lasts: many requests long.
+const spell = 700 * time.Millisecond
+
+// during breaks something for a spell.
+func during(broken, mended func(c *harness.Cluster)) func(context.Context, *testing.T, *harness.Cluster) {
+	return func(_ context.Context, _ *testing.T, c *harness.Cluster) {
+		broken(c)
+		time.Sleep(spell)
+		mended(c)
+	}
+}
+
+func killed(name string) fault {
+	return fault{name + " is killed", func(_ context.Context, t *testing.T, c *harness.Cluster) {
+		c.Proc(name).Kill()
+		time.Sleep(spell)
+		assert.NilError(t, c.StartProc(name))
+	}}
+}
+
+func frozen(name string) fault {
+	return fault{name + " is frozen", during(
+		func(c *harness.Cluster) { c.Proc(name).Freeze() }, func(c *harness.Cluster) { c.Proc(name).Thaw() })}
+}
+
+func cut(from, to string) fault {
+	return fault{from + ">" + to + " is cut", during(
+		func(c *harness.Cluster) { c.Link(from, to).Cut() }, func(c *harness.Cluster) { c.Link(from, to).Heal() })}
+}
+
+func deaf(from, to string) fault {
+	return fault{"answers on " + from + ">" + to + " are lost", during(
+		func(c *harness.Cluster) { c.Link(from, to).CutOneWay(false) }, func(c *harness.Cluster) { c.Link(from, to).Heal() })}
+}
+
+func short(from, to string, bytes int) fault {
+	return fault{fmt.Sprintf("answers on %s>%s end after %d bytes", from, to, bytes), during(
+		func(c *harness.Cluster) { c.Link(from, to).LoseAnswers(bytes) }, func(c *harness.Cluster) { c.Link(from, to).Heal() })}
+}
+
+func late(from, to string) fault {
+	return fault{from + ">" + to + " is late and out of order", during(
+		func(c *harness.Cluster) { c.Link(from, to).Delay(30, 60) }, func(c *harness.Cluster) { c.Link(from, to).Heal() })}
+}
+
+func crashes(name, point string) fault {
+	return fault{name + " dies at " + point, func(ctx context.Context, t *testing.T, c *harness.Cluster) {
+		c.Proc(name).Kill()
+		assert.NilError(t, c.StartWith(name, point))
+		waitExit(ctx, t, c, name)
+		assert.NilError(t, c.StartProc(name))
+	}}
+}
+
+// overload leaves one slot and no queue at each upstream for a spell.
+func overload(ctx context.Context, t *testing.T, c *harness.Cluster) {
+	op := c.Operator()
+	set := func(slots, queue int64) {
+		for col, v := range map[string]int64{rudderfork.ColSlots: slots, rudderfork.ColQueue: queue} {
+			k := rudderfork.CellKey{Kind: rudderfork.RowService, Row: "tour-desk", Column: col}
+			cell, err := op.Cell(ctx, k)
+			assert.NilError(t, err)
+			_, err = op.Set(ctx, k, v, cell.Revision, operator.NewID())
+			assert.NilError(t, err)
+		}
+	}
+	set(1, 0)
+	time.Sleep(spell)
+	set(8, 64)
+}
+
+// allDown kills all upstreams for a spell.
+func allDown(_ context.Context, t *testing.T, c *harness.Cluster) {
+	ups := []string{"u1", "u2", "u3"}
+	for _, u := range ups {
+		c.Proc(u).Kill()
+	}
+	time.Sleep(spell)
+	for _, u := range ups {
+		assert.NilError(t, c.StartProc(u))
+	}
+}
+
+// requestFaults but the first two leave e2 and vm3 alone, so that there is a way.
+var requestFaults = []fault{
+	{"the upstreams are overloaded", overload},
+	{"all upstreams are killed", allDown},
+	killed("u1"), killed("a1"), killed("e1"),
+	frozen("u1"), frozen("a2"), frozen("e1"),
+	cut("e", "a1"), deaf("e", "a2"), short("e", "a1", 150), late("e", "a2"),
+	cut("a1", "u1"), deaf("a2", "u2"), short("a1", "u1", 150), late("a1", "u1"),
+	cut("e1", "c1"),
+	crashes("e1", crash.EntryClaimed), crashes("e1", crash.EntrySent), crashes("e1", crash.EntryAnswered),
+	crashes("a1", crash.AgentBegun), crashes("a1", crash.AgentForwarded),
+	{"the leader is killed", batchFaults[0].do},
+	{"the leader is cut off", batchFaults[2].do},
+}
+
+// TestProveRequests proves the three promises about requests while callers hold
+// seats through both entries, with and without a key, and resend those with.
+func TestProveRequests(t *testing.T) {
+	var keyed, plain, big *harness.Calls
+	prove(t, "a caller gets the whole answer to its own request", func() string {
+		return fmt.Sprintf("%d holds and %d long answers, none crossed or cut unseen, under %d faults", keyed.Whole+plain.Whole, big.Whole, len(requestFaults))
+	})
+	prove(t, "a refusal that says it did not run is true", func() string {
+		return fmt.Sprintf("%d refusals, none ran; %d answers said unknown", len(plain.NotRun)+len(keyed.NotRun), plain.Unknown+keyed.Unknown)
+	})
+	prove(t, "a keyed request runs at most once", func() string {
+		return fmt.Sprintf("%d keyed holds, each resent up to 5 times through other entries, none ran twice, %d were answered", keyed.Whole+keyed.Refused+keyed.Unknown, keyed.Whole)
+	})
+	ctx, c := start(t, harness.Options{Agents: 3, Entries: 2})
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	const endless = 1 << 20
+	load := harness.Load{Callers: 6, Each: endless, Stop: stop, Pause: 3 * time.Millisecond, Timeout: 3 * time.Second}
+	wg.Go(func() {
+		l := load
+		l.Prefix, l.Keyed, l.Resend = "k", true, 5
+		keyed = c.Hammer(ctx, l)
+	})
+	wg.Go(func() {
+		l := load
+		l.Prefix = "p"
+		plain = c.Hammer(ctx, l)
+	})
+	wg.Go(func() {
+		l := load
+		l.Callers, l.Prefix, l.Big = 2, "b", 200_000
+		big = c.Hammer(ctx, l)
+	})
+	for _, f := range requestFaults {
+		at := time.Now()
+		f.do(ctx, t, c)
+		t.Logf("%s: put right after %v", f.name, time.Since(at).Round(time.Millisecond))
+	}
+	close(stop)
+	wg.Wait()
+	runs, err := c.Runs()
+	assert.NilError(t, err)
+	for _, calls := range []*harness.Calls{keyed, plain, big} {
+		assert.Equal(t, len(calls.Wrong), 0, "%s", strings.Join(calls.Wrong, "; "))
+		for _, id := range calls.NotRun {
+			assert.Check(t, runs[id] == 0, "%s was said not to have run, and ran %d times", id, runs[id])
+		}
+	}
+	for id, n := range runs {
+		assert.Check(t, n <= 1, "%s ran %d times", id, n)
+	}
+	for _, id := range append(keyed.Ok, plain.Ok...) {
+		assert.Check(t, runs[id] == 1, "%s was answered and ran %d times", id, runs[id])
+	}
+	assert.Assert(t, keyed.Whole > 500 && len(keyed.NotRun)+len(plain.NotRun) > 0, "too little was tried: %d holds", keyed.Whole)
+}
+
+// leave tells the platform that a VM leaves, and returns when it did.
+func leave(t *testing.T, c *harness.Cluster, vm string) time.Time {
+	t.Helper()
+	at := time.Now()
+	resp, err := http.Post("http://"+c.Proc("platform").Listen()+"/vms/"+vm+"/leave", "", nil)
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	return at
+}
+
+// lastRun returns when the last request began on a VM's upstream.
+func lastRun(t *testing.T, c *harness.Cluster, vm string) (last time.Time) {
+	t.Helper()
+	rs, err := c.RunList()
+	assert.NilError(t, err)
+	for _, r := range rs {
+		if at := time.UnixMicro(r.At); r.VM == vm && at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
+// TestProveLeaving proves that a leaving upstream gets no new work after a few
+// seconds, although the platform's list lags by one, and with control's leader
+// killed meanwhile.
+func TestProveLeaving(t *testing.T) {
+	const lag, few = time.Second, 5 * time.Second
+	var after [2]time.Duration
+	var calls *harness.Calls
+	prove(t, "a leaving upstream gets no new work after a few seconds", func() string {
+		return fmt.Sprintf("last request %v after it began to leave, %v with the leader killed meanwhile (list lags by %v); of %d requests %d were refused",
+			after[0].Round(time.Millisecond), after[1].Round(time.Millisecond), lag, calls.Whole+calls.Refused+calls.Unknown, calls.Refused)
+	})
+	ctx, c := start(t, harness.Options{Agents: 4, Entries: 2, PlatformLag: lag})
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		calls = c.Hammer(ctx, harness.Load{Callers: 8, Each: 1 << 20, Prefix: "l", Stop: stop})
+	})
+	for i, vm := range []string{"vm1", "vm2"} {
+		at := leave(t, c, vm)
+		if i == 1 {
+			l := leader(ctx, t, c, "")
+			c.Proc(l).Kill()
+			leader(ctx, t, c, l)
+		}
+		waitDraining(ctx, t, c, vm)
+		// It is quiet when nothing has begun there for a while.
+		assert.NilError(t, harness.Until(ctx, vm+" to be quiet", func() error {
+			if quiet := time.Since(lastRun(t, c, vm)); quiet < 2*time.Second {
+				return fmt.Errorf("quiet for %v", quiet)
+			}
+			return nil
+		}))
+		after[i] = lastRun(t, c, vm).Sub(at)
+		assert.Assert(t, after[i] < few, "%s got work %v after it began to leave", vm, after[i])
+	}
+	close(stop)
+	wg.Wait()
+	assert.Equal(t, calls.Unknown+calls.Refused, 0, calls.Problem)
+}
+
+func waitDraining(ctx context.Context, t *testing.T, c *harness.Cluster, vm string) {
+	t.Helper()
+	assert.NilError(t, harness.Until(ctx, vm+" to drain", func() error {
+		vms, err := c.Operator().VMs(ctx)
+		if err != nil {
+			return err
+		}
+		for _, v := range vms {
+			if string(v.VM) == vm && v.Draining {
+				return nil
+			}
+		}
+		return errors.New("it does not drain")
+	}))
+}
+
+// TestProvePlannedStop stops each kind of process as planned under load, with
+// feeds open through it: nothing in progress is cut off.
+func TestProvePlannedStop(t *testing.T) {
+	const feeds = 6
+	var calls *harness.Calls
+	stops := []string{"e1", "a1", "", "a2"}
+	prove(t, "a planned stop cuts off nothing in progress", func() string {
+		return fmt.Sprintf("an entry, two agents and the leader stopped under load: %d holds and %d feeds, all whole", calls.Whole, feeds)
+	})
+	ctx, c := start(t, harness.Options{Agents: 3, Entries: 2})
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		calls = c.Hammer(ctx, harness.Load{Callers: 8, Each: 1 << 20, Prefix: "s", Stop: stop, Balanced: true, Query: "&ms=40"})
+	})
+	errs := make(chan error, feeds)
+	for i := range feeds {
+		go func() { errs <- c.Caller([]string{"e1", "e2"}[i%2]).Feed(ctx, fmt.Sprint("walk", i), 150, 20) }()
+	}
+	waitFeeds(ctx, t, c, feeds)
+	for _, name := range stops {
+		if name == "" {
+			name = leader(ctx, t, c, "")
+		}
+		c.Proc(name).Term()
+		waitExit(ctx, t, c, name)
+		assert.Equal(t, c.Proc(name).Code(), 0, "%s", name)
+	}
+	for range feeds {
+		assert.Check(t, <-errs)
+	}
+	close(stop)
+	wg.Wait()
+	assert.Equal(t, calls.Unknown+calls.Refused, 0, calls.Problem)
+	assert.Equal(t, len(calls.Wrong), 0)
+}
+
+// waitFeeds waits until the upstreams have n feeds open.
+func waitFeeds(ctx context.Context, t *testing.T, c *harness.Cluster, n int) {
+	t.Helper()
+	assert.NilError(t, harness.Until(ctx, "the feeds to be open", func() error {
+		es, err := c.Timeline(ctx, "")
+		if err != nil {
+			return err
+		}
+		open := 0
+		for _, e := range es {
+			if e.Kind == "answering" && strings.Contains(e.Text, "feed") {
+				open++
+			}
+		}
+		if open < n {
+			return fmt.Errorf("%d are open", open)
+		}
+		return nil
+	}))
+}
