Test the pure cores, bad input, and route to what may have recovered

Cause: lease, admission, routing, claims, throttle, interference, settings and the state machine had only the proofs over them.

Found by them: - An upstream that had been slow was never tried again under light load: what is typical counted its stale latency, and its average kept four fifths of it. An agent now asks for a checkpoint only when control does, and the audit tells the two apart.

--- a/cmd/rudderctl/fleet.go
+++ b/cmd/rudderctl/fleet.go
@@ -7,12 +7,16 @@
 	"time"
 
 	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/agent"
+	"rudderfork.example/rudderfork/control"
+	"rudderfork.example/rudderfork/entry"
 	"rudderfork.example/rudderfork/operator"
 )
 
 var drainOff bool
 
 var fleetCommands = []*command{
+	{name: "check", usage: "control|entry|agent FILE", synopsis: "check a settings file and report every mistake", args: 2, local: true, do: checkSettings},
 	{name: "vms", synopsis: "list the VMs with what they hold", do: listVMs},
 	{name: "nodes", synopsis: "list entries and agents with the table revision in force there", do: listNodes},
 	{name: "status", synopsis: "show each control process's view of the group", do: showStatus},
@@ -88,3 +92,22 @@
 	fmt.Println("accepted")
 	return nil
 }
+
+// checkers read the settings of each kind of process.
+var checkers = map[string]func(path string) error{
+	"control": func(p string) error { _, err := control.ReadSettings(p); return err },
+	"entry":   func(p string) error { _, err := entry.ReadSettings(p); return err },
+	"agent":   func(p string) error { _, err := agent.ReadSettings(p); return err },
+}
+
+func checkSettings(_ context.Context, _ *operator.Client, args []string) error {
+	check := checkers[args[0]]
+	if check == nil {
+		return fmt.Errorf("kind %q is unknown; want control, entry or agent", args[0])
+	}
+	if err := check(args[1]); err != nil {
+		return err
+	}
+	fmt.Println("ok")
+	return nil
+}
--- a/cmd/rudderctl/main.go
+++ b/cmd/rudderctl/main.go
@@ -53,6 +53,7 @@
 type command struct {
 	name, usage, synopsis string
 	args                  int
+	local                 bool // it asks no control process, and its failure is one of settings
 	flags                 func(f *flag.FlagSet)
 	do                    func(ctx context.Context, c *operator.Client, args []string) error
 }
@@ -78,6 +79,12 @@
 	if f.NArg() < c.args {
 		return cli.Fail(os.Stderr, fmt.Errorf("usage: rudderctl %s", c.Usage()), cli.ExitSettings)
 	}
+	if c.local {
+		if err := c.do(ctx, nil, f.Args()); err != nil {
+			return cli.Fail(os.Stderr, err, cli.ExitSettings)
+		}
+		return subcommands.ExitSuccess
+	}
 	addrs, err := controlAddrs()
 	if err != nil {
 		return cli.Fail(os.Stderr, err, cli.ExitSettings)
--- a/cmd/rudderctl/table.go
+++ b/cmd/rudderctl/table.go
@@ -30,7 +30,7 @@
 	{name: "set", usage: "[-if REV] [-id ID] KIND/ROW/COLUMN=NUMBER ...", synopsis: "set cells, all or none", args: 1, flags: editFlags, do: setCells},
 	{name: "unset", usage: "[-if REV] [-id ID] KIND/ROW/COLUMN", synopsis: "remove a cell, so that its default counts", args: 1, flags: editFlags, do: unsetCell},
 	{name: "cells", usage: "[KIND]", synopsis: "list the cells that are set", do: listCells},
-	{name: "columns", usage: "[KIND]", synopsis: "list the columns with range, unit and default", do: listColumns},
+	{name: "columns", usage: "[KIND]", synopsis: "list the columns with range, unit and default", local: true, do: listColumns},
 }
 
 // newTable returns a writer that lines up columns separated by tabs.
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -210,7 +210,7 @@
 	case t.Phase != WorkerRunning:
 		return []Action{{Forget: &ref}}
 	case !valid || !wanted:
-		return []Action{{Stop: &StopTask{ref, true}}}
+		return []Action{{Stop: &StopTask{ref, false}}} // nobody would take the checkpoint
 	case l.Stop:
 		return []Action{{Stop: &StopTask{ref, !l.Discard}}}
 	case h.throttle[t.Task] != t.Throttle:
--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,201 @@
+package lease
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"rudderfork.example/rudderfork"
+)
+
+var t0 = time.Unix(1000, 0)
+
+func at(d time.Duration) time.Time { return t0.Add(d) }
+
+func TestGrants(t *testing.T) {
+	const term, bound = 5 * time.Second, time.Second
+	g := NewGrants(term, bound)
+	check := func(t *testing.T, d time.Duration, want bool) {
+		t.Helper()
+		assert.Equal(t, g.Expired("vm1", at(d)), want, "after %v", d)
+	}
+	t.Run("a VM that was never granted a lease does not expire", func(t *testing.T) { check(t, time.Hour, false) })
+	g.Reset([]rudderfork.VMID{"vm1"}, t0)
+	t.Run("an earlier leader may have granted one just before", func(t *testing.T) {
+		check(t, term+bound, false)
+		check(t, term+bound+time.Millisecond, true)
+	})
+	assert.Equal(t, g.Grant("vm1", at(2*time.Second)), at(7*time.Second))
+	t.Run("a deadline counts from the contact", func(t *testing.T) {
+		check(t, 8*time.Second, false)
+		check(t, 8*time.Second+time.Millisecond, true)
+	})
+	t.Run("an older contact does not shorten it", func(t *testing.T) {
+		assert.Equal(t, g.Grant("vm1", t0), at(7*time.Second))
+	})
+}
+
+func newHolder(tasks ...rudderfork.Lease) *Holder {
+	h := NewHolder(rudderfork.Resources{CPUMilli: 2000, MemoryMB: 2000})
+	h.Welcome(1)
+	h.Grant(1, at(5*time.Second))
+	h.Assign(1, 10, tasks)
+	return h
+}
+
+func task(id string, token rudderfork.Token) rudderfork.Lease {
+	return rudderfork.Lease{Task: rudderfork.TaskID(id), Token: token, Size: rudderfork.Resources{CPUMilli: 1000, MemoryMB: 100}}
+}
+
+func running(l rudderfork.Lease) WorkerTask {
+	return WorkerTask{Task: l.Task, Token: l.Token, Phase: WorkerRunning, Size: l.Size}
+}
+
+// checkNext checks the actions that follow, in short form.
+func checkNext(t *testing.T, h *Holder, now time.Time, want ...string) {
+	t.Helper()
+	got := []string{}
+	for _, a := range h.Next(now) {
+		switch {
+		case a.Start != nil:
+			got = append(got, fmt.Sprintf("start %s %d", a.Start.Task, a.Start.Token))
+		case a.Stop != nil:
+			got = append(got, fmt.Sprintf("stop %s %d", a.Stop.Task, a.Stop.Token))
+		case a.Report != nil:
+			got = append(got, fmt.Sprintf("report %s %d %s", a.Report.Task, a.Report.Token, a.Report.Outcome))
+		case a.Forget != nil:
+			got = append(got, fmt.Sprintf("forget %s %d", a.Forget.Task, a.Forget.Token))
+		}
+	}
+	assert.DeepEqual(t, got, append([]string{}, want...))
+}
+
+func TestHolder(t *testing.T) {
+	a := task("a/0", 3)
+	t.Run("nothing is done before the worker was seen", func(t *testing.T) {
+		checkNext(t, newHolder(a), t0)
+	})
+	t.Run("nothing is stopped before an assignment came", func(t *testing.T) {
+		h := NewHolder(rudderfork.Resources{CPUMilli: 2000, MemoryMB: 2000})
+		h.Welcome(1)
+		h.Observe("b1", []WorkerTask{running(a)})
+		checkNext(t, h, t0)
+	})
+	t.Run("a wanted task starts", func(t *testing.T) {
+		h := newHolder(a)
+		h.Observe("b1", nil)
+		checkNext(t, h, t0, "start a/0 3")
+	})
+	t.Run("a task starts once", func(t *testing.T) {
+		h := newHolder(a)
+		h.Observe("b1", []WorkerTask{running(a)})
+		checkNext(t, h, t0)
+	})
+	t.Run("an older attempt goes first", func(t *testing.T) {
+		h := newHolder(a)
+		h.Observe("b1", []WorkerTask{running(task("a/0", 2))})
+		checkNext(t, h, t0, "stop a/0 2")
+	})
+	t.Run("what is not wanted stops", func(t *testing.T) {
+		h := newHolder()
+		h.Observe("b1", []WorkerTask{running(a)})
+		checkNext(t, h, t0, "stop a/0 3")
+	})
+	t.Run("all stops when the lease ends", func(t *testing.T) {
+		h := newHolder(a)
+		h.Observe("b1", []WorkerTask{running(a)})
+		checkNext(t, h, at(5*time.Second), "stop a/0 3")
+	})
+	t.Run("nothing starts when the lease has ended", func(t *testing.T) {
+		h := newHolder(a)
+		h.Observe("b1", nil)
+		checkNext(t, h, at(5*time.Second))
+	})
+	t.Run("a stale assignment changes nothing", func(t *testing.T) {
+		h := newHolder(a)
+		h.Assign(1, 9, nil)
+		h.Assign(0, 11, nil)
+		h.Observe("b1", []WorkerTask{running(a)})
+		checkNext(t, h, t0)
+	})
+	t.Run("a stale grant changes nothing", func(t *testing.T) {
+		h := newHolder(a)
+		h.Grant(0, at(time.Hour))
+		h.Grant(1, t0)
+		assert.Equal(t, h.Deadline(), at(5*time.Second))
+	})
+	t.Run("a task that the worker lost in a restart is fenced off, not started again", func(t *testing.T) {
+		h := newHolder(a)
+		h.Observe("b1", nil)
+		checkNext(t, h, t0, "start a/0 3")
+		h.Observe("b2", nil)
+		checkNext(t, h, t0, "stop a/0 3")
+	})
+	t.Run("an end is reported until the lease is gone, then forgotten", func(t *testing.T) {
+		h := newHolder(a)
+		end := running(a)
+		end.Phase = WorkerDone
+		h.Observe("b1", []WorkerTask{end})
+		checkNext(t, h, t0, "report a/0 3 done")
+		checkNext(t, h, t0, "report a/0 3 done")
+		h.Assign(1, 11, nil)
+		h.Observe("b1", []WorkerTask{end})
+		checkNext(t, h, t0, "forget a/0 3")
+	})
+	t.Run("a new epoch voids what was wanted", func(t *testing.T) {
+		h := newHolder(a)
+		h.Welcome(2)
+		h.Observe("b1", nil)
+		checkNext(t, h, t0)
+		h.Grant(2, at(5*time.Second))
+		h.Assign(2, 12, nil)
+		h.Observe("b1", []WorkerTask{running(a)})
+		checkNext(t, h, t0, "stop a/0 3")
+	})
+}
+
+// TestRoom starts and keeps tasks in any mixture: what runs never exceeds the
+// room, whatever was assigned.
+func TestRoom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		room := rudderfork.Resources{CPUMilli: 4000, MemoryMB: 4000}
+		h := NewHolder(room)
+		h.Welcome(1)
+		h.Grant(1, at(time.Hour))
+		worker := map[rudderfork.TaskID]WorkerTask{}
+		rev := rudderfork.Revision(1)
+		for range rapid.IntRange(1, 30).Draw(t, "rounds") {
+			var ls []rudderfork.Lease
+			for i := range rapid.IntRange(0, 8).Draw(t, "leases") {
+				l := task(fmt.Sprintf("t/%d", i), rudderfork.Token(rapid.IntRange(1, 4).Draw(t, "token")))
+				l.Size.CPUMilli = int64(rapid.IntRange(100, 3000).Draw(t, "cpu"))
+				ls = append(ls, l)
+			}
+			rev++
+			h.Assign(1, rev, ls)
+			var list []WorkerTask
+			for _, w := range worker {
+				list = append(list, w)
+			}
+			h.Observe("b", list)
+			for _, a := range h.Next(t0) {
+				switch {
+				case a.Start != nil:
+					worker[a.Start.Task] = running(*a.Start)
+				case a.Stop != nil && rapid.Bool().Draw(t, "stop is lost") == false:
+					delete(worker, a.Stop.Task)
+				}
+			}
+			var used rudderfork.Resources
+			for _, w := range worker {
+				used = used.Add(w.Size)
+			}
+			if !used.Fits(room) {
+				t.Fatalf("%v run in room for %v", used, room)
+			}
+		}
+	})
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -24,6 +24,14 @@
 	// latencyAge is how fast an old latency loses its weight: an upstream that
 	// was slow is tried again after a few of these.
 	latencyAge = 2 * time.Second
+	// band is how much lower a cost must be to count as lower: within it two
+	// upstreams are alike, and the draw decides.
+	band = 0.95
+	// optimism is what an upstream of unknown latency is expected to take, as a
+	// share of the typical one.
+	optimism = 0.8
+	// firstLatency is assumed before any is known, in seconds.
+	firstLatency = 0.01
 	// farCost is added for another failure domain.
 	farCost = 300 * time.Microsecond
 	// failLimit is how many requests in a row must fail before an upstream is
@@ -163,7 +171,7 @@
 	case !coldA && fa != fb:
 		return fa < fb
 	}
-	return p.cost(a, typical, now) < p.cost(b, typical, now)
+	return p.cost(a, typical, now) < band*p.cost(b, typical, now)
 }
 
 // cost is the expected latency, with what the requests already there add.
@@ -191,29 +199,34 @@
 	return max(u.sent, u.load.InFlight+u.load.Queued+u.sent-u.sentAt)
 }
 
-// expected is the latency, pulled towards the typical one as it gets old.
+// expected is the latency, pulled towards a little less than the typical one as
+// it gets old: what is not known is worth a try.
 func (u *upstream) expected(typical float64, now time.Time) float64 {
+	w := u.freshness(now)
+	return w*u.latency + (1-w)*optimism*typical
+}
+
+// freshness is the weight of the latency: 1 when new, towards 0 with age.
+func (u *upstream) freshness(now time.Time) float64 {
 	if u.latencyAt.IsZero() {
-		return typical
+		return 0
 	}
 	age := now.Sub(u.latencyAt).Seconds() / latencyAge.Seconds()
-	w := 1 / (1 + age*age)
-	return w*u.latency + (1-w)*typical
+	return 1 / (1 + age*age)
 }
 
-// typical is the mean latency over the upstreams that have one.
-func (p *Probing) typical(_ time.Time) float64 {
-	sum, n := 0.0, 0
+// typical is the mean latency over the upstreams, by freshness.
+func (p *Probing) typical(now time.Time) float64 {
+	sum, weight := 0.0, 0.0
 	for _, u := range p.ups {
-		if !u.latencyAt.IsZero() {
-			sum += u.latency
-			n++
-		}
+		w := u.freshness(now)
+		sum += w * u.latency
+		weight += w
 	}
-	if n == 0 {
-		return 0.01
+	if weight == 0 {
+		return firstLatency
 	}
-	return sum / float64(n)
+	return sum / weight
 }
 
 // Sent implements rudderfork.Picker.
@@ -239,12 +252,9 @@
 	if u.good >= 2*rampRequests {
 		u.asideCount = 0
 	}
-	s := took.Seconds()
-	if u.latencyAt.IsZero() {
-		u.latency = s
-	} else {
-		u.latency += smoothing * (s - u.latency)
-	}
+	// The less the old latency is worth, the more the new one counts.
+	weight := max(smoothing, 1-u.freshness(now))
+	u.latency += weight * (took.Seconds() - u.latency)
 	u.latencyAt = now
 }
 
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -60,7 +60,7 @@
 	Boot  string `json:"boot"`
 	Task  string `json:"task"`
 	Token uint64 `json:"token"`
-	What  string `json:"what"` // start, unit, done, failed, stopped, expired
+	What  string `json:"what"` // start, unit, done, failed, stopped (with a checkpoint), dropped, expired
 	Unit  int64  `json:"unit"`
 	From  int64  `json:"from"` // Unix µs
 	To    int64  `json:"to"`   // Unix µs
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -207,10 +207,12 @@
 	t := w.tasks[c.Task]
 	if t != nil && t.Token == c.Token {
 		if t.Phase == lease.WorkerRunning {
+			t.Phase, t.Reason = lease.WorkerStopped, "stopped by request"
+			what := "dropped"
 			if c.Checkpoint {
-				t.Checkpoint = t.Progress
+				t.Checkpoint, what = t.Progress, "stopped"
 			}
-			w.endLocked(t, lease.WorkerStopped, "stopped by request")
+			w.note(t, what, time.Now())
 		}
 		return
 	}
--- /dev/null
+++ b/state/state_test.go
@@ -0,0 +1,298 @@
+package state
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"rudderfork.example/rudderfork"
+)
+
+// machine applies commands at rising indexes.
+type machine struct {
+	s     *State
+	index uint64
+	now   int64
+}
+
+func newMachine() *machine { return &machine{s: New(), now: 1_000_000} }
+
+func (m *machine) do(c Command) Result {
+	m.index++
+	m.now += 10
+	c.At = m.now
+	return m.s.Apply(m.index, c)
+}
+
+func check(t *testing.T, r Result, want Code) Result {
+	t.Helper()
+	assert.Equal(t, r.Code, want, r.Text)
+	return r
+}
+
+var weight = rudderfork.CellKey{Kind: rudderfork.RowService, Row: "tour", Column: rudderfork.ColWeight}
+
+func edit(id string, value int64, ifRev rudderfork.Revision) Command {
+	return Command{Edit: &Edit{ID: id, Writes: []CellWrite{{Key: weight, Value: value, IfRevision: ifRev}}}}
+}
+
+func TestEdits(t *testing.T) {
+	m := newMachine()
+	first := check(t, m.do(edit("a", 5, 0)), CodeOK)
+	t.Run("a second operator with the same number loses", func(t *testing.T) {
+		r := check(t, m.do(edit("b", 6, 0)), CodeConflict)
+		assert.Equal(t, r.Cells[0].Value, int64(5))
+	})
+	t.Run("a resent edit gets the first answer", func(t *testing.T) {
+		r := check(t, m.do(edit("a", 5, 0)), CodeOK)
+		assert.Assert(t, r.Repeated)
+		assert.Equal(t, r.Revision, first.Revision)
+	})
+	t.Run("a resent refusal gets the first answer too", func(t *testing.T) {
+		check(t, m.do(edit("b", 6, 0)), CodeConflict)
+	})
+	t.Run("an id is not used for another edit", func(t *testing.T) {
+		check(t, m.do(edit("a", 7, first.Revision)), CodeInvalid)
+	})
+	t.Run("a resent edit is known after a snapshot", func(t *testing.T) {
+		m := reload(t, m)
+		assert.Assert(t, m.do(edit("a", 5, 0)).Repeated)
+		check(t, m.do(edit("c", 8, first.Revision)), CodeOK)
+	})
+	t.Run("an impossible number is named", func(t *testing.T) {
+		r := check(t, m.do(edit("d", 0, first.Revision)), CodeInvalid)
+		assert.Equal(t, r.Text, "cell service/tour/weight: 0 is out of range; want 1 to 1000 (share)")
+	})
+	t.Run("all or none", func(t *testing.T) {
+		other := rudderfork.CellKey{Kind: rudderfork.RowService, Row: "tour", Column: rudderfork.ColSlots}
+		e := Edit{ID: "e", Writes: []CellWrite{{Key: other, Value: 4}, {Key: weight, Value: 9, IfRevision: 999}}}
+		check(t, m.do(Command{Edit: &e}), CodeConflict)
+		assert.Equal(t, m.s.Cell(other).Revision, rudderfork.Revision(0))
+	})
+	t.Run("the window is bounded", func(t *testing.T) {
+		w := newEditWindow()
+		for i := range EditWindow + 5 {
+			w.put(editRecord{ID: fmt.Sprint(i)})
+		}
+		_, ok := w.get("4")
+		assert.Assert(t, !ok && len(w.byID) == EditWindow)
+	})
+}
+
+func reload(t *testing.T, m *machine) *machine {
+	t.Helper()
+	data, err := m.s.Encode()
+	assert.NilError(t, err)
+	s, err := Decode(data)
+	assert.NilError(t, err)
+	return &machine{s: s, index: m.index, now: m.now}
+}
+
+func register(vm string) Command {
+	return Command{Register: &Register{
+		Place: rudderfork.Place{VM: rudderfork.VMID(vm)}, Capacity: rudderfork.Resources{CPUMilli: 4000, MemoryMB: 4000},
+		Reserved: rudderfork.Resources{CPUMilli: 1000},
+	}}
+}
+
+func submit(id string, tasks int) Command {
+	return Command{Submit: &Submit{rudderfork.JobSpec{ID: rudderfork.JobID(id), Team: "team", Kind: "k", Tasks: tasks, Units: 100}}}
+}
+
+// TestLedger applies commands as racing leaders, late agents and lost answers
+// might send them, in any order, and checks the ledger after each, also over
+// snapshots.
+func TestLedger(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := newMachine()
+		for i := range 3 {
+			m.do(register(fmt.Sprint("vm", i)))
+		}
+		tokens := map[rudderfork.TaskID]rudderfork.Token{}
+		for range rapid.IntRange(1, 80).Draw(rt, "commands") {
+			m.do(drawCommand(rt, m.s))
+			checkLedger(rt, m.s, tokens)
+		}
+		again := reload(t, m)
+		checkLedger(rt, again.s, tokens)
+		assert.Equal(rt, len(again.s.Pending()), len(m.s.Pending()))
+		assert.DeepEqual(rt, again.s.Usage("team"), m.s.Usage("team"))
+	})
+}
+
+func drawCommand(rt *rapid.T, s *State) Command {
+	vm := rudderfork.VMID(fmt.Sprint("vm", rapid.IntRange(0, 2).Draw(rt, "vm")))
+	job := fmt.Sprint("j", rapid.IntRange(0, 3).Draw(rt, "job"))
+	id := rudderfork.TaskID(fmt.Sprintf("%s/%d", job, rapid.IntRange(0, 3).Draw(rt, "task")))
+	token := rudderfork.Token(rapid.IntRange(0, 6).Draw(rt, "token"))
+	if t := s.Task(id); t != nil && rapid.Bool().Draw(rt, "current") {
+		token = t.Token
+		if t.VM != "" {
+			vm = t.VM
+		}
+	}
+	epoch := rudderfork.Token(rapid.IntRange(1, 3).Draw(rt, "epoch"))
+	switch rapid.IntRange(0, 8).Draw(rt, "kind") {
+	case 0:
+		return submit(job, 4)
+	case 1:
+		return Command{Cancel: &Cancel{rudderfork.JobID(job)}}
+	case 2:
+		return register(string(vm))
+	case 3:
+		return Command{Lost: &Lost{vm, epoch}}
+	case 4:
+		return Command{Evict: &Evict{[]Eviction{{Task: id, Token: token}}}}
+	case 5:
+		o := rapid.SampledFrom([]rudderfork.Outcome{rudderfork.OutcomeDone, rudderfork.OutcomeFailed, rudderfork.OutcomeStopped, rudderfork.OutcomeLost}).Draw(rt, "outcome")
+		return Command{Reports: &Reports{VM: vm, Reports: []rudderfork.Report{{Task: id, Token: token, Outcome: o, Checkpoint: 5}}}}
+	case 6:
+		return Command{Drain: &Drain{VM: vm, Off: rapid.Bool().Draw(rt, "off")}}
+	}
+	size := rudderfork.Resources{CPUMilli: int64(rapid.IntRange(1, 3500).Draw(rt, "cpu")), MemoryMB: 500}
+	if v := s.VM(vm); v != nil {
+		epoch = v.Epoch
+	}
+	return Command{Place: &Place{Placements: []Placement{{Task: id, VM: vm, Epoch: epoch, Token: token, Size: size}}}}
+}
+
+func checkLedger(rt *rapid.T, s *State, tokens map[rudderfork.TaskID]rudderfork.Token) {
+	used := map[rudderfork.VMID]rudderfork.Resources{}
+	running := map[rudderfork.JobID]int{}
+	for _, t := range s.tasks {
+		if t.Token < tokens[t.ID] {
+			rt.Fatalf("the token of %s fell from %d to %d", t.ID, tokens[t.ID], t.Token)
+		}
+		tokens[t.ID] = t.Token
+		if t.Phase.Holds() {
+			used[t.VM] = used[t.VM].Add(t.Size)
+			running[t.Job]++
+		}
+		_, pending := s.pending[t.ID]
+		if pending != (t.Phase == rudderfork.TaskPending) {
+			rt.Fatalf("%s is %s and pending: %t", t.ID, t.Phase, pending)
+		}
+	}
+	for _, v := range s.VMs() {
+		if used[v.Place.VM] != v.Used {
+			rt.Fatalf("VM %s holds %v, the ledger says %v", v.Place.VM, used[v.Place.VM], v.Used)
+		}
+		if !v.Used.Fits(v.Capacity.Sub(v.Reserved)) {
+			rt.Fatalf("VM %s holds %v", v.Place.VM, v.Used)
+		}
+		if !v.Live && len(s.onVM[v.Place.VM]) > 0 {
+			rt.Fatalf("VM %s was lost and holds tasks", v.Place.VM)
+		}
+	}
+	for _, j := range s.Jobs() {
+		if running[j.Spec.ID] != j.Running {
+			rt.Fatalf("job %s runs %d, the count says %d", j.Spec.ID, running[j.Spec.ID], j.Running)
+		}
+	}
+}
+
+func claimAsk(after rudderfork.Token, at int64) Command {
+	return Command{Claim: &ClaimAsk{Key: ClaimKey{"s", "k"}, After: after, VM: "vm1", Boot: "b", Expires: at}}
+}
+
+func TestClaims(t *testing.T) {
+	m := newMachine()
+	const expires = 2_000_000
+	first := m.do(claimAsk(0, expires))
+	assert.Assert(t, first.Granted)
+	t.Run("a second asker gets the first one's claim", func(t *testing.T) {
+		r := m.do(claimAsk(0, expires))
+		assert.Assert(t, !r.Granted)
+		assert.Equal(t, r.Claim.Token, first.Claim.Token)
+	})
+	next := m.do(claimAsk(first.Claim.Token, expires))
+	t.Run("a fenced token is taken over once", func(t *testing.T) {
+		assert.Assert(t, next.Granted && next.Claim.Token > first.Claim.Token)
+		assert.Assert(t, !m.do(claimAsk(first.Claim.Token, expires)).Granted)
+	})
+	settle := func(token rudderfork.Token, notRun bool) Command {
+		return Command{Settle: &Settle{Key: ClaimKey{"s", "k"}, Token: token, NotRun: notRun, Answer: &Answer{Status: 200}}}
+	}
+	t.Run("only the holder settles", func(t *testing.T) {
+		check(t, m.do(settle(first.Claim.Token, true)), CodeConflict)
+		check(t, m.do(settle(next.Claim.Token, false)), CodeOK)
+	})
+	t.Run("the answer stays, also over a snapshot", func(t *testing.T) {
+		m := reload(t, m)
+		r := m.do(claimAsk(next.Claim.Token, expires))
+		assert.Assert(t, !r.Granted)
+		assert.Equal(t, r.Claim.Answer.Status, 200)
+		check(t, m.do(settle(next.Claim.Token, true)), CodeConflict)
+	})
+	t.Run("tokens rise also over a claim that was given back", func(t *testing.T) {
+		m := newMachine()
+		a := m.do(claimAsk(0, expires))
+		check(t, m.do(settle(a.Claim.Token, true)), CodeOK)
+		b := m.do(claimAsk(0, expires))
+		assert.Assert(t, b.Granted && b.Claim.Token > a.Claim.Token)
+	})
+	t.Run("claims expire", func(t *testing.T) {
+		m.now = expires + 1
+		m.do(Command{Claim: &ClaimAsk{Key: ClaimKey{"s", "other"}, Expires: expires * 2}})
+		assert.Equal(t, m.s.Claims(), 1)
+	})
+}
+
+func TestFailingWorkerIsSetAside(t *testing.T) {
+	m := newMachine()
+	m.do(register("vm0"))
+	fail := func(job string) {
+		check(t, m.do(submit(job, 1)), CodeOK)
+		id := rudderfork.TaskID(job + "/0")
+		v := m.s.VM("vm0")
+		r := m.do(Command{Place: &Place{Placements: []Placement{{Task: id, VM: "vm0", Epoch: v.Epoch, Size: rudderfork.Resources{CPUMilli: 1}}}}})
+		assert.Assert(t, r.Placed[0], r.Text)
+		m.do(Command{Reports: &Reports{VM: "vm0", Reports: []rudderfork.Report{{Task: id, Token: 1, Outcome: rudderfork.OutcomeFailed}}}})
+	}
+	fail("a")
+	fail("b")
+	assert.Assert(t, !m.s.VM("vm0").Aside(m.now))
+	fail("c")
+	v := m.s.VM("vm0")
+	assert.Assert(t, v.Aside(m.now))
+	first := v.AsideUntil - m.now
+	t.Run("on probation one failure is enough, and the time grows", func(t *testing.T) {
+		m.now = v.AsideUntil + 1
+		fail("d")
+		assert.Assert(t, v.Aside(m.now))
+		assert.Equal(t, v.AsideUntil-m.now, 2*first)
+	})
+	t.Run("one job that fails everywhere does not count", func(t *testing.T) {
+		v := &VM{}
+		for range 10 {
+			v.noteFailure("x", 1)
+		}
+		assert.Assert(t, !v.Aside(2))
+	})
+}
+
+func TestCancelWave(t *testing.T) {
+	m := newMachine()
+	m.do(register("vm0"))
+	check(t, m.do(submit("a", 5)), CodeOK)
+	m.do(Command{Place: &Place{Placements: []Placement{{Task: "a/0", VM: "vm0", Epoch: 1, Size: rudderfork.Resources{CPUMilli: 1}}}}})
+	check(t, m.do(Command{Cancel: &Cancel{"a"}}), CodeOK)
+	check(t, m.do(Command{Cancel: &Cancel{"a"}}), CodeOK)
+	assert.Equal(t, len(m.s.Pending()), 0)
+	assert.Equal(t, m.s.Job("a").Open, 1)
+	ls := m.s.Leases("vm0")
+	assert.Assert(t, ls[0].Stop && ls[0].Discard)
+	m.do(Command{Reports: &Reports{VM: "vm0", Reports: []rudderfork.Report{{Task: "a/0", Token: 1, Outcome: rudderfork.OutcomeStopped}}}})
+	assert.Equal(t, m.s.Task("a/0").Phase, rudderfork.TaskCancelled)
+	assert.Equal(t, m.s.VM("vm0").Used, rudderfork.Resources{})
+}
+
+func TestSubmitTwice(t *testing.T) {
+	m := newMachine()
+	r := check(t, m.do(submit("a", 5)), CodeOK)
+	again := check(t, m.do(submit("a", 5)), CodeOK)
+	assert.Assert(t, again.Repeated && again.Revision == r.Revision)
+	check(t, m.do(submit("a", 6)), CodeConflict)
+}
