Move batch work away where throttling is not enough

Cause: an agent could say that its ladder was at the top in vain, and nothing came of it; and batch work was placed beside services already at their target.

Change: the leader moves one task for each such report, the one whose stop loses least for its weight; the ladder then waits for the effect. A VM whose services are above 90% of their target (moved by the job's weight, 50% to 120%) gets no more batch work, urgent work excepted (after Heracles, ISCA 2015).

Ruled out: a record of moves kept by the planner; a new leader would not have it.

--- a/control/explain.go
+++ b/control/explain.go
@@ -103,7 +103,7 @@
 				free++
 			}
 		}
-		e.say("It waits for room: it needs %s, and %d of %d VMs have that free now.", size, free, len(s.VMs()))
+		e.say("It waits for room: it needs %s, and %d of %d VMs have that free now; those whose services are near their targets take no more batch work.", size, free, len(s.VMs()))
 	}
 }
 
--- a/control/learned.go
+++ b/control/learned.go
@@ -41,7 +41,7 @@
 			Busy: u.Busy, Shares: shares,
 		})
 	}
-	l.usage.ObservePressure(vm, level)
+	l.usage.ObservePressure(vm, level, b.Exhausted)
 }
 
 // tasks takes the usage of tasks and returns the share of processors by kind.
@@ -76,6 +76,13 @@
 	return l.usage.Pressure(vm)
 }
 
+// Exhausted implements placement.Usage.
+func (l *learned) Exhausted(vm rudderfork.VMID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.usage.Exhausted(vm)
+}
+
 // Size implements placement.Usage.
 func (l *learned) Size(kind string, declared rudderfork.Resources) rudderfork.Resources {
 	l.mu.Lock()
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -39,6 +39,9 @@
 type Usage interface {
 	// Pressure is how near the VM's services are to their target: 1 at it.
 	Pressure(vm rudderfork.VMID) float64
+	// Exhausted reports, once for each report, that throttling all tasks of a
+	// VM was not enough for its services.
+	Exhausted(vm rudderfork.VMID) bool
 	// Size corrects a declared size by what tasks of the kind were seen to use.
 	Size(kind string, declared rudderfork.Resources) rudderfork.Resources
 	// Lost is the work, in units, that stopping a task would lose.
@@ -98,6 +101,7 @@
 		}
 	}
 	p.drains(r)
+	p.relieve(r)
 	return r.plan
 }
 
@@ -217,7 +221,7 @@
 	}
 	for i := range r.vms {
 		v := r.vms[(start+i)%len(r.vms)]
-		if v.vm.Probation() && v.tasks > 0 || !t.Size.Fits(v.Free) {
+		if v.vm.Probation() && v.tasks > 0 || !t.Size.Fits(v.Free) || crowded(t, v) {
 			continue
 		}
 		out = append(out, v.VMView)
@@ -228,6 +232,26 @@
 	return out
 }
 
+// growLimit is the pressure above which a VM gets no more batch work (Heracles,
+// ISCA 2015: no growth under 10% slack). A job's weight moves it, between
+// growLeast and growMost.
+const (
+	growLimit = 0.9
+	growLeast = 0.5
+	growMost  = 1.2
+	// normalWeight is the default of the weight column.
+	normalWeight = 100
+)
+
+// crowded reports whether the services of v are too near their targets for t.
+func crowded(t rudderfork.TaskView, v *view) bool {
+	if len(v.Services) == 0 || t.Priority >= UrgentPriority {
+		return false
+	}
+	limit := growLimit * float64(t.Weight) / normalWeight
+	return v.Pressure > min(max(limit, growLeast), growMost)
+}
+
 func (r *round) take(t *state.Task, j *state.Job, size rudderfork.Resources, c rudderfork.Choice) {
 	i := slices.IndexFunc(r.vms, func(v *view) bool { return v.Place.VM == c.VM })
 	v := r.vms[i]
@@ -286,6 +310,28 @@
 	return fmt.Sprintf("one task needs %s; the largest VM offers %s", size, largest)
 }
 
+// relieve moves one task away from each VM where throttling was not enough: the
+// one whose stop loses least work for its weight.
+func (p *Planner) relieve(r *round) {
+	for _, v := range r.vms {
+		if len(v.Services) == 0 || !p.usage.Exhausted(v.Place.VM) {
+			continue
+		}
+		var best *state.Task
+		least := 0.0
+		for _, t := range r.s.TasksOn(v.Place.VM) {
+			cost := float64(1+p.usage.Lost(t.ID)) * float64(r.s.JobCell(t.Job, rudderfork.ColWeight))
+			if t.Phase == rudderfork.TaskRunning && !r.evicted(t.ID) && (best == nil || cost < least || cost == least && t.ID < best.ID) {
+				best, least = t, cost
+			}
+		}
+		if best != nil {
+			r.evict(best, fmt.Sprintf("throttling all tasks of VM %s was not enough, its services are at %.0f%% of their targets; stopping this one loses least for its weight, %d units",
+				v.Place.VM, 100*v.Pressure, p.usage.Lost(best.ID)))
+		}
+	}
+}
+
 // drains moves tasks away from VMs that are leaving.
 func (p *Planner) drains(r *round) {
 	for _, v := range r.s.VMs() {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -150,3 +150,32 @@
 	w.round()
 	assert.Assert(t, w.s.Task("night/0").VM != first)
 }
+
+// TestRelieve has throttling fail on a VM: one task moves away for each report,
+// the one that loses least for its weight, and does not come back there.
+func TestRelieve(t *testing.T) {
+	w := newWorld(t, 1)
+	w.do(state.Command{Register: &state.Register{
+		Place: rudderfork.Place{VM: "vm0", Domain: "d1"}, Services: []rudderfork.Service{"tour"},
+		Capacity: rudderfork.Resources{CPUMilli: 4000, MemoryMB: 4000},
+	}})
+	w.submit("cheap", 2, map[string]int64{rudderfork.ColWeight: 50})
+	w.submit("dear", 2, map[string]int64{rudderfork.ColWeight: 500})
+	w.round()
+	w.usage.ObservePressure("vm0", 1.4, true)
+	p := w.round()
+	assert.Equal(t, len(p.Evict.Evictions), 1)
+	assert.Equal(t, p.Evict.Evictions[0].Task, rudderfork.TaskID("cheap/0"))
+	assert.Equal(t, len(w.round().Evict.Evictions), 0, "one report moved two tasks")
+	t.Run("it does not come back while the pressure stays", func(t *testing.T) {
+		e := p.Evict.Evictions[0]
+		w.do(state.Command{Reports: &state.Reports{VM: "vm0", Reports: []rudderfork.Report{{Task: e.Task, Token: e.Token, Outcome: rudderfork.OutcomeStopped}}}})
+		w.round()
+		assert.Equal(t, w.s.Task(e.Task).Phase, rudderfork.TaskPending)
+	})
+	t.Run("it does when the pressure is gone", func(t *testing.T) {
+		w.usage.ObservePressure("vm0", 0.3, false)
+		w.round()
+		assert.Equal(t, w.running("cheap"), 2)
+	})
+}
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -48,12 +48,16 @@
 	calmUntil time.Time // a step down is allowed from here on
 	topSince  time.Time
 	pressure  float64
+	tasks     int
 }
 
 // Observe takes the pressure over the newest window and the tasks that run.
 func (l *Ladder) Observe(pressure float64, tasks int, now time.Time) {
 	top := MaxLevel * tasks
-	l.pressure = pressure
+	if tasks < l.tasks {
+		l.topSince = time.Time{} // what was moved away must show its effect first
+	}
+	l.pressure, l.tasks = pressure, tasks
 	l.steps = min(l.steps, top)
 	switch {
 	case pressure > raiseAt:
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -42,8 +42,9 @@
 }
 
 type pressure struct {
-	level float64
-	at    time.Time
+	level     float64
+	exhausted bool
+	at        time.Time
 }
 
 // New returns a model that knows nothing.
@@ -76,9 +77,22 @@
 // Forget drops a task that has ended.
 func (m *Model) Forget(t rudderfork.TaskID) { delete(m.lost, t) }
 
-// ObservePressure takes how near a VM's services are to their targets.
-func (m *Model) ObservePressure(vm rudderfork.VMID, level float64) {
-	m.pressure[vm] = pressure{level, m.now()}
+// ObservePressure takes how near a VM's services are to their targets, and
+// whether its agent has throttled all there is to throttle in vain.
+func (m *Model) ObservePressure(vm rudderfork.VMID, level float64, exhausted bool) {
+	m.pressure[vm] = pressure{level, exhausted, m.now()}
+}
+
+// Exhausted reports whether throttling is not enough on a VM, once for each
+// report, so that one report moves one task.
+func (m *Model) Exhausted(vm rudderfork.VMID) bool {
+	p := m.pressure[vm]
+	if !p.exhausted || m.now().Sub(p.at) > maxAge {
+		return false
+	}
+	p.exhausted = false
+	m.pressure[vm] = p
+	return true
 }
 
 // Pressure returns the newest report, or 0 if that is too old to count.
