--- /dev/null
+++ b/bench/real.go
@@ -0,0 +1,366 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/internal/harness"
+	"rudderfork.example/rudderfork/node"
+	"rudderfork.example/rudderfork/operator"
+	"rudderfork.example/rudderfork/state"
+	"rudderfork.example/rudderfork/wire"
+)
+
+// realLimit bounds one section with real processes.
+const realLimit = 2 * time.Minute
+
+// cluster starts a cluster for one section.
+func cluster(bin string, opt harness.Options) (ctx context.Context, c *harness.Cluster, stop func(), err error) {
+	bin, err = filepath.Abs(bin)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	dir, err := os.MkdirTemp("", "rudderfork-bench-")
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), realLimit)
+	c = harness.New(dir, bin, opt)
+	stop = func() {
+		c.Close()
+		cancel()
+		_ = os.RemoveAll(dir)
+	}
+	if err := c.Start(); err != nil {
+		stop()
+		return nil, nil, nil, err
+	}
+	if err := c.WaitReady(ctx); err != nil {
+		stop()
+		return nil, nil, nil, err
+	}
+	return ctx, c, stop, nil
+}
+
+// Commits prints commit latency and throughput against the physical floor.
+func Commits(w io.Writer, bin string) error {
+	ctx, c, stop, err := cluster(bin, harness.Options{Agents: 1, Entries: 1})
+	if err != nil {
+		return err
+	}
+	defer stop()
+	title(w, "commits by operators through HTTP, 3 control processes, against one sync plus one round trip")
+	sync1, rtt, err := floor(filepath.Dir(c.Data("c1")))
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "floor: one fdatasync of 200 bytes %.2f ms, one TCP round trip %.2f ms (medians of 200)\n", ms(sync1), ms(rtt))
+	for _, n := range []int{1, 4, 16, 64} {
+		const run = 2 * time.Second
+		took := hammerEdits(ctx, c, n, run)
+		fmt.Fprintf(w, "%3d operators: %6.0f commits/s, median %.2f ms, p99 %.2f ms\n", n, float64(len(took))/run.Seconds(), ms(quantile(took, 0.5)), ms(quantile(took, 0.99)))
+	}
+	return nil
+}
+
+// hammerEdits has n operators edit a cell each for a while.
+func hammerEdits(ctx context.Context, c *harness.Cluster, n int, run time.Duration) []time.Duration {
+	var mu sync.Mutex
+	var all []time.Duration
+	var wg sync.WaitGroup
+	end := time.Now().Add(run)
+	for i := range n {
+		wg.Go(func() {
+			op := c.Operator()
+			k := rudderfork.CellKey{Kind: rudderfork.RowTeam, Row: fmt.Sprint("t", i), Column: rudderfork.ColWeight}
+			cell, err := op.Cell(ctx, k)
+			rev := cell.Revision
+			for err == nil && time.Now().Before(end) {
+				at := time.Now()
+				var res state.Result
+				res, err = op.Set(ctx, k, 1+int64(rev)%1000, rev, operator.NewID())
+				rev = res.Revision
+				mu.Lock()
+				all = append(all, time.Since(at))
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	return all
+}
+
+// floor measures one sync and one round trip.
+func floor(dir string) (sync1, rtt time.Duration, err error) {
+	f, err := os.CreateTemp(dir, "floor")
+	if err != nil {
+		return 0, 0, err
+	}
+	defer f.Close()
+	var syncs, trips []time.Duration
+	for range 200 {
+		at := time.Now()
+		if _, err := f.Write(make([]byte, 200)); err != nil {
+			return 0, 0, err
+		}
+		if err := syscall.Fdatasync(int(f.Fd())); err != nil {
+			return 0, 0, err
+		}
+		syncs = append(syncs, time.Since(at))
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return 0, 0, err
+	}
+	defer ln.Close()
+	go func() {
+		if conn, err := ln.Accept(); err == nil {
+			_, _ = io.Copy(conn, conn)
+		}
+	}()
+	conn, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		return 0, 0, err
+	}
+	defer conn.Close()
+	buf := make([]byte, 200)
+	for range 200 {
+		at := time.Now()
+		if _, err := conn.Write(buf); err != nil {
+			return 0, 0, err
+		}
+		if _, err := io.ReadFull(conn, buf); err != nil {
+			return 0, 0, err
+		}
+		trips = append(trips, time.Since(at))
+	}
+	return quantile(syncs, 0.5), quantile(trips, 0.5), nil
+}
+
+// fakeNode is an agent without VM, for sessions by the hundred.
+type fakeNode struct {
+	i     int
+	tasks int
+	table *node.Table
+	epoch atomic.Uint64
+}
+
+// Hello implements node.Handler.
+func (f *fakeNode) Hello() wire.Hello {
+	name := fmt.Sprint("fake", f.i)
+	p := rudderfork.Place{VM: rudderfork.VMID(name), Domain: rudderfork.Domain(fmt.Sprint("d", f.i%16)), Region: rudderfork.Region(fmt.Sprint("r", f.i%6))}
+	return wire.Hello{Kind: wire.KindAgent, Process: name, Place: p, Boot: "b", Register: &state.Register{
+		Place: p, Addr: "127.0.0.1:1", Boot: "b", Capacity: rudderfork.Resources{CPUMilli: 32_000, MemoryMB: 125_000},
+	}}
+}
+
+// Beat implements node.Handler: the usage of seven tasks, as at the letter's size.
+func (f *fakeNode) Beat() wire.Beat {
+	b := wire.Beat{Epoch: rudderfork.Token(f.epoch.Load()), Services: []wire.ServiceUsage{{Service: "tour-desk", Requests: 50, MeanUS: 5000, TailUS: 9000, Busy: 0.3}}}
+	for i := range f.tasks {
+		b.Tasks = append(b.Tasks, wire.TaskUsage{Task: rudderfork.TaskID(fmt.Sprintf("job%d/%d", f.i, i)), Token: 1, Used: rudderfork.Resources{CPUMilli: 1000, MemoryMB: 2000}, Checkpoint: 100, Progress: 120, At: 1_796_000_000_000})
+	}
+	return b
+}
+
+// Handle implements node.Handler.
+func (f *fakeNode) Handle(m wire.ToNode) {
+	if m.Welcome != nil {
+		f.epoch.Store(uint64(m.Welcome.Epoch))
+	}
+}
+
+// Sessions prints what sessions cost the leader, and the time from an accepted
+// edit until it is in force, by the number of agents.
+func Sessions(w io.Writer, bin string) error {
+	title(w, "sessions of agents with the leader: beats of 7 tasks each 2 s; edits in force everywhere")
+	fmt.Fprintf(w, "%7s %14s %16s %13s %17s %17s\n", "agents", "leader CPU %", "leader RSS MB", "idle CPU %", "in force ms", "slowest of 10 ms")
+	for _, n := range []int{100, 200, 400, 800} {
+		if err := sessions1(w, bin, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func sessions1(w io.Writer, bin string, n int) error {
+	ctx, c, stop, err := cluster(bin, harness.Options{Agents: 1, Entries: 1, Lease: 10 * time.Second, SnapshotEvery: 100_000})
+	if err != nil {
+		return err
+	}
+	defer stop()
+	lead, err := leaderOf(ctx, c)
+	if err != nil {
+		return err
+	}
+	idle := cpuShare(c.Proc(lead).Pid(), 2*time.Second)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	nodes := make([]*fakeNode, n)
+	for i := range nodes {
+		f := &fakeNode{i: i, tasks: 7, table: node.NewTable()}
+		nodes[i] = f
+		cl := node.NewClient([]string{c.Proc(lead).Listen()}, 2*time.Second, f.table, f, zerolog.Nop())
+		go func() { _ = cl.Serve(ctx) }()
+	}
+	err = harness.Until(ctx, "all sessions", func() error {
+		for _, f := range nodes {
+			if !f.table.Known() {
+				return fmt.Errorf("%d has no table", f.i)
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	time.Sleep(time.Second) // the registrations are over
+	busy := cpuShare(c.Proc(lead).Pid(), 6*time.Second)
+	times, err := inForce(ctx, c, nodes)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "%7d %14.2f %16.1f %13.2f %17.1f %17.1f\n", n, 100*busy, rss(c.Proc(lead).Pid()), 100*idle, ms(quantile(times, 0.5)), ms(quantile(times, 1)))
+	return nil
+}
+
+// inForce makes ten edits and times each until all nodes hold it.
+func inForce(ctx context.Context, c *harness.Cluster, nodes []*fakeNode) (times []time.Duration, err error) {
+	op := c.Operator()
+	k := rudderfork.CellKey{Kind: rudderfork.RowTeam, Row: "timed", Column: rudderfork.ColWeight}
+	rev := rudderfork.Revision(0)
+	for i := range 10 {
+		res, err := op.Set(ctx, k, int64(i+1), rev, operator.NewID())
+		if err != nil {
+			return nil, err
+		}
+		at := time.Now()
+		rev = res.Revision
+		for _, f := range nodes {
+			for f.table.Revision() < rev {
+				if ctx.Err() != nil {
+					return nil, ctx.Err()
+				}
+				time.Sleep(200 * time.Microsecond)
+			}
+		}
+		times = append(times, time.Since(at))
+	}
+	return times, nil
+}
+
+func leaderOf(ctx context.Context, c *harness.Cluster) (name string, err error) {
+	err = harness.Until(ctx, "a leader", func() error {
+		for _, n := range []string{"c1", "c2", "c3"} {
+			if st, err := c.Operator().Status(ctx, c.Proc(n).Listen()); err == nil && st.Settled {
+				name = n
+				return nil
+			}
+		}
+		return fmt.Errorf("none leads")
+	})
+	return name, err
+}
+
+// cpuShare is the share of one core that a process uses over a while.
+func cpuShare(pid int, d time.Duration) float64 {
+	before := cpuTime(pid)
+	time.Sleep(d)
+	return (cpuTime(pid) - before).Seconds() / d.Seconds()
+}
+
+// cpuTime reads the processor time of a process, in ticks of 10 ms.
+func cpuTime(pid int) time.Duration {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(b), ") ")
+	f := strings.Fields(rest)
+	user, _ := strconv.Atoi(f[11])
+	sys, _ := strconv.Atoi(f[12])
+	return time.Duration(user+sys) * 10 * time.Millisecond
+}
+
+// rss is the resident memory of a process, in MB.
+func rss(pid int) float64 {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.SplitSeq(string(b), "\n") {
+		if f := strings.Fields(line); len(f) > 1 && f[0] == "VmRSS:" {
+			kb, _ := strconv.ParseFloat(f[1], 64)
+			return kb * 1024 / 1e6
+		}
+	}
+	return 0
+}
+
+// Idle prints what each kind of process costs when nothing happens.
+func Idle(w io.Writer, bin string) error {
+	_, c, stop, err := cluster(bin, harness.Options{Agents: 3, Entries: 2, Beat: time.Second, Lease: 5 * time.Second, Election: 500 * time.Millisecond})
+	if err != nil {
+		return err
+	}
+	defer stop()
+	title(w, "idle cost of a process: beat 1 s, heartbeat 100 ms, over 10 s")
+	time.Sleep(2 * time.Second)
+	names := []string{"c1", "c2", "c3", "e1", "a1"}
+	before := map[string]time.Duration{}
+	for _, n := range names {
+		before[n] = cpuTime(c.Proc(n).Pid())
+	}
+	const d = 10 * time.Second
+	time.Sleep(d)
+	for _, n := range names {
+		pid := c.Proc(n).Pid()
+		fmt.Fprintf(w, "%-3s CPU %.2f%% of a core, RSS %.1f MB\n", n, 100*(cpuTime(pid)-before[n]).Seconds()/d.Seconds(), rss(pid))
+	}
+	return nil
+}
+
+// Path prints what the path adds to a direct call, and what a claim adds.
+func Path(w io.Writer, bin string) error {
+	ctx, c, stop, err := cluster(bin, harness.Options{Agents: 3, Entries: 1, UpstreamFlags: []string{"-work", "0s"}})
+	if err != nil {
+		return err
+	}
+	defer stop()
+	title(w, "path of one request, one caller, upstream work 0 ms, 2000 requests each; every hop through the fault proxy but the first")
+	direct := c.Direct("u1")
+	entry := c.DirectEntry("e1")
+	for _, v := range []struct {
+		name string
+		cl   *harness.Caller
+		key  bool
+	}{{"upstream directly", direct, false}, {"entry, agent, upstream", entry, false}, {"the same with a claim", entry, true}} {
+		var took []time.Duration
+		for i := range 2000 {
+			key := ""
+			if v.key {
+				key = fmt.Sprint("bench-", i)
+			}
+			at := time.Now()
+			if a := v.cl.HoldOnce(ctx, fmt.Sprint("s", i), key, "x"); a.Err != nil || a.Status != 200 {
+				return fmt.Errorf("%s: %d %w", v.name, a.Status, a.Err)
+			}
+			took = append(took, time.Since(at))
+		}
+		fmt.Fprintf(w, "%-24s median %.2f ms, p99 %.2f ms\n", v.name, ms(quantile(took, 0.5)), ms(quantile(took, 0.99)))
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/scale.go
@@ -0,0 +1,184 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"runtime"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/disk"
+	"rudderfork.example/rudderfork/interference"
+	"rudderfork.example/rudderfork/placement"
+	"rudderfork.example/rudderfork/quorum"
+	"rudderfork.example/rudderfork/state"
+	"rudderfork.example/rudderfork/usage"
+)
+
+// The letter's size.
+const (
+	sizeVMs   = 3900
+	sizeTasks = 29_000
+	sizeTeams = 190
+)
+
+// filled returns a state with so many VMs and pending tasks.
+func filled(vms, tasks int) *state.State {
+	s := state.New()
+	index := uint64(0)
+	do := func(c state.Command) {
+		index++
+		c.At = int64(index)
+		s.Apply(index, c)
+	}
+	for i := range vms {
+		do(state.Command{Register: &state.Register{
+			Place:    rudderfork.Place{VM: rudderfork.VMID(fmt.Sprint("vm", i)), Domain: rudderfork.Domain(fmt.Sprint("d", i%16)), Region: rudderfork.Region(fmt.Sprint("r", i%6))},
+			Addr:     "10.0.0.1:7000",
+			Capacity: rudderfork.Resources{CPUMilli: 32_000, MemoryMB: 125_000, Accelerators: 2}, Services: []rudderfork.Service{"tour-desk"},
+		}})
+	}
+	const perJob = 20
+	for i := range tasks / perJob {
+		do(state.Command{Submit: &state.Submit{Spec: rudderfork.JobSpec{
+			ID: rudderfork.JobID(fmt.Sprint("job", i)), Team: rudderfork.Team(fmt.Sprint("team", i%sizeTeams)), Kind: fmt.Sprint("k", i%20),
+			Tasks: perJob, Units: 100, Cells: map[string]int64{rudderfork.ColCPU: 2000, rudderfork.ColMemory: 4000},
+		}}})
+	}
+	return s
+}
+
+// heap returns the bytes in use after a collection.
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// Scale prints the slopes of the leader's state and of its planning.
+func Scale(w io.Writer) {
+	title(w, "control's state: memory, snapshot and placing, at shares of the letter's size (%d VMs, %d tasks)", sizeVMs, sizeTasks)
+	fmt.Fprintf(w, "%6s %7s  %9s %12s %10s %10s %14s %14s\n", "VMs", "tasks", "heap MB", "snapshot MB", "encode ms", "decode ms", "place tasks/s", "round of 256 ms")
+	for _, share := range []float64{0.05, 0.1, 0.25, 0.5, 1} {
+		vms, tasks := int(share*sizeVMs), int(share*sizeTasks)
+		before := heapBytes()
+		s := filled(vms, tasks)
+		index := uint64(s.Applied())
+		p := placement.NewPlanner(placement.NewScored(interference.New()), usage.New(time.Now), 1)
+		placed, rounds := 0, 0
+		start := time.Now()
+		for {
+			plan := p.Round(s, time.Unix(1000, 0))
+			if len(plan.Place.Placements) == 0 {
+				break
+			}
+			index++
+			s.Apply(index, state.Command{Place: &plan.Place})
+			placed += len(plan.Place.Placements)
+			rounds++
+		}
+		took := time.Since(start)
+		heap := float64(heapBytes()-before) / 1e6
+		at := time.Now()
+		data, err := s.Encode()
+		encode := time.Since(at)
+		at = time.Now()
+		_, derr := state.Decode(data)
+		decode := time.Since(at)
+		if err != nil || derr != nil {
+			fmt.Fprintln(w, "snapshot failed:", err, derr)
+		}
+		fmt.Fprintf(w, "%6d %7d  %9.1f %12.1f %10.0f %10.0f %14.0f %14.2f\n", vms, placed, heap, float64(len(data))/1e6,
+			ms(encode), ms(decode), float64(placed)/took.Seconds(), ms(took)/float64(max(1, rounds)))
+	}
+}
+
+// Recovery prints how long a control process takes to read its disk, by the
+// length of the log and with a snapshot instead.
+func Recovery(w io.Writer) (err error) {
+	title(w, "restart of a control process: reading the disk and applying, by commands since the last snapshot")
+	fmt.Fprintf(w, "%9s %10s %12s %15s\n", "commands", "log MB", "log ms", "snapshot ms")
+	for _, n := range []int{1000, 4000, 16_000, 64_000} {
+		logged, size, err := recover1(n, false)
+		if err != nil {
+			return err
+		}
+		snapped, _, err := recover1(n, true)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(w, "%9d %10.2f %12.0f %15.0f\n", n, float64(size)/1e6, ms(logged), ms(snapped))
+	}
+	return nil
+}
+
+func recover1(n int, snapshot bool) (took time.Duration, size int64, err error) {
+	root, err := os.MkdirTemp("", "rudderfork-bench-")
+	if err != nil {
+		return 0, 0, err
+	}
+	defer os.RemoveAll(root)
+	dir := filepath.Join(root, "data")
+	if err := disk.Format(dir, disk.Identity{ID: "c1#1", Members: []quorum.Member{{ID: "c1#1", Voter: true}}}); err != nil {
+		return 0, 0, err
+	}
+	s, err := disk.Open(dir)
+	if err != nil {
+		return 0, 0, err
+	}
+	st := state.New()
+	var es []quorum.Entry
+	for i := 1; i <= n; i++ {
+		k := rudderfork.CellKey{Kind: rudderfork.RowTeam, Row: fmt.Sprint("team", i%sizeTeams), Column: rudderfork.ColWeight}
+		c := state.Command{At: int64(i), Edit: &state.Edit{ID: fmt.Sprint("edit-", i), Writes: []state.CellWrite{{Key: k, Value: int64(1 + i%1000), IfRevision: st.Cell(k).Revision}}}}
+		data, err := cbor.Marshal(c)
+		if err != nil {
+			return 0, 0, err
+		}
+		st.Apply(uint64(i), c)
+		es = append(es, quorum.Entry{Index: uint64(i), Term: 1, Kind: quorum.EntryCommand, Data: data})
+	}
+	if err := s.Save(quorum.Ready{HardState: &quorum.HardState{Term: 1}, Entries: es}); err != nil {
+		return 0, 0, err
+	}
+	size = s.Size()
+	if snapshot {
+		data, err := st.Encode()
+		if err != nil {
+			return 0, 0, err
+		}
+		if err := s.Snapshot(quorum.Snapshot{Index: uint64(n), Term: 1, Data: data}, nil); err != nil {
+			return 0, 0, err
+		}
+	}
+	if err := s.Close(); err != nil {
+		return 0, 0, err
+	}
+	at := time.Now()
+	s, err = disk.Open(dir)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer s.Close()
+	_, snap, entries := s.Loaded()
+	again, err := state.Decode(snap.Data)
+	if err != nil {
+		return 0, 0, err
+	}
+	for _, e := range entries {
+		var c state.Command
+		if err := cbor.Unmarshal(e.Data, &c); err != nil {
+			return 0, 0, err
+		}
+		again.Apply(e.Index, c)
+	}
+	if again.Revision() != st.Revision() {
+		return 0, 0, fmt.Errorf("revision %d came back as %d", st.Revision(), again.Revision())
+	}
+	return time.Since(at), size, nil
+}
--- /dev/null
+++ b/bench/sections.go
@@ -0,0 +1,30 @@
+package bench
+
+import "io"
+
+// Section is one part of the measurements.
+type Section struct {
+	Name string
+	Run  func(w io.Writer) error
+}
+
+// Sections returns the parts in the order in which they are printed. Those that
+// run real processes find them in bin.
+func Sections(bin string) []Section {
+	pure := func(f func(w io.Writer)) func(io.Writer) error {
+		return func(w io.Writer) error { f(w); return nil }
+	}
+	real := func(f func(w io.Writer, bin string) error) func(io.Writer) error {
+		return func(w io.Writer) error { return f(w, bin) }
+	}
+	return []Section{
+		{"upstreams", pure(Upstreams)},
+		{"overload", pure(Overload)},
+		{"scale", pure(Scale)},
+		{"recovery", Recovery},
+		{"commits", real(Commits)},
+		{"sessions", real(Sessions)},
+		{"idle", real(Idle)},
+		{"path", real(Path)},
+	}
+}
--- a/internal/harness/caller.go
+++ b/internal/harness/caller.go
@@ -35,6 +35,16 @@
 	return cl
 }
 
+// Direct returns a caller of an upstream without the path before it.
+func (c *Cluster) Direct(upstream string) *Caller {
+	return &Caller{base: "http://" + c.procs[upstream].Listen(), hc: &http.Client{}}
+}
+
+// DirectEntry returns a caller of an entry without a proxy between.
+func (c *Cluster) DirectEntry(entry string) *Caller {
+	return &Caller{base: "http://" + c.procs[entry].Listen() + "/svc/" + c.opt.Service, hc: &http.Client{}}
+}
+
 // balance plays the platform's balancer for one entry until stop closes.
 func (c *Cluster) balance(cl *Caller, entry string, stop <-chan struct{}) {
 	for {
