Make placing scale and an idle agent sleep

Change: a round takes the VMs' rooms once and finds them by name; an agent looks at deadlines only while requests wait.

--- a/agent/front.go
+++ b/agent/front.go
@@ -18,9 +18,6 @@
 	"rudderfork.example/rudderfork/wire"
 )
 
-// expirePause is how often waiting requests are checked against their deadlines.
-const expirePause = 5 * time.Millisecond
-
 // front takes requests from entries.
 type front struct {
 	cfg      Settings
@@ -59,20 +56,15 @@
 func (f *front) String() string { return "front" }
 
 // Serve implements suture.Service: it refuses waiting requests that have become
-// too late.
+// too late. While none waits it sleeps.
 func (f *front) Serve(ctx context.Context) error {
-	tick := time.NewTicker(expirePause)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-			for _, s := range f.services {
-				s.expire()
-			}
-		}
+	var wg sync.WaitGroup
+	for _, s := range f.services {
+		wg.Go(func() { s.watch(ctx) })
 	}
+	wg.Wait()
+	<-ctx.Done()
+	return ctx.Err()
 }
 
 func (f *front) tableChanged() {
--- a/agent/service.go
+++ b/agent/service.go
@@ -19,6 +19,9 @@
 const (
 	// dialTimeout bounds a connection to the upstream, on the same VM.
 	dialTimeout = time.Second
+	// expirePause is how often waiting requests are checked against their
+	// deadlines.
+	expirePause = 5 * time.Millisecond
 	// maxIdle bounds the kept connections to the upstream; at most 64 slots.
 	maxIdle = 64
 	// maxSamples bounds the latencies kept for one window.
@@ -29,10 +32,11 @@
 
 // service is one upstream: its slots, its connections and its latencies.
 type service struct {
-	name  rudderfork.Service
-	addr  string
-	table *node.Table
-	hc    *http.Transport
+	name   rudderfork.Service
+	addr   string
+	table  *node.Table
+	hc     *http.Transport
+	queued chan struct{} // a request waits
 
 	mu      sync.Mutex
 	queue   *admission.Queue
@@ -53,7 +57,7 @@
 func newService(u UpstreamAddr, t *node.Table) *service {
 	s := &service{
 		name: u.Service, addr: u.Addr, table: t, waiters: map[uint64]chan admission.Ruling{},
-		queue: admission.New(admission.Limits{}, 1),
+		queue: admission.New(admission.Limits{}, 1), queued: make(chan struct{}, 1),
 	}
 	s.hc = &http.Transport{
 		DisableCompression: true, MaxIdleConnsPerHost: maxIdle,
@@ -154,6 +158,10 @@
 func (s *service) rule(rs []admission.Ruling) {
 	for _, ru := range rs {
 		if ru.Verdict == admission.Wait {
+			select {
+			case s.queued <- struct{}{}:
+			default:
+			}
 			continue
 		}
 		if ru.Verdict == admission.Refuse {
@@ -216,11 +224,27 @@
 	return s.level
 }
 
-func (s *service) expire() {
+// expire refuses what waits in vain, and reports whether something still waits.
+func (s *service) expire() (more bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.queue.Queued() > 0 {
-		s.rule(s.queue.Expire(steady.Now()))
+	s.rule(s.queue.Expire(steady.Now()))
+	return s.queue.Queued() > 0
+}
+
+// watch calls expire again and again while requests wait.
+func (s *service) watch(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.queued:
+		}
+		tick := time.NewTicker(expirePause)
+		for ctx.Err() == nil && s.expire() {
+			<-tick.C
+		}
+		tick.Stop()
 	}
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -69,6 +69,9 @@
 	s       *state.State
 	now     time.Time
 	vms     []*view
+	byVM    map[rudderfork.VMID]*view
+	rooms   []rudderfork.Resources // of every VM if it were idle
+	most    rudderfork.Resources   // the greatest of rooms, part by part
 	plan    Plan
 	teams   map[rudderfork.Team]rudderfork.Resources // placed in this round
 	jobs    map[rudderfork.JobID]int
@@ -91,6 +94,15 @@
 		skipped: map[rudderfork.JobID]bool{},
 	}
 	r.vms = p.views(s, now)
+	r.byVM = map[rudderfork.VMID]*view{}
+	for _, v := range r.vms {
+		r.byVM[v.Place.VM] = v
+	}
+	for _, v := range s.VMs() {
+		room := v.Capacity.Sub(v.Reserved)
+		r.rooms = append(r.rooms, room)
+		r.most = r.most.Max(room)
+	}
 	p.checkJobs(r)
 	for _, t := range p.order(s) {
 		if len(r.plan.Place.Placements) >= maxRound {
@@ -165,7 +177,7 @@
 
 func (p *Planner) placeTask(r *round, t *state.Task) {
 	j := r.s.Job(t.Job)
-	size := p.size(r.s, j)
+	size := p.size(r, j)
 	if !r.shareAllows(t, j, size) {
 		r.skipped[t.Job] = true
 		return
@@ -188,15 +200,10 @@
 
 // size is the declared size of a job's tasks, corrected by what was seen. The
 // correction never makes a job impossible that could run as declared.
-func (p *Planner) size(s *state.State, j *state.Job) rudderfork.Resources {
-	declared := s.JobSize(j.Spec.ID)
+func (p *Planner) size(r *round, j *state.Job) rudderfork.Resources {
+	declared := r.s.JobSize(j.Spec.ID)
 	size := p.usage.Size(j.Spec.Kind, declared)
-	limit := s.Quota(j.Spec.Team)
-	var room rudderfork.Resources
-	for _, v := range s.VMs() {
-		room = room.Max(v.Capacity.Sub(v.Reserved))
-	}
-	return size.Min(room).Min(limit).Max(declared.Min(size))
+	return size.Min(r.most).Min(r.s.Quota(j.Spec.Team)).Max(declared.Min(size))
 }
 
 // shareAllows checks team and job limits, with what this round placed.
@@ -253,8 +260,7 @@
 }
 
 func (r *round) take(t *state.Task, j *state.Job, size rudderfork.Resources, c rudderfork.Choice) {
-	i := slices.IndexFunc(r.vms, func(v *view) bool { return v.Place.VM == c.VM })
-	v := r.vms[i]
+	v := r.byVM[c.VM]
 	v.Free = v.Free.Sub(size)
 	v.Tasks[j.Spec.Kind]++
 	v.tasks++
@@ -275,7 +281,7 @@
 			continue
 		}
 		seen[t.Job] = true
-		reason := p.impossible(r.s, t.Job)
+		reason := r.impossible(t.Job)
 		if reason != "" {
 			r.skipped[t.Job] = true
 		}
@@ -287,19 +293,18 @@
 }
 
 // impossible says why no VM could run the job even if it were idle, or "".
-func (p *Planner) impossible(s *state.State, id rudderfork.JobID) string {
+func (r *round) impossible(id rudderfork.JobID) string {
+	s := r.s
 	j := s.Job(id)
 	size := s.JobSize(id)
 	if part := size.Lacking(s.Quota(j.Spec.Team)); part != "" {
 		return fmt.Sprintf("one task needs %s; the quota of team %s allows %s", size, j.Spec.Team, s.Quota(j.Spec.Team))
 	}
-	vms := s.VMs()
-	if len(vms) == 0 {
+	if len(r.rooms) == 0 {
 		return ""
 	}
 	var largest rudderfork.Resources
-	for _, v := range vms {
-		room := v.Capacity.Sub(v.Reserved)
+	for _, room := range r.rooms {
 		if size.Fits(room) {
 			return ""
 		}
