--- a/bench/real.go
+++ b/bench/real.go
@@ -131,7 +131,7 @@
 			_, _ = io.Copy(conn, conn)
 		}
 	}()
-	conn, err := net.Dial("tcp", ln.Addr().String())
+	conn, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", ln.Addr().String())
 	if err != nil {
 		return 0, 0, err
 	}
--- a/bench/sections.go
+++ b/bench/sections.go
@@ -14,7 +14,7 @@
 	pure := func(f func(w io.Writer)) func(io.Writer) error {
 		return func(w io.Writer) error { f(w); return nil }
 	}
-	real := func(f func(w io.Writer, bin string) error) func(io.Writer) error {
+	live := func(f func(w io.Writer, bin string) error) func(io.Writer) error {
 		return func(w io.Writer) error { return f(w, bin) }
 	}
 	return []Section{
@@ -22,9 +22,9 @@
 		{"overload", pure(Overload)},
 		{"scale", pure(Scale)},
 		{"recovery", Recovery},
-		{"commits", real(Commits)},
-		{"sessions", real(Sessions)},
-		{"idle", real(Idle)},
-		{"path", real(Path)},
+		{"commits", live(Commits)},
+		{"sessions", live(Sessions)},
+		{"idle", live(Idle)},
+		{"path", live(Path)},
 	}
 }
