--- a/agent/tasks.go
+++ b/agent/tasks.go
@@ -220,7 +220,7 @@
 	var ts []throttle.Task
 	for _, r := range running {
 		l, _ := t.holder.Lease(r.Task)
-		ts = append(ts, throttle.Task{ID: r.Task, Weight: l.Weight})
+		ts = append(ts, throttle.Task{ID: r.Task, Weight: l.Weight, Slowdown: l.Slowdown})
 	}
 	for id, level := range t.ladder.Levels(ts) {
 		t.holder.SetThrottle(id, level)
--- a/bench/sections.go
+++ b/bench/sections.go
@@ -20,6 +20,7 @@
 	return []Section{
 		{"upstreams", pure(Upstreams)},
 		{"overload", pure(Overload)},
+		{"colocation", pure(Colocation)},
 		{"scale", pure(Scale)},
 		{"recovery", Recovery},
 		{"commits", live(Commits)},
--- a/control/learned.go
+++ b/control/learned.go
@@ -69,6 +69,19 @@
 	return now.Sub(at), ok
 }
 
+// rate notes on leases how much their kinds are expected to slow the services,
+// so that the agent throttles the worst first.
+func (l *learned) rate(ls []rudderfork.Lease, services []rudderfork.Service, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range ls {
+		for _, s := range services {
+			factor, _ := l.interference.Slowdown(s, ls[i].Kind, now)
+			ls[i].Slowdown = max(ls[i].Slowdown, factor)
+		}
+	}
+}
+
 // Pressure implements placement.Usage.
 func (l *learned) Pressure(vm rudderfork.VMID) float64 {
 	l.mu.Lock()
--- a/control/session.go
+++ b/control/session.go
@@ -201,8 +201,10 @@
 			return
 		}
 		if v.Revision > s.sent.assign {
+			leases := st.Leases(v.Place.VM)
+			s.hub.learned.rate(leases, v.Services, steady.Now())
 			ms = append(ms, wire.ToNode{Assign: &wire.Assign{
-				Epoch: s.epoch, Revision: v.Revision, Leases: st.Leases(v.Place.VM), Draining: v.Draining,
+				Epoch: s.epoch, Revision: v.Revision, Leases: leases, Draining: v.Draining,
 			}})
 			s.sent.assign = v.Revision
 		}
--- a/job.go
+++ b/job.go
@@ -81,6 +81,7 @@
 	Stop       bool      `cbor:"7,keyasint,omitempty" json:"stop,omitempty"` // checkpoint and stop
 	Discard    bool      `cbor:"8,keyasint,omitempty" json:"discard,omitempty"`
 	Weight     int64     `cbor:"9,keyasint,omitempty" json:"weight,omitempty"`
+	Slowdown   float64   `cbor:"10,keyasint,omitempty" json:"slowdown,omitempty"` // expected of the kind on the VM's services
 }
 
 // Outcome is how an attempt ended.
