--- a/bench/colocation.go
+++ b/bench/colocation.go
@@ -116,10 +116,10 @@
 	return c.res
 }
 
-func (c *colo) do(cmd state.Command) state.Result {
+func (c *colo) do(cmd state.Command) {
 	c.index++
 	cmd.At = rudderfork.Millis(c.now)
-	return c.s.Apply(c.index, cmd)
+	c.s.Apply(c.index, cmd)
 }
 
 func (c *colo) register(i int) {
