--- a/agent/agent.go
+++ b/agent/agent.go
@@ -20,6 +20,7 @@
 
 	"rudderfork.example/rudderfork"
 	"rudderfork.example/rudderfork/internal/admin"
+	"rudderfork.example/rudderfork/internal/daemon"
 	"rudderfork.example/rudderfork/internal/errs"
 	"rudderfork.example/rudderfork/internal/steady"
 	"rudderfork.example/rudderfork/node"
@@ -56,11 +57,7 @@
 // New opens the listeners.
 func New(cfg Settings, log zerolog.Logger) (p *Process, err error) {
 	defer errs.Annotate(&err, "agent %s", cfg.Name)
-	ln, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
-		return nil, err
-	}
-	adminLn, err := net.Listen("tcp", cfg.Admin)
+	ln, adminLn, err := daemon.Listen(cfg.Listen, cfg.Admin)
 	if err != nil {
 		return nil, err
 	}
@@ -76,9 +73,7 @@
 	p.srv = &http.Server{Handler: p.front.handler(), ReadHeaderTimeout: headerTimeout}
 	adm := admin.New(adminLn, ring, p.ready)
 	adm.Registry().MustRegister(newCollector(p))
-	p.sup = suture.New("agent", suture.Spec{EventHook: func(e suture.Event) {
-		log.Warn().Str("detail", e.String()).Msg("supervisor")
-	}})
+	p.sup = daemon.Supervisor("agent", log)
 	p.sup.Add(p.client)
 	p.sup.Add(p.tasks)
 	p.sup.Add(p.front)
@@ -102,22 +97,12 @@
 // their lease ends; an agent that is back by then takes them up again.
 func (p *Process) Run(ctx context.Context) (err error) {
 	defer errs.Annotate(&err, "agent %s", p.cfg.Name)
-	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
-	failed := p.sup.ServeBackground(inner)
-	served := make(chan error, 1)
-	go func() { served <- p.srv.Serve(p.ln) }()
-	select {
-	case err := <-served:
-		return err
-	case err := <-failed:
-		return err
-	case <-ctx.Done():
-	}
-	p.drain()
-	_ = p.srv.Close() // nothing is in progress
-	p.log.Info().Msg("stopped")
-	return nil
+	return daemon.Run(ctx, p.sup, p.srv, p.ln, func(context.Context) error {
+		p.drain()
+		_ = p.srv.Close() // nothing is in progress
+		p.log.Info().Msg("stopped")
+		return nil
+	})
 }
 
 // drain waits until nothing is in progress, or the settings' limit has passed.
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -26,13 +26,19 @@
 	ErrFull = errors.New("too many claims are remembered")
 )
 
-// maxClaims bounds the memory; a claim takes at most MaxAnswer bytes of answer.
-const maxClaims = 20_000
+const (
+	// maxClaims bounds the number of claims remembered.
+	maxClaims = 20_000
+	// maxBytes bounds the bodies remembered, over all claims. Past it an answer
+	// is remembered without its body; control still has it once it is settled.
+	maxBytes = 8 << 20
+)
 
 // Memory remembers claims until they expire. It is not safe for concurrent use.
 type Memory struct {
 	entries map[state.ClaimKey]*entry
 	order   []expiry
+	bytes   int // of all bodies
 }
 
 // entry is what is known of one key.
@@ -69,10 +75,18 @@
 		}
 		m.order = append(m.order, expiry{k, e.expires})
 	}
+	m.drop(old)
 	m.entries[k] = e
 	return nil
 }
 
+// drop takes an entry's body out of the count.
+func (m *Memory) drop(e *entry) {
+	if e != nil && e.answer != nil {
+		m.bytes -= len(e.answer.Body)
+	}
+}
+
 // NotRun notes that the request was refused before it reached the upstream.
 func (m *Memory) NotRun(k state.ClaimKey, token rudderfork.Token) {
 	m.end(k, token, wire.FateNever, nil)
@@ -80,6 +94,9 @@
 
 // Done notes the answer.
 func (m *Memory) Done(k state.ClaimKey, token rudderfork.Token, a *state.Answer) {
+	if m.bytes+len(a.Body) > maxBytes {
+		a = &state.Answer{Status: a.Status, ContentType: a.ContentType, Partial: true}
+	}
 	m.end(k, token, wire.FateDone, a)
 }
 
@@ -90,7 +107,11 @@
 
 func (m *Memory) end(k state.ClaimKey, token rudderfork.Token, f wire.Fate, a *state.Answer) {
 	if e := m.entries[k]; e != nil && e.token == token {
+		m.drop(e)
 		e.fate, e.answer = f, a
+		if a != nil {
+			m.bytes += len(a.Body)
+		}
 	}
 }
 
@@ -117,6 +138,7 @@
 		x := m.order[0]
 		m.order = m.order[1:]
 		if e := m.entries[x.key]; e != nil && !e.expires.After(now) {
+			m.drop(e)
 			delete(m.entries, x.key)
 		}
 	}
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -65,3 +65,23 @@
 		assert.Assert(t, m.Len() < maxClaims)
 	})
 }
+
+// TestBytes fills the memory with long answers: what it holds is bounded, and
+// every fate is still known. (20,000 answers of 16 kB would have been 320 MB.)
+func TestBytes(t *testing.T) {
+	m := New()
+	body := make([]byte, state.MaxAnswer)
+	for i := range maxClaims {
+		k := state.ClaimKey{Key: fmt.Sprint(i)}
+		assert.NilError(t, m.Begin(k, 1, exp, t0))
+		m.Done(k, 1, &state.Answer{Status: 200, Body: body})
+	}
+	assert.Assert(t, m.bytes <= maxBytes)
+	fate, a := m.Fence(state.ClaimKey{Key: fmt.Sprint(maxClaims - 1)}, 1, exp, t0)
+	assert.Equal(t, fate, wire.FateDone)
+	assert.Assert(t, a.Partial && a.Status == 200)
+	for range maxClaims {
+		m.expire(exp.Add(time.Second))
+	}
+	assert.Equal(t, m.bytes, 0)
+}
--- a/control/control.go
+++ b/control/control.go
@@ -26,6 +26,7 @@
 	"rudderfork.example/rudderfork/disk"
 	"rudderfork.example/rudderfork/interference"
 	"rudderfork.example/rudderfork/internal/admin"
+	"rudderfork.example/rudderfork/internal/daemon"
 	"rudderfork.example/rudderfork/internal/errs"
 	"rudderfork.example/rudderfork/internal/steady"
 	"rudderfork.example/rudderfork/lease"
@@ -58,11 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ln, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
-		return nil, err
-	}
-	adminLn, err := net.Listen("tcp", cfg.Admin)
+	ln, adminLn, err := daemon.Listen(cfg.Listen, cfg.Admin)
 	if err != nil {
 		return nil, err
 	}
@@ -94,7 +91,7 @@
 	newAPI(cfg, rep, hub, learned, ring).routes(mux)
 	srv := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 
-	sup := suture.New("control", suture.Spec{EventHook: hook(log)})
+	sup := daemon.Supervisor("control", log)
 	sup.Add(rep)
 	sup.Add(peers)
 	sup.Add(hub)
@@ -177,11 +174,6 @@
 	return h
 }
 
-// hook logs what the supervisor sees.
-func hook(log zerolog.Logger) suture.EventHook {
-	return func(e suture.Event) { log.Warn().Str("detail", e.String()).Msg("supervisor") }
-}
-
 // httpService runs an HTTP server under a supervisor.
 type httpService struct {
 	srv *http.Server
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"rudderfork.example/rudderfork/internal/admin"
+	"rudderfork.example/rudderfork/internal/daemon"
 	"rudderfork.example/rudderfork/internal/errs"
 	"rudderfork.example/rudderfork/internal/steady"
 	"rudderfork.example/rudderfork/node"
@@ -53,11 +54,7 @@
 // New opens the listeners.
 func New(cfg Settings, log zerolog.Logger) (p *Process, err error) {
 	defer errs.Annotate(&err, "entry %s", cfg.Name)
-	ln, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
-		return nil, err
-	}
-	adminLn, err := net.Listen("tcp", cfg.Admin)
+	ln, adminLn, err := daemon.Listen(cfg.Listen, cfg.Admin)
 	if err != nil {
 		return nil, err
 	}
@@ -72,9 +69,7 @@
 	adm := admin.New(adminLn, ring, p.ready)
 	m.register(adm.Registry(), p.table)
 	adm.Handle("GET /explain", h.explain)
-	p.sup = suture.New("entry", suture.Spec{EventHook: func(e suture.Event) {
-		log.Warn().Str("detail", e.String()).Msg("supervisor")
-	}})
+	p.sup = daemon.Supervisor("entry", log)
 	p.sup.Add(p.client)
 	p.sup.Add(p.fleet)
 	p.sup.Add(adm)
@@ -100,24 +95,17 @@
 // ends when all requests in progress have ended, feeds included.
 func (p *Process) Run(ctx context.Context) (err error) {
 	defer errs.Annotate(&err, "entry %s", p.cfg.Name)
-	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
-	failed := p.sup.ServeBackground(inner)
-	served := make(chan error, 1)
-	go func() { served <- p.srv.Serve(p.ln) }()
-	select {
-	case err := <-served:
-		return err
-	case err := <-failed:
-		return err
-	case <-ctx.Done():
-	}
+	return daemon.Run(ctx, p.sup, p.srv, p.ln, p.stop)
+}
+
+// stop leaves the balancer and ends what is in progress.
+func (p *Process) stop(ctx context.Context) error {
 	p.log.Info().Msg("stopping")
 	p.leaving.Store(true)
 	time.Sleep(p.cfg.LeaveGrace)
-	limit, stop := context.WithTimeout(inner, p.cfg.DrainLimit)
-	defer stop()
-	err = p.srv.Shutdown(limit)
+	ctx, cancel := context.WithTimeout(ctx, p.cfg.DrainLimit)
+	defer cancel()
+	err := p.srv.Shutdown(ctx)
 	p.fleet.settled()
 	p.log.Info().AnErr("error", err).Msg("stopped")
 	return err
