Expire a VM whose agent died before its first lease

Cause: found by reading: a VM that registered, and whose session broke before it was granted a lease, had no deadline at the leader, so it never expired; tasks placed there would have waited for the next leader.

Ruled out: granting in the same command (grants are not replicated).

Change: registration counts as a grant from its commit on. TestRegisteredVM- Expires fails without it (expire reports false for ever) and passes with it.

--- a/control/hub.go
+++ b/control/hub.go
@@ -112,11 +112,14 @@
 	return true
 }
 
-// registered admits a VM to leases again, after its registration committed.
-func (h *hub) registered(vm rudderfork.VMID) {
+// registered admits a VM to leases again, after its registration committed. The
+// VM counts as leased from now on, so that it expires also if its agent dies
+// before it asks for its first lease.
+func (h *hub) registered(vm rudderfork.VMID, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.expiring, vm)
+	h.grants.Grant(vm, now)
 }
 
 // grant extends a VM's lease; ok is false if it may get none.
--- a/control/session.go
+++ b/control/session.go
@@ -78,7 +78,7 @@
 		return err
 	}
 	s.epoch = res.Epoch
-	s.hub.registered(s.hello.Place.VM)
+	s.hub.registered(s.hello.Place.VM, steady.Now())
 	return nil
 }
 
