Take no latency from refusals and feeds

Cause: found by reading: a refusal's quick answer, and the zero that a feed reports, went into the moving average of the upstream's latency, so that one which refuses or streams would look like the fastest.

Change: a request that says nothing about the latency passes 0, which the picker leaves out (TestRefusalsAreNotFast).

--- a/bench/path.go
+++ b/bench/path.go
@@ -166,7 +166,7 @@
 	id := s.next
 	u.ruling[id] = func(r admission.Ruling) {
 		if r.Verdict == admission.Refuse {
-			s.c.after(pathHop, func() { s.refused(u, c, sent) })
+			s.c.after(pathHop, func() { s.refused(u, c) })
 			return
 		}
 		s.work(u, c, id, sent)
@@ -207,9 +207,9 @@
 	en.picker.Observe(u.vm, rudderfork.Load{InFlight: u.q.InFlight(), Queued: u.q.Queued(), Slots: pathSlots, Latency: u.q.Mean()}, s.c.now)
 }
 
-func (s *pathSim) refused(u *simUpstream, c *simCall, sent time.Time) {
+func (s *pathSim) refused(u *simUpstream, c *simCall) {
 	s.observe(c.en, u)
-	c.en.picker.Done(u.vm, s.c.now.Sub(sent), false, s.c.now)
+	c.en.picker.Done(u.vm, 0, false, s.c.now)
 	s.retry(c)
 }
 
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -109,7 +109,7 @@
 	a.final = a.problem.Status == http.StatusBadRequest || a.problem.Status == http.StatusNotFound
 	kind := a.problem.Type
 	broken := kind == problem.TypeBase+"upstream-down" || kind == problem.TypeBase+"upstream-failed"
-	a.c.pool.done(a.vm, steady.Now().Sub(a.start), broken)
+	a.c.pool.done(a.vm, 0, broken) // a quick refusal is not a quick upstream
 }
 
 // close ends an attempt that was answered. It must be called after the body was
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -248,6 +248,9 @@
 		return
 	}
 	u.failures = 0
+	if took <= 0 {
+		return // a refusal or a feed says nothing about latency
+	}
 	u.good++
 	if u.good >= 2*rampRequests {
 		u.asideCount = 0
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -76,6 +76,20 @@
 	})
 }
 
+// TestRefusalsAreNotFast has one upstream refuse at once and the others answer
+// slowly: it must not look like the fastest. (It did, and drew the requests.)
+func TestRefusalsAreNotFast(t *testing.T) {
+	p := newPicker("a", "b", "full")
+	got := shares(p, 300, t0, func(vm rudderfork.VMID) (time.Duration, bool) {
+		if vm == "full" {
+			return 0, false
+		}
+		return 20 * time.Millisecond, false
+	})
+	assert.Assert(t, p.byVM["full"].latency == 0 && p.byVM["full"].latencyAt.IsZero(), "a refusal counted as a latency")
+	assert.Assert(t, got["a"] > 0 && got["b"] > 0, "%v", got)
+}
+
 func TestLeavingUpstream(t *testing.T) {
 	p := newPicker("a", "b")
 	p.Observe("a", rudderfork.Load{Leaving: true}, t0)
--- a/upstream.go
+++ b/upstream.go
@@ -28,7 +28,8 @@
 	Pick(now time.Time, tried []VMID) (vm VMID, why string, ok bool)
 	// Sent notes that a request went to vm.
 	Sent(vm VMID, now time.Time)
-	// Done notes that the request ended; failed is for broken or refused ones.
+	// Done notes that the request ended; failed is for broken ones. took is 0
+	// if it says nothing about the latency, as for a refusal or a feed.
 	Done(vm VMID, took time.Duration, failed bool, now time.Time)
 	// Observe takes a load that an agent reported.
 	Observe(vm VMID, l Load, now time.Time)
