--- a/bench/real.go
+++ b/bench/real.go
@@ -295,6 +295,22 @@
 	return time.Duration(user+sys) * 10 * time.Millisecond
 }
 
+// ioBytes counts the bytes that a process has read and written, sockets and files
+// alike, without headers of TCP and IP.
+func ioBytes(pid int) (n int64) {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/io", pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.SplitSeq(string(b), "\n") {
+		if name, val, _ := strings.Cut(line, ": "); name == "rchar" || name == "wchar" {
+			v, _ := strconv.ParseInt(val, 10, 64)
+			n += v
+		}
+	}
+	return n
+}
+
 // rss is the resident memory of a process, in MB.
 func rss(pid int) float64 {
 	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
@@ -321,14 +337,16 @@
 	time.Sleep(2 * time.Second)
 	names := []string{"c1", "c2", "c3", "e1", "a1"}
 	before := map[string]time.Duration{}
+	bytes := map[string]int64{}
 	for _, n := range names {
-		before[n] = cpuTime(c.Proc(n).Pid())
+		before[n], bytes[n] = cpuTime(c.Proc(n).Pid()), ioBytes(c.Proc(n).Pid())
 	}
 	const d = 10 * time.Second
 	time.Sleep(d)
 	for _, n := range names {
 		pid := c.Proc(n).Pid()
-		fmt.Fprintf(w, "%-3s CPU %.2f%% of a core, RSS %.1f MB\n", n, 100*(cpuTime(pid)-before[n]).Seconds()/d.Seconds(), rss(pid))
+		fmt.Fprintf(w, "%-3s CPU %.2f%% of a core, RSS %.1f MB, %.2f KB/s read and written\n", n,
+			100*(cpuTime(pid)-before[n]).Seconds()/d.Seconds(), rss(pid), float64(ioBytes(pid)-bytes[n])/1000/d.Seconds())
 	}
 	return nil
 }
@@ -364,3 +382,68 @@
 	}
 	return nil
 }
+
+// Urgent prints how long urgent work waits, from its submission to its start at a
+// worker, while batch work holds all there is.
+func Urgent(w io.Writer, bin string) error {
+	ctx, c, stop, err := cluster(bin, harness.Options{Agents: 4, Entries: 1, CPU: 4000, WorkerFlags: []string{"-checkpoint", "20", "-use-cpu", "1739", "-use-memory", "222"}})
+	if err != nil {
+		return err
+	}
+	defer stop()
+	title(w, "urgent work on 4 VMs that are full of batch work: from submission to start, 10 times")
+	op := c.Operator()
+	cells := func(priority int64) map[string]int64 {
+		return map[string]int64{rudderfork.ColCPU: 2000, rudderfork.ColPriority: priority}
+	}
+	batch := rudderfork.JobSpec{ID: "batch", Team: "t", Kind: "k", Tasks: 40, Units: 100_000, Cells: cells(1)}
+	if _, err := op.Submit(ctx, batch); err != nil {
+		return err
+	}
+	err = harness.Until(ctx, "the VMs to be full", func() error {
+		j, err := op.Job(ctx, batch.ID)
+		if err == nil && j.Running < 8 {
+			err = fmt.Errorf("%d run", j.Running)
+		}
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	var took []time.Duration
+	for i := range 10 {
+		id := rudderfork.JobID(fmt.Sprint("urgent", i))
+		at := time.Now()
+		if _, err := op.Submit(ctx, rudderfork.JobSpec{ID: id, Team: "t", Kind: "u", Tasks: 1, Units: 20, Cells: cells(9)}); err != nil {
+			return err
+		}
+		started, err := firstStart(ctx, c, string(id)+"/0")
+		if err != nil {
+			return err
+		}
+		took = append(took, started.Sub(at))
+		if err := c.WaitJob(ctx, id); err != nil {
+			return err
+		}
+	}
+	fmt.Fprintf(w, "median %.0f ms, slowest %.0f ms\n", ms(quantile(took, 0.5)), ms(quantile(took, 1)))
+	return nil
+}
+
+// firstStart waits for a task's first start and returns its time.
+func firstStart(ctx context.Context, c *harness.Cluster, task string) (at time.Time, err error) {
+	err = harness.Until(ctx, task+" to start", func() error {
+		us, err := c.Units()
+		if err != nil {
+			return err
+		}
+		for _, u := range us {
+			if u.Task == task && u.What == "start" {
+				at = time.UnixMicro(u.From)
+				return nil
+			}
+		}
+		return fmt.Errorf("it has not started")
+	})
+	return at, err
+}
--- a/bench/sections.go
+++ b/bench/sections.go
@@ -26,6 +26,7 @@
 		{"commits", live(Commits)},
 		{"sessions", live(Sessions)},
 		{"idle", live(Idle)},
+		{"urgent", live(Urgent)},
 		{"path", live(Path)},
 	}
 }
