Judge the growth of batch work by what its kind would do

Cause: batch work starved beside a service near its target. The planner kept every kind from a VM above 90% of the target, and let every kind on below; so noisy kinds came in, were throttled to a standstill, and kept the room.

Change: a task is kept from a VM if the pressure times the slowdown learned for its kind would pass the limit (TestGrowsByKind).

--- a/bench/colocation.go
+++ b/bench/colocation.go
@@ -100,7 +100,7 @@
 	if cfg.learned {
 		u = c.usage
 	}
-	c.planner = placement.NewPlanner(placer, u, seed)
+	c.planner = placement.NewPlanner(placer, c.model, u, seed)
 	for i := range coloVMs {
 		c.register(i)
 	}
@@ -316,6 +316,7 @@
 		{"first fit, declared, no throttle", false, false, false},
 		{"scored, learned, no throttle", true, true, false},
 		{"first fit, declared, throttle", false, false, true},
+		{"first fit, learned, throttle", false, true, true},
 		{"scored, declared, throttle", true, false, true},
 		{"scored, learned, throttle (ours)", true, true, true},
 	} {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -31,6 +31,7 @@
 // Planner plans rounds. It is not safe for concurrent use.
 type Planner struct {
 	placer rudderfork.Placer
+	model  rudderfork.Interference
 	rng    *rand.Rand
 	usage  Usage
 }
@@ -49,8 +50,8 @@
 }
 
 // NewPlanner returns a planner.
-func NewPlanner(p rudderfork.Placer, u Usage, seed uint64) *Planner {
-	return &Planner{placer: p, usage: u, rng: rand.New(rand.NewPCG(seed, 2))}
+func NewPlanner(p rudderfork.Placer, model rudderfork.Interference, u Usage, seed uint64) *Planner {
+	return &Planner{placer: p, model: model, usage: u, rng: rand.New(rand.NewPCG(seed, 2))}
 }
 
 // Plan is what one round decided.
@@ -228,7 +229,7 @@
 	}
 	for i := range r.vms {
 		v := r.vms[(start+i)%len(r.vms)]
-		if v.vm.Probation() && v.tasks > 0 || !t.Size.Fits(v.Free) || crowded(t, v) {
+		if v.vm.Probation() && v.tasks > 0 || !t.Size.Fits(v.Free) || p.crowded(t, v, r.now) {
 			continue
 		}
 		out = append(out, v.VMView)
@@ -239,9 +240,9 @@
 	return out
 }
 
-// growLimit is the pressure above which a VM gets no more batch work (Heracles,
-// ISCA 2015: no growth under 10% slack). A job's weight moves it, between
-// growLeast and growMost.
+// growLimit is the pressure past which a task must not bring a VM, as far as its
+// kind is known (Heracles, ISCA 2015, has no growth under 10% slack, whatever
+// would grow). A job's weight moves it, between growLeast and growMost.
 const (
 	growLimit = 0.9
 	growLeast = 0.5
@@ -250,13 +251,18 @@
 	normalWeight = 100
 )
 
-// crowded reports whether the services of v are too near their targets for t.
-func crowded(t rudderfork.TaskView, v *view) bool {
+// crowded reports whether t would bring the services of v too near their targets.
+func (p *Planner) crowded(t rudderfork.TaskView, v *view, now time.Time) bool {
 	if len(v.Services) == 0 || t.Priority >= UrgentPriority {
 		return false
 	}
+	expected := v.Pressure
+	for _, s := range v.Services {
+		factor, _ := p.model.Slowdown(s, t.Kind, now)
+		expected = max(expected, v.Pressure*factor)
+	}
 	limit := growLimit * float64(t.Weight) / normalWeight
-	return v.Pressure > min(max(limit, growLeast), growMost)
+	return expected > min(max(limit, growLeast), growMost)
 }
 
 func (r *round) take(t *state.Task, j *state.Job, size rudderfork.Resources, c rudderfork.Choice) {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -26,7 +26,7 @@
 
 func newWorld(t *testing.T, vms int) *world {
 	w := &world{t: t, s: state.New(), usage: usage.New(func() time.Time { return now })}
-	w.p = NewPlanner(NewScored(interference.New()), w.usage, 1)
+	w.p = NewPlanner(NewScored(interference.New()), interference.New(), w.usage, 1)
 	for i := range vms {
 		w.do(state.Command{Register: &state.Register{
 			Place:    rudderfork.Place{VM: rudderfork.VMID(fmt.Sprintf("vm%d", i)), Domain: "d1"},
@@ -179,3 +179,32 @@
 		assert.Equal(t, w.running("cheap"), 2)
 	})
 }
+
+// kinds is an interference that is known.
+type kinds map[string]float64
+
+func (k kinds) Slowdown(_ rudderfork.Service, kind string, _ time.Time) (factor, stderr float64) {
+	return k[kind], 0
+}
+
+// TestGrowsByKind has a VM near its target: a quiet kind still goes there, one
+// that would bring it over does not, whatever order they come in.
+func TestGrowsByKind(t *testing.T) {
+	w := newWorld(t, 0)
+	model := kinds{"noisy": 1.4, "quiet": 1.01}
+	w.p = NewPlanner(NewScored(model), model, w.usage, 1)
+	w.do(state.Command{Register: &state.Register{
+		Place: rudderfork.Place{VM: "vm0", Domain: "d1"}, Services: []rudderfork.Service{"tour"},
+		Capacity: rudderfork.Resources{CPUMilli: 4000, MemoryMB: 4000},
+	}})
+	w.usage.ObservePressure("vm0", 0.8, false)
+	for _, kind := range []string{"noisy", "quiet"} {
+		w.do(state.Command{Submit: &state.Submit{Spec: rudderfork.JobSpec{ID: rudderfork.JobID(kind), Team: "t", Kind: kind, Tasks: 1, Units: 10}}})
+	}
+	w.round()
+	assert.Equal(t, w.running("quiet"), 1)
+	assert.Equal(t, w.running("noisy"), 0)
+	w.usage.ObservePressure("vm0", 0.5, false)
+	w.round()
+	assert.Equal(t, w.running("noisy"), 1)
+}
