Have the batch proof break VMs that are at work

Cause: a trial on a scratch copy, in which control frees tasks half a lease early, passed TestProveBatch twice. The faults came within milliseconds of the submission, so the VM that was frozen had not started its task yet.

Ruled out: spare room (the proof was run with room for all tasks).

Change: the proof waits until every task of the job has started.

--- a/proof/batch_test.go
+++ b/proof/batch_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -127,6 +128,28 @@
 	}},
 }
 
+// waitStarted waits until every task of a job has started at a worker, so that a
+// fault hits VMs at work.
+func waitStarted(ctx context.Context, t *testing.T, c *harness.Cluster, job rudderfork.JobSpec) {
+	t.Helper()
+	assert.NilError(t, harness.Until(ctx, string(job.ID)+" to start", func() error {
+		us, err := c.Units()
+		if err != nil {
+			return err
+		}
+		started := map[string]bool{}
+		for _, u := range us {
+			if u.What == "start" && strings.HasPrefix(u.Task, string(job.ID)+"/") {
+				started[u.Task] = true
+			}
+		}
+		if len(started) < job.Tasks {
+			return fmt.Errorf("%d of %d tasks have", len(started), job.Tasks)
+		}
+		return nil
+	}))
+}
+
 // checkDecided checks that control took exactly one end of each task.
 func checkDecided(ctx context.Context, t *testing.T, c *harness.Cluster, jobs []rudderfork.JobSpec) {
 	t.Helper()
@@ -194,6 +217,7 @@
 		jobs = append(jobs, job)
 		_, err := op.Submit(ctx, job)
 		assert.NilError(t, err)
+		waitStarted(ctx, t, c, job)
 		at := time.Now()
 		f.do(ctx, t, c)
 		t.Logf("%s: noticed and put right after %v", f.name, time.Since(at).Round(time.Millisecond))
