Forget ended tasks, and drop what nobody calls

Cause: reading the whole change: usage.Forget was never called, so a leader kept a number for each task it ever saw; an agent kept the throttle level of each. quorum.ProposeBatch and lease.Grants.Drop had no caller.

Change: a report that was taken forgets the task; the holder forgets levels of tasks that the worker no longer has (TestForgetsThrottles); both unused functions go. No decision changes.

--- a/control/learned.go
+++ b/control/learned.go
@@ -69,6 +69,13 @@
 	return now.Sub(at), ok
 }
 
+// forget drops what is known of an attempt that has ended.
+func (l *learned) forget(t rudderfork.TaskID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.usage.Forget(t)
+}
+
 // rate notes on leases how much their kinds are expected to slow the services,
 // so that the agent throttles the worst first.
 func (l *learned) rate(ls []rudderfork.Lease, services []rudderfork.Service, now time.Time) {
--- a/control/session.go
+++ b/control/session.go
@@ -302,6 +302,7 @@
 		if !res.Taken[i] {
 			continue // it came before
 		}
+		s.hub.learned.forget(r.Task)
 		s.hub.rec.Record(rudderfork.Event{Kind: "task_" + string(r.Outcome), Subject: string(r.Task), Text: fmt.Sprintf("token %d on %s, %d units saved %s", r.Token, s.hello.Place.VM, r.Checkpoint, r.Reason)})
 	}
 	s.answer(wire.ToNode{Taken: &wire.Taken{ID: b.ID}})
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -139,6 +139,11 @@
 	for _, t := range tasks {
 		h.seen[t.Task] = t
 	}
+	for id := range h.throttle {
+		if _, ok := h.seen[id]; !ok {
+			delete(h.throttle, id)
+		}
+	}
 	for ref := range h.started {
 		if h.want[ref.Task].Token != ref.Token {
 			delete(h.started, ref)
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -55,9 +55,6 @@
 	return g.deadlines[vm]
 }
 
-// Drop forgets a VM that holds no lease any more.
-func (g *Grants) Drop(vm rudderfork.VMID) { delete(g.deadlines, vm) }
-
 // Expired reports whether no lease of the VM can be in force anywhere.
 func (g *Grants) Expired(vm rudderfork.VMID, now time.Time) bool {
 	d, ok := g.deadlines[vm]
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -157,6 +157,18 @@
 	})
 }
 
+// TestForgetsThrottles has many tasks throttled and gone: nothing of them stays.
+func TestForgetsThrottles(t *testing.T) {
+	h := newHolder()
+	for i := range 100 {
+		a := task(fmt.Sprintf("a/%d", i), 1)
+		h.Observe("b1", []WorkerTask{running(a)})
+		h.SetThrottle(a.Task, 2)
+	}
+	h.Observe("b1", nil)
+	assert.Equal(t, len(h.throttle), 0)
+}
+
 // TestRoom starts and keeps tasks in any mixture: what runs never exceeds the
 // room, whatever was assigned.
 func TestRoom(t *testing.T) {
--- a/quorum/leader.go
+++ b/quorum/leader.go
@@ -74,19 +74,6 @@
 	return index, n.hard.Term, true
 }
 
-// ProposeBatch appends several commands and sends them together.
-func (n *Node) ProposeBatch(datas [][]byte, now time.Time) (first, term uint64, ok bool) {
-	if n.role != Leader || len(datas) == 0 {
-		return 0, 0, false
-	}
-	first = n.log.last() + 1
-	for _, d := range datas {
-		n.appendEntry(Entry{Kind: EntryCommand, Data: d})
-	}
-	n.flush(now)
-	return first, n.hard.Term, true
-}
-
 func (n *Node) appendEntry(e Entry) uint64 {
 	e.Index = n.log.last() + 1
 	e.Term = n.hard.Term
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -74,7 +74,7 @@
 	}
 }
 
-// Forget drops a task that has ended.
+// Forget drops a task whose attempt has ended.
 func (m *Model) Forget(t rudderfork.TaskID) { delete(m.lost, t) }
 
 // ObservePressure takes how near a VM's services are to their targets, and
