--- a/control/api.go
+++ b/control/api.go
@@ -14,6 +14,7 @@
 	"rudderfork.example/rudderfork/internal/admin"
 	"rudderfork.example/rudderfork/internal/problem"
 	"rudderfork.example/rudderfork/internal/steady"
+	"rudderfork.example/rudderfork/replica"
 	"rudderfork.example/rudderfork/state"
 	"rudderfork.example/rudderfork/timeline"
 )
@@ -28,13 +29,13 @@
 // api is the operators' interface; docs/API.md describes it.
 type api struct {
 	cfg     Settings
-	rep     *Replica
+	rep     *replica.Replica
 	hub     *hub
 	learned *learned
 	ring    *timeline.Ring
 }
 
-func newAPI(cfg Settings, rep *Replica, h *hub, l *learned, ring *timeline.Ring) *api {
+func newAPI(cfg Settings, rep *replica.Replica, h *hub, l *learned, ring *timeline.Ring) *api {
 	return &api{cfg, rep, h, l, ring}
 }
 
@@ -81,7 +82,7 @@
 		ctx, cancel := context.WithTimeout(r.Context(), commandTimeout)
 		defer cancel()
 		if err := a.rep.Barrier(ctx); err != nil {
-			a.fail(w, ErrNotLeader)
+			a.fail(w, replica.ErrNotLeader)
 			return
 		}
 		if err := h(w, r.WithContext(ctx)); err != nil {
@@ -100,10 +101,10 @@
 	case errors.As(err, &p):
 	case errors.As(err, &tooLarge):
 		p = problem.New(http.StatusRequestEntityTooLarge, "too-large", fmt.Sprintf("the body is larger than %d bytes", tooLarge.Limit), rudderfork.RanNo)
-	case errors.Is(err, ErrUnknown):
+	case errors.Is(err, replica.ErrUnknown):
 		p = problem.New(http.StatusGatewayTimeout, "unknown", "the change may or may not be accepted; send it again with the same id", rudderfork.RanUnknown)
 		p.RetryAt = steady.Now().Add(retryPause)
-	case errors.Is(err, ErrNotLeader), errors.Is(err, ErrSuperseded):
+	case errors.Is(err, replica.ErrNotLeader), errors.Is(err, replica.ErrSuperseded):
 		p = problem.New(http.StatusServiceUnavailable, "no-leader", "no leader answers here now; nothing was changed", rudderfork.RanNo)
 		p.RetryAt = steady.Now().Add(retryPause)
 	default:
--- a/control/control.go
+++ b/control/control.go
@@ -11,13 +11,9 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
-	"path/filepath"
-	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -31,7 +27,7 @@
 	"rudderfork.example/rudderfork/internal/steady"
 	"rudderfork.example/rudderfork/lease"
 	"rudderfork.example/rudderfork/placement"
-	"rudderfork.example/rudderfork/quorum"
+	"rudderfork.example/rudderfork/replica"
 	"rudderfork.example/rudderfork/timeline"
 	"rudderfork.example/rudderfork/usage"
 )
@@ -47,7 +43,7 @@
 	cfg     Settings
 	log     zerolog.Logger
 	store   *disk.Store
-	replica *Replica
+	replica *replica.Replica
 	sup     *suture.Supervisor
 }
 
@@ -55,7 +51,7 @@
 // formatted under a new member ID, so that the process joins the group anew.
 func New(cfg Settings, log zerolog.Logger) (p *Process, err error) {
 	defer errs.Annotate(&err, "control %s", cfg.Name)
-	store, err := openStore(cfg, log)
+	store, err := replica.OpenStore(cfg.Data, cfg.Name, cfg.Group, log)
 	if err != nil {
 		return nil, err
 	}
@@ -64,10 +60,10 @@
 		return nil, err
 	}
 	ring := timeline.NewRing(cfg.Name, cfg.Place, timelineSize, steady.Now)
-	peers := newPeers(cfg, store.Identity(), log)
-	rep, err := NewReplica(ReplicaConfig{
+	peers := replica.NewPeers(cfg.self(store.Identity().ID), cfg.addrs(), cfg.Dial, log)
+	rep, err := replica.New(replica.Config{
 		ElectionTimeout: cfg.ElectionTimeout, Heartbeat: cfg.Heartbeat,
-		SnapshotEvery: cfg.SnapshotEvery, Seed: seedOf(cfg.Name),
+		SnapshotEvery: cfg.SnapshotEvery, Seed: replica.Seed(cfg.Name),
 	}, store, peers, log, ring, steady.Now)
 	if err != nil {
 		return nil, err
@@ -76,9 +72,9 @@
 }
 
 // assemble wires the parts together under one supervisor.
-func assemble(cfg Settings, log zerolog.Logger, store *disk.Store, rep *Replica, peers *peers, ring *timeline.Ring, ln, adminLn net.Listener) *Process {
+func assemble(cfg Settings, log zerolog.Logger, store *disk.Store, rep *replica.Replica, peers *replica.Peers, ring *timeline.Ring, ln, adminLn net.Listener) *Process {
 	learned := &learned{interference: interference.New(), usage: usage.New(steady.Now)}
-	planner := placement.NewPlanner(placement.NewScored(learned), learned, learned, seedOf(cfg.Name))
+	planner := placement.NewPlanner(placement.NewScored(learned), learned, learned, replica.Seed(cfg.Name))
 	grants := lease.NewGrants(cfg.LeaseTerm, cfg.ClockBound)
 	hub := newHub(cfg, rep, grants, learned, log, ring)
 	lead := newLeader(cfg, rep, hub, planner, log, ring)
@@ -86,7 +82,7 @@
 	adm.Registry().MustRegister(newCollector(rep, hub))
 
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /peer", peers.accept(rep))
+	mux.HandleFunc("GET /peer", peers.Accept(rep))
 	mux.HandleFunc("GET /node", hub.accept)
 	newAPI(cfg, rep, hub, learned, ring).routes(mux)
 	srv := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
@@ -114,27 +110,6 @@
 	return err
 }
 
-func openStore(cfg Settings, log zerolog.Logger) (*disk.Store, error) {
-	store, err := disk.Open(cfg.Data)
-	if errors.Is(err, disk.ErrCorrupt) {
-		to, aerr := disk.SetAside(cfg.Data, steady.Now())
-		if aerr != nil {
-			return nil, errors.Join(err, aerr)
-		}
-		log.Error().Err(err).Str("moved_to", filepath.Base(to)).Msg("data_folder_corrupt")
-		err = disk.ErrEmpty
-	}
-	if !errors.Is(err, disk.ErrEmpty) {
-		return store, err
-	}
-	id := disk.Identity{ID: memberID(cfg.Name, rand.Text()[:8]), Group: cfg.Group}
-	if err := disk.Format(cfg.Data, id); err != nil {
-		return nil, err
-	}
-	log.Warn().Str("member", string(id.ID)).Msg("data_folder_empty_joining")
-	return disk.Open(cfg.Data)
-}
-
 // Format writes the identity of a founding member into the data folder. It must
 // be called once in the life of a group, on each founding member.
 func Format(ctx context.Context, cfg Settings) (err error) {
@@ -144,36 +119,15 @@
 			return fmt.Errorf("group %s is formed already: %s answers; start without format, to join", cfg.Group, m.Name)
 		}
 	}
-	id := disk.Identity{ID: memberID(cfg.Name, founding), Group: cfg.Group}
+	id := disk.Identity{ID: replica.MemberID(cfg.Name, replica.Founding), Group: cfg.Group}
 	for _, m := range cfg.Peers {
-		m.ID = memberID(m.Name, founding)
+		m.ID = replica.MemberID(m.Name, replica.Founding)
 		m.Voter = true
 		id.Members = append(id.Members, m)
 	}
 	return disk.Format(cfg.Data, id)
 }
 
-// founding is the life that Format gives to founding members.
-const founding = "1"
-
-func memberID(name, life string) quorum.MemberID { return quorum.MemberID(name + "#" + life) }
-
-// memberName is the name of which id is a life.
-func memberName(id quorum.MemberID) string {
-	name, _, _ := strings.Cut(string(id), "#")
-	return name
-}
-
-// seedOf makes a seed from a name, so that replicas draw different timeouts.
-func seedOf(name string) uint64 {
-	const prime = 1_099_511_628_211 // FNV-1a
-	h := uint64(14_695_981_039_346_656_037)
-	for _, b := range []byte(name) {
-		h = (h ^ uint64(b)) * prime
-	}
-	return h
-}
-
 // httpService runs an HTTP server under a supervisor.
 type httpService struct {
 	srv *http.Server
--- a/control/hub.go
+++ b/control/hub.go
@@ -13,6 +13,7 @@
 	"rudderfork.example/rudderfork"
 	"rudderfork.example/rudderfork/internal/steady"
 	"rudderfork.example/rudderfork/lease"
+	"rudderfork.example/rudderfork/replica"
 	"rudderfork.example/rudderfork/state"
 	"rudderfork.example/rudderfork/wire"
 )
@@ -34,7 +35,7 @@
 // begun for the present term.
 type hub struct {
 	cfg     Settings
-	rep     *Replica
+	rep     *replica.Replica
 	learned *learned
 	log     zerolog.Logger
 	rec     rudderfork.Recorder
@@ -61,7 +62,7 @@
 	BehindSince time.Time `json:"behind_since,omitzero"`
 }
 
-func newHub(cfg Settings, rep *Replica, g *lease.Grants, l *learned, log zerolog.Logger, rec rudderfork.Recorder) *hub {
+func newHub(cfg Settings, rep *replica.Replica, g *lease.Grants, l *learned, log zerolog.Logger, rec rudderfork.Recorder) *hub {
 	return &hub{
 		cfg: cfg, rep: rep, learned: l, log: log, rec: rec, grants: g,
 		expiring: map[rudderfork.VMID]bool{}, sessions: map[*session]bool{}, nodes: map[string]Node{},
@@ -96,7 +97,7 @@
 	st := h.rep.Status()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return st.leads() && st.Term == h.term
+	return st.Leads() && st.Term == h.term
 }
 
 // expire reports whether no lease of the VM can be in force. From then on the
@@ -127,7 +128,7 @@
 	st := h.rep.Status()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !st.leads() || st.Term != h.term || h.expiring[vm] {
+	if !st.Leads() || st.Term != h.term || h.expiring[vm] {
 		return deadline, false
 	}
 	return h.grants.Grant(vm, time.Unix(0, st.ContactNS)), true
@@ -148,7 +149,7 @@
 			h.closeAll()
 			return ctx.Err()
 		case <-changed:
-			pause(ctx, pushPause)
+			steady.Pause(ctx, pushPause)
 		}
 	}
 }
--- a/control/hub_test.go
+++ b/control/hub_test.go
@@ -16,6 +16,11 @@
 	testBound = time.Second
 )
 
+// nobody is a recorder that keeps nothing.
+type nobody struct{}
+
+func (nobody) Record(rudderfork.Event) {}
+
 func newTestHub() *hub {
 	return newHub(Settings{}, nil, lease.NewGrants(testTerm, testBound), nil, zerolog.Nop(), nobody{})
 }
--- a/control/leader.go
+++ b/control/leader.go
@@ -12,6 +12,7 @@
 	"rudderfork.example/rudderfork"
 	"rudderfork.example/rudderfork/internal/steady"
 	"rudderfork.example/rudderfork/placement"
+	"rudderfork.example/rudderfork/replica"
 	"rudderfork.example/rudderfork/state"
 )
 
@@ -28,7 +29,7 @@
 // takes the platform's list of leaving VMs.
 type leader struct {
 	cfg     Settings
-	rep     *Replica
+	rep     *replica.Replica
 	hub     *hub
 	planner *placement.Planner
 	log     zerolog.Logger
@@ -39,7 +40,7 @@
 	platformAt time.Time
 }
 
-func newLeader(cfg Settings, rep *Replica, h *hub, p *placement.Planner, log zerolog.Logger, rec rudderfork.Recorder) *leader {
+func newLeader(cfg Settings, rep *replica.Replica, h *hub, p *placement.Planner, log zerolog.Logger, rec rudderfork.Recorder) *leader {
 	return &leader{cfg: cfg, rep: rep, hub: h, planner: p, log: log, rec: rec, hc: &http.Client{Timeout: platformPause}}
 }
 
@@ -59,7 +60,7 @@
 		select {
 		case <-ctx.Done():
 		case <-changed:
-			pause(ctx, roundPause)
+			steady.Pause(ctx, roundPause)
 		case <-wait.C:
 		}
 		wait.Stop()
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"rudderfork.example/rudderfork/replica"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"rudderfork.example/rudderfork/state"
@@ -8,13 +10,13 @@
 
 // collector exports a replica's figures.
 type collector struct {
-	rep *Replica
+	rep *replica.Replica
 	hub *hub
 
 	commit, table, logBytes, leads, sessions, tasks, vms, claims *prometheus.Desc
 }
 
-func newCollector(rep *Replica, h *hub) *collector {
+func newCollector(rep *replica.Replica, h *hub) *collector {
 	desc := func(name, help string, labels ...string) *prometheus.Desc {
 		return prometheus.NewDesc("rudderfork_control_"+name, help, labels, nil)
 	}
--- a/control/settings.go
+++ b/control/settings.go
@@ -72,3 +72,28 @@
 	}
 	return cfg, f.Err()
 }
+
+// self returns this process as a member of the group.
+func (s Settings) self(id quorum.MemberID) quorum.Member {
+	self := quorum.Member{ID: id, Name: s.Name}
+	for _, m := range s.Peers {
+		if m.Name == s.Name {
+			self.Addr = m.Addr
+		}
+	}
+	return self
+}
+
+// addrs returns where the other founding members are reached.
+func (s Settings) addrs() (addrs []string) {
+	for _, m := range s.Peers {
+		switch a := s.Dial[m.Name]; {
+		case m.Name == s.Name:
+		case a != "":
+			addrs = append(addrs, a)
+		default:
+			addrs = append(addrs, m.Addr)
+		}
+	}
+	return addrs
+}
--- a/disk/disk.go
+++ b/disk/disk.go
@@ -7,9 +7,9 @@
 // members; tail holds how far log-g was synced.
 //
 // A record is a length, a CRC-32C and a CBOR payload. Reading tells three
-// things apart: a record that ends past the end of the file beyond the synced
-// length is a torn write, which was never acknowledged, and is cut off; every
-// other mismatch is corruption, and Open fails with ErrCorrupt. A corrupt
+// things apart: a record that does not read beyond the synced length is a torn
+// write, which was never acknowledged, and is cut off; every other mismatch is
+// corruption, and Open fails with ErrCorrupt. A corrupt
 // folder is never read as valid, because what it lost may have been committed;
 // SetAside moves it away so that the replica can rejoin under a new ID
 // (after "Protocol-Aware Recovery", FAST 2018).
@@ -88,6 +88,9 @@
 	if len(names) > 0 {
 		return errors.New("the folder is not empty")
 	}
+	if err := syncDir(filepath.Dir(dir)); err != nil {
+		return err
+	}
 	return writeSealed(filepath.Join(dir, "identity"), id)
 }
 
--- a/disk/disk_test.go
+++ b/disk/disk_test.go
@@ -209,3 +209,31 @@
 		})
 	}
 }
+
+// TestGarbledUnsynced ends the log with a batch of full length that reached the
+// disk in part, as a loss of power in the middle of a sync can leave it: it is
+// cut off like a short one.
+func TestGarbledUnsynced(t *testing.T) {
+	dir := filled(t)
+	path := filepath.Join(dir, "log-00000002")
+	whole, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	batch, err := encodeRecords(nil, entries(11, 13, 1))
+	assert.NilError(t, err)
+	for _, hole := range [][2]int{{0, len(batch)}, {0, 4}, {4, 12}, {len(batch) / 2, len(batch)}} {
+		garbled := append([]byte(nil), batch...)
+		clear(garbled[hole[0]:hole[1]])
+		assert.NilError(t, os.WriteFile(path, append(append([]byte(nil), whole...), garbled...), fileMode))
+		s, err := Open(dir)
+		assert.NilError(t, err, "zeroes at %v", hole)
+		_, _, es := s.Loaded()
+		assert.Assert(t, len(es) >= 5, "a synced entry is lost")
+		checkEntries(t, es[:5], entries(6, 10, 1))
+		assert.NilError(t, s.Close())
+		assert.NilError(t, os.Remove(filepath.Join(dir, "tail"))) // the mark of the next round is the whole
+		assert.NilError(t, os.WriteFile(path, whole, fileMode))
+		s, err = Open(dir)
+		assert.NilError(t, err)
+		assert.NilError(t, s.Close())
+	}
+}
--- a/disk/file.go
+++ b/disk/file.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		return err
 	}
-	payload, _, err := recordAt(data, 0)
+	payload, err := recordAt(data, 0)
 	if err != nil {
 		return err
 	}
--- a/disk/load.go
+++ b/disk/load.go
@@ -117,8 +117,10 @@
 	}
 	off := 0
 	for off < len(data) {
-		payload, torn, err := recordAt(data, off)
-		if torn && int64(off) >= synced {
+		payload, err := recordAt(data, off)
+		if err != nil && int64(off) >= synced {
+			// Each batch is synced before the next is written, so only the last
+			// one can be unsynced: what does not read past the mark is torn.
 			return int64(off), nil
 		}
 		if err != nil {
@@ -132,25 +134,24 @@
 	return int64(off), nil
 }
 
-// recordAt returns the payload at off. torn is true if the file ends before
-// the record does.
-func recordAt(data []byte, off int) (payload []byte, torn bool, err error) {
+// recordAt returns the payload at off.
+func recordAt(data []byte, off int) (payload []byte, err error) {
 	rest := data[off:]
 	if len(rest) < headerSize {
-		return nil, true, fmt.Errorf("cut record: %w", ErrCorrupt)
+		return nil, fmt.Errorf("cut record: %w", ErrCorrupt)
 	}
 	n := binary.LittleEndian.Uint32(rest)
-	if n > maxRecord {
-		return nil, false, fmt.Errorf("length %d: %w", n, ErrCorrupt)
+	if n == 0 || n > maxRecord {
+		return nil, fmt.Errorf("length %d: %w", n, ErrCorrupt)
 	}
 	if int(n) > len(rest)-headerSize {
-		return nil, true, fmt.Errorf("cut record: %w", ErrCorrupt)
+		return nil, fmt.Errorf("cut record: %w", ErrCorrupt)
 	}
 	payload = rest[headerSize : headerSize+int(n)]
 	if crc32.Checksum(payload, castagnoli) != binary.LittleEndian.Uint32(rest[4:]) {
-		return nil, false, fmt.Errorf("checksum: %w", ErrCorrupt)
+		return nil, fmt.Errorf("checksum: %w", ErrCorrupt)
 	}
-	return payload, false, nil
+	return payload, nil
 }
 
 func (s *Store) takeRecord(payload []byte) error {
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -22,6 +22,7 @@
 	"rudderfork.example/rudderfork"
 	"rudderfork.example/rudderfork/control"
 	"rudderfork.example/rudderfork/internal/errs"
+	"rudderfork.example/rudderfork/replica"
 	"rudderfork.example/rudderfork/state"
 )
 
@@ -224,7 +225,7 @@
 }
 
 // Status asks one control process for its view of the group.
-func (c *Client) Status(ctx context.Context, addr string) (st control.Status, err error) {
+func (c *Client) Status(ctx context.Context, addr string) (st replica.Status, err error) {
 	_, err = c.try(ctx, addr, request{method: http.MethodGet, path: "/v1/status"}, &st)
 	return st, err
 }
--- a/proof/main_test.go
+++ b/proof/main_test.go
@@ -15,8 +15,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"rudderfork.example/rudderfork/control"
 	"rudderfork.example/rudderfork/internal/harness"
+	"rudderfork.example/rudderfork/replica"
 )
 
 // testLimit bounds one proof. It ends a proof that hangs; no promise rests on it.
@@ -75,7 +75,7 @@
 	return name
 }
 
-func status(ctx context.Context, c *harness.Cluster, name string) (control.Status, error) {
+func status(ctx context.Context, c *harness.Cluster, name string) (replica.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	return c.Operator().Status(ctx, c.Proc(name).Listen())
--- /dev/null
+++ b/queue/apply.go
@@ -0,0 +1,325 @@
+package queue
+
+import (
+	"regexp"
+
+	"rudderfork.example/rudderfork"
+)
+
+// jobIDForm is the form of a job's ID in a path.
+var jobIDForm = regexp.MustCompile(`^[0-9A-Za-z_-]{1,64}$`)
+
+// Apply applies a command. at is the proposer's clock, Unix ms.
+func (s *State) Apply(c Command, at int64) Result {
+	switch {
+	case c.Document != nil:
+		return s.takeDocument(c.Document)
+	case c.Submit != nil:
+		s.forget(at - c.Submit.KeepMS)
+		return s.submit(*c.Submit, at)
+	case c.Cancel != nil:
+		return s.cancel(*c.Cancel, at)
+	case len(c.Starts) > 0:
+		return s.start(c.Starts, at)
+	case c.Ends != nil:
+		return s.takeEnds(*c.Ends, at)
+	case c.Register != nil:
+		return s.register(*c.Register, at)
+	case c.Lost != nil:
+		return s.lose(*c.Lost, at)
+	}
+	return Result{Code: Invalid, Text: "the command is empty"}
+}
+
+func (s *State) takeDocument(d *Document) Result {
+	if err := d.Check(); err != nil {
+		return Result{Code: Invalid, Text: err.Error()}
+	}
+	if s.doc != nil && d.Version <= s.doc.Version {
+		return Result{Code: Stale}
+	}
+	s.setDocument(d)
+	return Result{Code: OK}
+}
+
+func (s *State) setDocument(d *Document) {
+	s.doc = d
+	clear(s.queue)
+	for i := range d.Queues {
+		s.queue[d.Queues[i].Name] = &d.Queues[i]
+	}
+}
+
+// forget drops jobs that ended before the given time.
+func (s *State) forget(before int64) {
+	for len(s.ended) > 0 {
+		j := s.jobs[s.ended[0]]
+		if j.EndedAt >= before || j.ActiveRuns > 0 {
+			return
+		}
+		delete(s.jobs, j.ID)
+		s.ended = s.ended[1:]
+	}
+}
+
+// locate finds the queue and the job's ID that a host and path name.
+func (s *State) locate(host, path string) (q Queue, id rudderfork.JobID, refusal Result, ok bool) {
+	if s.doc == nil {
+		return q, "", Result{Code: NoDocument, Text: "no document was ever taken"}, false
+	}
+	q, rest, found := s.doc.Find(host, path)
+	if !found {
+		return q, "", Result{Code: NoQueue, Text: "no queue has this host and path"}, false
+	}
+	if !jobIDForm.MatchString(rest) {
+		return q, "", Result{Code: Invalid, Text: "the path does not end with a job's ID"}, false
+	}
+	return q, rudderfork.JobID(rest), refusal, true
+}
+
+func (s *State) submit(c Submit, at int64) Result {
+	q, id, refusal, ok := s.locate(c.Host, c.Path)
+	if !ok {
+		return refusal
+	}
+	if s.jobs[id] != nil {
+		return Result{Code: OK, Job: id, Queue: q.Name, Text: "handed in before"}
+	}
+	if err := c.Spec.Check(); err != nil {
+		return Result{Code: Invalid, Text: err.Error()}
+	}
+	j := &Job{ID: id, Queue: q, Spec: c.Spec, Status: Queued, SubmittedAt: at, Times: occurrences(c.Spec)}
+	s.jobs[id] = j
+	s.live[id] = j
+	return Result{Code: OK, Job: id, Queue: q.Name}
+}
+
+func occurrences(spec Spec) []*Occurrence {
+	n, first, every := 1, int64(0), int64(0)
+	if r := spec.Repeat; r != nil {
+		n, first, every = r.Count, r.FirstMS, r.EveryMS
+	}
+	times := make([]*Occurrence, 0, n)
+	for k := range n {
+		o := &Occurrence{DueMS: first + int64(k)*every}
+		for _, st := range spec.Steps {
+			o.Steps = append(o.Steps, make([]Task, st.Count))
+			o.Left = append(o.Left, st.Count)
+		}
+		times = append(times, o)
+	}
+	return times
+}
+
+func (s *State) cancel(c Cancel, at int64) Result {
+	_, id, refusal, ok := s.locate(c.Host, c.Path)
+	if !ok {
+		return refusal
+	}
+	j := s.jobs[id]
+	if j == nil {
+		return Result{Code: NoJob, Job: id}
+	}
+	if !j.Status.Final() {
+		s.finish(j, Cancelled, at)
+	}
+	return Result{Code: OK, Job: id, Queue: j.Queue.Name}
+}
+
+func (s *State) finish(j *Job, status Status, at int64) {
+	j.Status = status
+	j.EndedAt = at
+	s.ended = append(s.ended, j.ID)
+	s.retire(j)
+}
+
+// start gives run numbers to the starts that are still right.
+func (s *State) start(starts []Start, at int64) Result {
+	res := Result{Code: OK, Numbers: make([]uint32, len(starts))}
+	for i := 0; i < len(starts); {
+		n := 1
+		for starts[i].Group != 0 && i+n < len(starts) && starts[i+n].Group == starts[i].Group {
+			n++
+		}
+		s.startTogether(starts[i:i+n], res.Numbers[i:i+n], at)
+		i += n
+	}
+	return res
+}
+
+// startTogether starts all of the list under one number, or none.
+func (s *State) startTogether(list []Start, numbers []uint32, at int64) {
+	number := uint32(0)
+	for _, st := range list {
+		if j := s.jobs[st.Task.Job]; j != nil && j.Task(st.Task) != nil {
+			number = max(number, j.Task(st.Task).LastRun+1)
+		}
+	}
+	for i, st := range list {
+		if !s.startable(st, at) {
+			s.undo(list[:i])
+			return
+		}
+		j := s.jobs[st.Task.Job]
+		s.addRun(j, st.Task, j.Task(st.Task), Run{number, st.VM, at})
+	}
+	for i, st := range list {
+		j := s.jobs[st.Task.Job]
+		j.Task(st.Task).LastRun = number
+		j.Begun = true
+		j.Status = Running
+		numbers[i] = number
+	}
+}
+
+func (s *State) undo(list []Start) {
+	for _, st := range list {
+		j := s.jobs[st.Task.Job]
+		t := j.Task(st.Task)
+		s.removeRun(j, st.Task, t, len(t.Runs)-1)
+	}
+}
+
+func (s *State) startable(st Start, at int64) bool {
+	j, vm := s.jobs[st.Task.Job], s.vms[st.VM]
+	if j == nil || vm == nil || vm.Life != st.Life || !s.Runnable(j, st.Task, at) {
+		return false
+	}
+	runs := len(j.Task(st.Task).Runs)
+	if runs > 1 || runs == 1 && (!st.Copy || !j.Spec.Steps[st.Task.Step].Speculative) {
+		return false
+	}
+	return s.Obstacle(j, st.Task, vm) == ""
+}
+
+func (s *State) takeEnds(c Ends, at int64) Result {
+	res := Result{Code: OK, Taken: make([]bool, len(c.List))}
+	vm := s.vms[c.VM]
+	if vm == nil || vm.Life != c.Life {
+		return res // its runs were counted as lost with that life
+	}
+	for i, e := range c.List {
+		res.Taken[i] = s.endRun(c.VM, e, at)
+	}
+	return res
+}
+
+// endRun takes the end of an active run; false means that it is not active.
+func (s *State) endRun(vm rudderfork.VMID, e End, at int64) bool {
+	j := s.jobs[e.Task.Job]
+	if j == nil {
+		return false
+	}
+	t := j.Task(e.Task)
+	if t == nil {
+		return false
+	}
+	for i, r := range t.Runs {
+		if r.VM == vm && r.Number == e.Run {
+			s.removeRun(j, e.Task, t, i)
+			s.settle(j, e, t, at)
+			return true
+		}
+	}
+	return false
+}
+
+// settle draws the conclusions of a run's end for its task and job.
+func (s *State) settle(j *Job, e End, t *Task, at int64) {
+	st := j.Spec.Steps[e.Task.Step]
+	t.EndedAt = at
+	if e.Checkpoint != "" && st.Checkpoints {
+		s.saveCheckpoint(j, e.Task, e.Checkpoint)
+	}
+	if j.Status.Final() {
+		return
+	}
+	switch {
+	case st.Lasting:
+		// However it ended, it is started again.
+	case e.How == EndDone && st.Gang:
+		for i := range j.Times[e.Task.Time].Steps[e.Task.Step] {
+			k := e.Task
+			k.Index = i
+			s.taskDone(j, k, at)
+		}
+	case e.How == EndDone:
+		s.taskDone(j, e.Task, at)
+	case e.How == EndFailed && !t.Done:
+		s.taskFailed(j, e.Task, at)
+	}
+}
+
+// saveCheckpoint keeps a checkpoint; that of one member serves its whole gang.
+func (s *State) saveCheckpoint(j *Job, k TaskKey, checkpoint string) {
+	if !j.Spec.Steps[k.Step].Gang {
+		j.Task(k).Checkpoint = checkpoint
+		return
+	}
+	members := j.Times[k.Time].Steps[k.Step]
+	for i := range members {
+		members[i].Checkpoint = checkpoint
+	}
+}
+
+func (s *State) taskDone(j *Job, k TaskKey, at int64) {
+	t := j.Task(k)
+	if t.Done {
+		return
+	}
+	t.Done = true
+	j.Times[k.Time].Left[k.Step]--
+	for _, o := range j.Times {
+		for _, left := range o.Left {
+			if left > 0 {
+				return
+			}
+		}
+	}
+	s.finish(j, Completed, at)
+}
+
+// taskFailed counts a failed attempt. The members of a gang count together, on
+// the first of them.
+func (s *State) taskFailed(j *Job, k TaskKey, at int64) {
+	if j.Spec.Steps[k.Step].Gang {
+		k.Index = 0
+	}
+	t := j.Task(k)
+	t.Failures++
+	if t.Failures >= max(1, s.Row(j).MaxAttempts) {
+		s.finish(j, Failed, at)
+	}
+}
+
+// register takes a VM's description of itself. With a new life, all that ran
+// there before is over.
+func (s *State) register(v VM, at int64) Result {
+	old := s.vms[v.ID]
+	if old != nil && old.Life != v.Life {
+		s.endAll(old, nil, at)
+	}
+	v.Live = true
+	if old != nil {
+		v.used, v.runs = old.used, old.runs
+	}
+	s.vms[v.ID] = &v
+	return Result{Code: OK}
+}
+
+func (s *State) lose(c Lost, at int64) Result {
+	vm := s.vms[c.VM]
+	if vm == nil || vm.Life != c.Life {
+		return Result{Code: Stale}
+	}
+	s.endAll(vm, c.Checkpoints, at)
+	vm.Live = false
+	return Result{Code: OK}
+}
+
+// endAll ends every active run of a VM without a report of its own.
+func (s *State) endAll(vm *VM, checkpoints map[TaskKey]string, at int64) {
+	for _, k := range sortedKeys(vm.runs) {
+		s.endRun(vm.ID, End{Task: k, Run: vm.runs[k], How: EndGone, Checkpoint: checkpoints[k]}, at)
+	}
+}
--- /dev/null
+++ b/queue/command.go
@@ -0,0 +1,88 @@
+package queue
+
+import "rudderfork.example/rudderfork"
+
+// Command is one change of the queues. Exactly one of the pointers is set.
+type Command struct {
+	Document *Document `cbor:"1,keyasint,omitempty"`
+	Submit   *Submit   `cbor:"2,keyasint,omitempty"`
+	Cancel   *Cancel   `cbor:"3,keyasint,omitempty"`
+	Starts   []Start   `cbor:"4,keyasint,omitempty"`
+	Ends     *Ends     `cbor:"5,keyasint,omitempty"`
+	Register *VM       `cbor:"6,keyasint,omitempty"`
+	Lost     *Lost     `cbor:"7,keyasint,omitempty"`
+}
+
+// Submit hands in a job at a host and path, whose last part is the job's ID.
+type Submit struct {
+	Host string `cbor:"1,keyasint"`
+	Path string `cbor:"2,keyasint"`
+	Spec Spec   `cbor:"3,keyasint"`
+
+	// KeepMS is how long the status of a finished job is kept.
+	KeepMS int64 `cbor:"4,keyasint"`
+}
+
+// Cancel cancels the job whose ID ends the path.
+type Cancel struct {
+	Host string `cbor:"1,keyasint"`
+	Path string `cbor:"2,keyasint"`
+}
+
+// Start asks for a run of a task on a VM. Tasks of a gang that share Group
+// start together, or not at all. Copy allows a second run beside one that is
+// active.
+type Start struct {
+	Task  TaskKey         `cbor:"1,keyasint"`
+	VM    rudderfork.VMID `cbor:"2,keyasint"`
+	Life  string          `cbor:"3,keyasint"`
+	Copy  bool            `cbor:"4,keyasint,omitempty"`
+	Group int             `cbor:"5,keyasint,omitempty"` // 0 means none
+}
+
+// End tells how a run on the VM of the Ends ended.
+type End struct {
+	Task       TaskKey `cbor:"1,keyasint"`
+	Run        uint32  `cbor:"2,keyasint"`
+	How        Ending  `cbor:"3,keyasint"`
+	Checkpoint string  `cbor:"4,keyasint,omitempty"`
+	Reason     string  `cbor:"5,keyasint,omitempty"`
+}
+
+// Ends is what one life of a VM reports as ended.
+type Ends struct {
+	VM   rudderfork.VMID `cbor:"1,keyasint"`
+	Life string          `cbor:"2,keyasint"`
+	List []End           `cbor:"3,keyasint"`
+}
+
+// Lost says that whatever ran on this life of a VM runs no more, since its
+// lease has run out. Checkpoints are the newest known.
+type Lost struct {
+	VM          rudderfork.VMID    `cbor:"1,keyasint"`
+	Life        string             `cbor:"2,keyasint"`
+	Checkpoints map[TaskKey]string `cbor:"3,keyasint,omitempty"`
+}
+
+// Code says how a command ended.
+type Code string
+
+// The codes of a Result.
+const (
+	OK         Code = "ok"
+	Stale      Code = "stale"       // a version that is not above the one held
+	NoDocument Code = "no-document" // nothing can be handed in yet
+	NoQueue    Code = "no-queue"
+	NoJob      Code = "no-job"
+	Invalid    Code = "invalid"
+)
+
+// Result is what Apply returns. It is the same on every replica.
+type Result struct {
+	Code    Code
+	Text    string
+	Job     rudderfork.JobID
+	Queue   string
+	Numbers []uint32 // per start asked for: its run number, or 0 if it was refused
+	Taken   []bool   // per end: whether its run was active
+}
--- /dev/null
+++ b/queue/document.go
@@ -0,0 +1,110 @@
+package queue
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"rudderfork.example/rudderfork"
+)
+
+// Queue is one row of the operator's document: where jobs are handed in, which
+// service's VMs run them, and how much they matter.
+type Queue struct {
+	Name        string             `cbor:"1,keyasint"`
+	Host        string             `cbor:"2,keyasint"`
+	Prefix      string             `cbor:"3,keyasint"` // of the path
+	Service     rudderfork.Service `cbor:"4,keyasint"`
+	Priority    int                `cbor:"5,keyasint,omitempty"` // 0 goes first
+	MaxAttempts int                `cbor:"6,keyasint"`           // failures a task may have
+	Stretch     float64            `cbor:"7,keyasint,omitempty"` // objective, as a multiple of the longest chain of work
+	LatencyMS   int64              `cbor:"8,keyasint,omitempty"` // objective, added to that
+	Advice      *Advice            `cbor:"9,keyasint,omitempty"`
+}
+
+// Advice says that an adviser decides which VMs may run a step, and its speed.
+type Advice struct {
+	DecideMS int64 `cbor:"1,keyasint,omitempty"`
+	EachMS   int64 `cbor:"2,keyasint,omitempty"`
+	ValidMS  int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Pool is what the document says of a service's VMs.
+type Pool struct {
+	Service rudderfork.Service `cbor:"1,keyasint"`
+	Guarded bool               `cbor:"2,keyasint,omitempty"` // its VMs refuse what does not fit
+	Spare   bool               `cbor:"3,keyasint,omitempty"` // its VMs are off
+}
+
+// Document is the operator's whole document. A newer version replaces an older
+// one as a whole. Text is what the operator sent, to be read back unchanged.
+type Document struct {
+	Version uint64  `cbor:"1,keyasint"`
+	Text    []byte  `cbor:"2,keyasint"`
+	Queues  []Queue `cbor:"3,keyasint"`
+	Pools   []Pool  `cbor:"4,keyasint"`
+}
+
+// maxQueues bounds a document; letter 1's largest table has 1,100 rows.
+const maxQueues = 10_000
+
+// Check reports the first thing wrong with the document.
+func (d Document) Check() error {
+	if d.Version == 0 {
+		return errors.New("version: missing or 0")
+	}
+	if len(d.Queues) > maxQueues {
+		return fmt.Errorf("%d queues; want at most %d", len(d.Queues), maxQueues)
+	}
+	pools := map[rudderfork.Service]bool{}
+	for _, p := range d.Pools {
+		if p.Service == "" || pools[p.Service] {
+			return fmt.Errorf("service %q: missing or doubled name", p.Service)
+		}
+		pools[p.Service] = true
+	}
+	names, places := map[string]bool{}, map[string]bool{}
+	for _, q := range d.Queues {
+		place := q.Host + " " + q.Prefix
+		switch {
+		case q.Name == "" || names[q.Name]:
+			return fmt.Errorf("queue %q: missing or doubled name", q.Name)
+		case !strings.HasPrefix(q.Prefix, "/"):
+			return fmt.Errorf("queue %s: prefix %q; want a path", q.Name, q.Prefix)
+		case places[place]:
+			return fmt.Errorf("queue %s: another queue has its host and prefix", q.Name)
+		case !pools[q.Service]:
+			return fmt.Errorf("queue %s: service %q is unknown", q.Name, q.Service)
+		}
+		names[q.Name], places[place] = true, true
+	}
+	return nil
+}
+
+// Find returns the queue of a host and path, by the longest prefix, and what
+// follows the prefix.
+func (d *Document) Find(host, path string) (q Queue, rest string, ok bool) {
+	if d == nil {
+		return q, "", false
+	}
+	for i := range d.Queues {
+		c := &d.Queues[i]
+		if c.Host == host && strings.HasPrefix(path, c.Prefix) && (!ok || len(c.Prefix) > len(q.Prefix)) {
+			q, ok = *c, true
+		}
+	}
+	return q, strings.TrimPrefix(path, q.Prefix), ok
+}
+
+// Queue returns the row with the given name.
+func (d *Document) Queue(name string) (q Queue, ok bool) {
+	if d == nil {
+		return q, false
+	}
+	for _, c := range d.Queues {
+		if c.Name == name {
+			return c, true
+		}
+	}
+	return q, false
+}
--- /dev/null
+++ b/queue/image.go
@@ -0,0 +1,65 @@
+package queue
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"rudderfork.example/rudderfork"
+)
+
+// Image is the form of the state in a snapshot. What follows from the records
+// is left out and made anew.
+type Image struct {
+	Document *Document          `cbor:"1,keyasint,omitempty"`
+	Jobs     []*Job             `cbor:"2,keyasint,omitempty"`
+	Ended    []rudderfork.JobID `cbor:"3,keyasint,omitempty"`
+	VMs      []*VM              `cbor:"4,keyasint,omitempty"`
+}
+
+// Image returns the state for a snapshot. It shares memory with the state.
+func (s *State) Image() Image {
+	im := Image{Document: s.doc, Ended: s.ended, VMs: s.VMs()}
+	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
+		im.Jobs = append(im.Jobs, s.jobs[id])
+	}
+	return im
+}
+
+// Restore returns the state that an image stands for.
+func Restore(im Image) *State {
+	s := New()
+	if im.Document != nil {
+		s.setDocument(im.Document)
+	}
+	s.ended = im.Ended
+	for _, v := range im.VMs {
+		s.vms[v.ID] = v
+	}
+	for _, j := range im.Jobs {
+		s.jobs[j.ID] = j
+		s.restoreRuns(j)
+		if !j.Status.Final() || j.ActiveRuns > 0 {
+			s.live[j.ID] = j
+		}
+	}
+	return s
+}
+
+func (s *State) restoreRuns(j *Job) {
+	for time, o := range j.Times {
+		for step, tasks := range o.Steps {
+			for index := range tasks {
+				for _, r := range tasks[index].Runs {
+					s.indexRun(j, TaskKey{j.ID, time, step, index}, r)
+				}
+			}
+		}
+	}
+}
+
+func sortedKeys(m map[TaskKey]uint32) []TaskKey {
+	return slices.SortedFunc(maps.Keys(m), func(a, b TaskKey) int {
+		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Time, b.Time), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
+	})
+}
--- /dev/null
+++ b/queue/model.go
@@ -0,0 +1,265 @@
+// Package queue is the replicated state of queues: the jobs that were handed
+// in, the steps and tasks they are made of, the runs of those tasks on VMs, and
+// the operator's document that says which queues there are.
+//
+// A job is a list of steps; a step is a number of equal tasks that may wait for
+// earlier steps. A task is run on a VM under a run number that rises with each
+// start, until one run ends as done. State changes only by Apply, which every
+// replica calls with the same commands in the same order; it reads no clock and
+// no randomness. A decision made on an older state is checked again there:
+//
+//   - a task has at most one active run, or two where its step allows copies;
+//   - no run starts after its task is done, or its job has ended or failed;
+//   - the sizes of a VM's active runs never exceed the VM's capacity, and a run
+//     that is being stopped counts until its end is known;
+//   - a run is over only by an end that its own VM reports, by a new life of
+//     that VM, or once the VM's lease has surely run out (Lost).
+package queue
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"rudderfork.example/rudderfork"
+)
+
+// Step is one step of a job: Count equal tasks.
+type Step struct {
+	Count int                  `cbor:"1,keyasint"`
+	Size  rudderfork.Resources `cbor:"2,keyasint"`
+
+	// ExpectedMS is the submitter's rough guess of one task's run time.
+	ExpectedMS  int64  `cbor:"3,keyasint,omitempty"`
+	DependsOn   []int  `cbor:"4,keyasint,omitempty"` // earlier steps, all of whose tasks must be done
+	Checkpoints bool   `cbor:"5,keyasint,omitempty"` // progress survives a stop
+	Gang        bool   `cbor:"6,keyasint,omitempty"` // all tasks run together or not at all
+	SameRack    bool   `cbor:"7,keyasint,omitempty"` // a gang that is slow over several racks
+	Label       string `cbor:"8,keyasint,omitempty"` // that the VM must carry
+	DataRack    string `cbor:"9,keyasint,omitempty"` // where the data is near
+	MaxPerVM    int    `cbor:"10,keyasint,omitempty"`
+	Speculative bool   `cbor:"11,keyasint,omitempty"` // two copies of a task may run
+	Lasting     bool   `cbor:"12,keyasint,omitempty"` // runs until the job is cancelled
+	Image       string `cbor:"13,keyasint,omitempty"` // tasks of one image behave alike
+	TailMS      int64  `cbor:"14,keyasint,omitempty"` // objective of a lasting task's own answers
+	Filler      bool   `cbor:"15,keyasint,omitempty"` // takes no counted processors, only what is idle
+	MaxAway     int    `cbor:"16,keyasint,omitempty"` // disruption budget of a lasting step
+}
+
+// Repeat starts a job's steps again and again, at given times.
+type Repeat struct {
+	Count   int   `cbor:"1,keyasint"`
+	FirstMS int64 `cbor:"2,keyasint"` // Unix ms
+	EveryMS int64 `cbor:"3,keyasint"`
+}
+
+// Spec is what a client hands in.
+type Spec struct {
+	Payload string  `cbor:"1,keyasint,omitempty"` // given to every task as it is
+	Steps   []Step  `cbor:"2,keyasint"`
+	Repeat  *Repeat `cbor:"3,keyasint,omitempty"`
+}
+
+// Bounds of a spec, far above what users send; they keep the state small.
+const (
+	MaxPayload = 4_000 // bytes, the users' own limit
+	maxSteps   = 64
+	maxTasks   = 10_000 // over all steps and times
+	maxRepeats = 1_000
+)
+
+// Check reports the first thing wrong with the spec.
+func (s Spec) Check() error {
+	if len(s.Payload) > MaxPayload {
+		return fmt.Errorf("payload: %d bytes; want at most %d", len(s.Payload), MaxPayload)
+	}
+	if len(s.Steps) < 1 || len(s.Steps) > maxSteps {
+		return fmt.Errorf("steps: %d; want 1 to %d", len(s.Steps), maxSteps)
+	}
+	total := 0
+	for i, st := range s.Steps {
+		if err := st.check(i); err != nil {
+			return fmt.Errorf("step %d: %w", i, err)
+		}
+		total += st.Count
+	}
+	times := 1
+	if s.Repeat != nil {
+		times = s.Repeat.Count
+		if times < 1 || times > maxRepeats || s.Repeat.EveryMS < 0 {
+			return fmt.Errorf("repeat: %d times every %d ms; want 1 to %d times", times, s.Repeat.EveryMS, maxRepeats)
+		}
+	}
+	if total*times > maxTasks {
+		return fmt.Errorf("%d tasks; want at most %d", total*times, maxTasks)
+	}
+	return nil
+}
+
+func (st Step) check(i int) error {
+	switch {
+	case st.Count < 1 || st.Count > maxTasks:
+		return fmt.Errorf("count: %d; want 1 to %d", st.Count, maxTasks)
+	case st.Size.CPUMilli < 0 || st.Size.MemoryMB < 0 || st.Size.Accelerators < 0:
+		return fmt.Errorf("size: %v; want no negative part", st.Size)
+	case st.ExpectedMS < 0 || st.MaxPerVM < 0 || st.MaxAway < 0 || st.TailMS < 0:
+		return fmt.Errorf("want no negative number")
+	}
+	for _, d := range st.DependsOn {
+		if d < 0 || d >= i {
+			return fmt.Errorf("depends on step %d; want an earlier step", d)
+		}
+	}
+	return nil
+}
+
+// TaskKey names a task of a job. Time counts the repeats, from 0.
+type TaskKey struct {
+	Job   rudderfork.JobID `cbor:"1,keyasint"`
+	Time  int              `cbor:"2,keyasint,omitempty"`
+	Step  int              `cbor:"3,keyasint,omitempty"`
+	Index int              `cbor:"4,keyasint,omitempty"`
+}
+
+// String gives the key as job.time.step.index.
+func (k TaskKey) String() string {
+	return string(k.Job) + "." + strconv.Itoa(k.Time) + "." + strconv.Itoa(k.Step) + "." + strconv.Itoa(k.Index)
+}
+
+// ParseTaskKey is the inverse of String.
+func ParseTaskKey(s string) (k TaskKey, err error) {
+	parts := strings.Split(s, ".")
+	if len(parts) != 4 {
+		return k, fmt.Errorf("task %q: want job.time.step.index", s)
+	}
+	k.Job = rudderfork.JobID(parts[0])
+	for i, p := range []*int{&k.Time, &k.Step, &k.Index} {
+		if *p, err = strconv.Atoi(parts[i+1]); err != nil {
+			return k, fmt.Errorf("task %q: %w", s, err)
+		}
+	}
+	return k, nil
+}
+
+// Status is where a job stands.
+type Status string
+
+// The statuses. The last three are final.
+const (
+	Queued    Status = "queued"
+	Running   Status = "running"
+	Completed Status = "completed"
+	Failed    Status = "failed"
+	Cancelled Status = "cancelled"
+)
+
+// Final reports whether a job in this status will never run again.
+func (s Status) Final() bool { return s == Completed || s == Failed || s == Cancelled }
+
+// Ending says how a run ended.
+type Ending string
+
+// The endings. Only EndFailed counts as an attempt.
+const (
+	EndDone    Ending = "done"
+	EndFailed  Ending = "failed"
+	EndStopped Ending = "stopped"
+	EndLapsed  Ending = "lapsed"  // the VM's lease ran out
+	EndBroken  Ending = "broken"  // another member of its gang ended
+	EndAlone   Ending = "alone"   // the other members of its gang did not come
+	EndRefused Ending = "refused" // the VM did not start it
+	EndGone    Ending = "gone"    // the VM knows nothing of it and never will
+)
+
+// Run is one run of a task on a VM, from its start until its end is known.
+type Run struct {
+	Number    uint32          `cbor:"1,keyasint"`
+	VM        rudderfork.VMID `cbor:"2,keyasint"`
+	StartedAt int64           `cbor:"3,keyasint"` // leader's clock, Unix ms
+}
+
+// Task is one task with its active runs.
+type Task struct {
+	Done       bool   `cbor:"1,keyasint,omitempty"`
+	Failures   int    `cbor:"2,keyasint,omitempty"`
+	LastRun    uint32 `cbor:"3,keyasint,omitempty"`
+	Runs       []Run  `cbor:"4,keyasint,omitempty"`
+	Checkpoint string `cbor:"5,keyasint,omitempty"`
+	EndedAt    int64  `cbor:"6,keyasint,omitempty"` // of the last run, Unix ms
+}
+
+// Occurrence is the tasks of one time of a job, by step and index.
+type Occurrence struct {
+	DueMS int64    `cbor:"1,keyasint,omitempty"` // Unix ms; 0 means at once
+	Steps [][]Task `cbor:"2,keyasint"`
+	Left  []int    `cbor:"3,keyasint"` // tasks of each step that are not done
+}
+
+// StepReady reports whether all steps that step i waits for are done.
+func (o *Occurrence) StepReady(st Step) bool {
+	for _, d := range st.DependsOn {
+		if o.Left[d] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Job is one job. Queue is its row of the document when it was handed in.
+type Job struct {
+	ID          rudderfork.JobID `cbor:"1,keyasint"`
+	Queue       Queue            `cbor:"2,keyasint"`
+	Spec        Spec             `cbor:"3,keyasint"`
+	Status      Status           `cbor:"4,keyasint"`
+	SubmittedAt int64            `cbor:"5,keyasint"` // leader's clock, Unix ms
+	EndedAt     int64            `cbor:"6,keyasint,omitempty"`
+	Times       []*Occurrence    `cbor:"7,keyasint"`
+	Begun       bool             `cbor:"8,keyasint,omitempty"` // some task was started
+	ActiveRuns  int              `cbor:"9,keyasint,omitempty"`
+}
+
+// Task returns the task with the given key, or nil.
+func (j *Job) Task(k TaskKey) *Task {
+	if k.Time < 0 || k.Time >= len(j.Times) {
+		return nil
+	}
+	steps := j.Times[k.Time].Steps
+	if k.Step < 0 || k.Step >= len(steps) || k.Index < 0 || k.Index >= len(steps[k.Step]) {
+		return nil
+	}
+	return &steps[k.Step][k.Index]
+}
+
+// VM is a machine that runs tasks, as it last described itself.
+type VM struct {
+	ID       rudderfork.VMID      `cbor:"1,keyasint"`
+	Life     string               `cbor:"2,keyasint"` // new with each start of what runs the tasks
+	Domain   rudderfork.Domain    `cbor:"3,keyasint"`
+	Rack     string               `cbor:"4,keyasint,omitempty"`
+	Service  rudderfork.Service   `cbor:"5,keyasint"`
+	Capacity rudderfork.Resources `cbor:"6,keyasint"`
+	Labels   []string             `cbor:"7,keyasint,omitempty"`
+	Live     bool                 `cbor:"8,keyasint"` // may hold runs
+
+	used rudderfork.Resources
+	runs map[TaskKey]uint32 // run numbers of active runs
+}
+
+// Used returns what the VM's active runs hold.
+func (v *VM) Used() rudderfork.Resources { return v.used }
+
+// Runs returns the active runs of the VM, by task. It must not be changed.
+func (v *VM) Runs() map[TaskKey]uint32 { return v.runs }
+
+// HasLabel reports whether the VM carries a label; every VM has the empty one.
+func (v *VM) HasLabel(label string) bool {
+	if label == "" {
+		return true
+	}
+	for _, l := range v.Labels {
+		if l == label {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/queue/state.go
@@ -0,0 +1,153 @@
+package queue
+
+import (
+	"maps"
+	"slices"
+
+	"rudderfork.example/rudderfork"
+)
+
+// State is the replicated state of the queues. It is not safe for concurrent
+// use.
+type State struct {
+	doc   *Document
+	queue map[string]*Queue // rows of doc by name
+	jobs  map[rudderfork.JobID]*Job
+	ended []rudderfork.JobID // oldest first
+	live  map[rudderfork.JobID]*Job
+	vms   map[rudderfork.VMID]*VM
+}
+
+// New returns an empty state.
+func New() *State {
+	return &State{
+		queue: map[string]*Queue{},
+		jobs:  map[rudderfork.JobID]*Job{},
+		live:  map[rudderfork.JobID]*Job{},
+		vms:   map[rudderfork.VMID]*VM{},
+	}
+}
+
+// Document returns the operator's document, or nil if none was ever taken.
+func (s *State) Document() *Document { return s.doc }
+
+// Job returns a job, or nil.
+func (s *State) Job(id rudderfork.JobID) *Job { return s.jobs[id] }
+
+// Live returns the jobs that may still run or have active runs, in no order.
+func (s *State) Live() map[rudderfork.JobID]*Job { return s.live }
+
+// VM returns a VM, or nil.
+func (s *State) VM(id rudderfork.VMID) *VM { return s.vms[id] }
+
+// VMs returns all VMs in the order of their names.
+func (s *State) VMs() []*VM {
+	vs := make([]*VM, 0, len(s.vms))
+	for _, id := range slices.Sorted(maps.Keys(s.vms)) {
+		vs = append(vs, s.vms[id])
+	}
+	return vs
+}
+
+// Row returns the present row of a job's queue: the document's, or the one the
+// job was handed in under if the document has it no more.
+func (s *State) Row(j *Job) Queue {
+	if q := s.queue[j.Queue.Name]; q != nil {
+		return *q
+	}
+	return j.Queue
+}
+
+// Waiting counts the queue's accepted jobs of which no task has begun.
+func (s *State) Waiting(name string) (n int) {
+	for _, j := range s.live {
+		if j.Queue.Name == name && !j.Begun && !j.Status.Final() {
+			n++
+		}
+	}
+	return n
+}
+
+// Runnable reports whether a task may start now, but for room and rules of
+// place. copies is how many runs it may have.
+func (s *State) Runnable(j *Job, k TaskKey, now int64) bool {
+	t := j.Task(k)
+	if t == nil || t.Done || j.Status.Final() {
+		return false
+	}
+	o := j.Times[k.Time]
+	return o.DueMS <= now && o.StepReady(j.Spec.Steps[k.Step])
+}
+
+// Need is what a run of the step takes from a VM's room.
+func (st Step) Need() rudderfork.Resources {
+	need := st.Size
+	if st.Filler {
+		need.CPUMilli = 0
+	}
+	return need
+}
+
+// OnVM counts the active runs of one step, of one time, on a VM.
+func (s *State) OnVM(vm *VM, k TaskKey) (n int) {
+	for o := range vm.runs {
+		if o.Job == k.Job && o.Time == k.Time && o.Step == k.Step {
+			n++
+		}
+	}
+	return n
+}
+
+// Obstacle says why a VM cannot take a run of the step, or "" if it can.
+func (s *State) Obstacle(j *Job, k TaskKey, vm *VM) string {
+	st := j.Spec.Steps[k.Step]
+	_, there := vm.runs[k]
+	switch {
+	case !vm.Live:
+		return "the VM is lost"
+	case vm.Service != s.Row(j).Service:
+		return "the queue is not served there"
+	case !vm.HasLabel(st.Label):
+		return "it lacks the label " + st.Label
+	case there:
+		return "a run of the task is there already"
+	case st.MaxPerVM > 0 && s.OnVM(vm, k) >= st.MaxPerVM:
+		return "it holds as many tasks of the step as it may"
+	}
+	if lack := vm.used.Add(st.Need()).Lacking(vm.Capacity); lack != "" {
+		return "too few " + lack
+	}
+	return ""
+}
+
+func (s *State) addRun(j *Job, k TaskKey, t *Task, r Run) {
+	t.Runs = append(t.Runs, r)
+	j.ActiveRuns++
+	s.indexRun(j, k, r)
+}
+
+func (s *State) indexRun(j *Job, k TaskKey, r Run) {
+	vm := s.vms[r.VM]
+	if vm.runs == nil {
+		vm.runs = map[TaskKey]uint32{}
+	}
+	vm.runs[k] = r.Number
+	vm.used = vm.used.Add(j.Spec.Steps[k.Step].Need())
+}
+
+func (s *State) removeRun(j *Job, k TaskKey, t *Task, i int) {
+	r := t.Runs[i]
+	t.Runs = append(t.Runs[:i:i], t.Runs[i+1:]...)
+	j.ActiveRuns--
+	vm := s.vms[r.VM]
+	delete(vm.runs, k)
+	vm.used = vm.used.Sub(j.Spec.Steps[k.Step].Need())
+	s.retire(j)
+}
+
+// retire takes a finished job that runs nothing off the live ones.
+func (s *State) retire(j *Job) {
+	if j.Status.Final() && j.ActiveRuns == 0 {
+		delete(s.live, j.ID)
+	}
+}
--- a/quorum/leader.go
+++ b/quorum/leader.go
@@ -8,6 +8,7 @@
 func (n *Node) becomeLeader(now time.Time) {
 	n.role = Leader
 	n.leader = n.cfg.ID
+	n.heardAt = now
 	n.peers = map[MemberID]*progress{}
 	n.termStart = n.log.last() + 1
 	n.resetElection(now)
--- a/quorum/members.go
+++ b/quorum/members.go
@@ -60,10 +60,15 @@
 	return append(next, m), true
 }
 
+// silentTimeouts is how many election timeouts a voter may be silent before it
+// may be removed from a group that has more voters than it is to have.
+const silentTimeouts = 3
+
 // Repair returns the next step that brings a rejoined replica in: promote it
-// once it has caught up, then remove the earlier life of the same name. ok is
+// once it has caught up, then remove the earlier life of the same name, or a
+// silent voter if there are more than size of them (0 means any number). ok is
 // false when there is nothing to do.
-func (n *Node) Repair() (next []Member, ok bool) {
+func (n *Node) Repair(size int, now time.Time) (next []Member, ok bool) {
 	ms := n.log.members()
 	for i, m := range ms {
 		if !m.Voter && n.Match(m.ID)+maxLag >= n.commit && n.Match(m.ID) > 0 {
@@ -79,9 +84,20 @@
 		}
 	}
 	for i, m := range ms {
-		if m.Voter && newest[m.Name] != m.ID {
+		spare := size > 0 && len(n.voters()) > size && n.silent(m.ID, now)
+		if m.Voter && (newest[m.Name] != m.ID || spare) {
 			return append(append([]Member(nil), ms[:i]...), ms[i+1:]...), true
 		}
 	}
 	return nil, false
 }
+
+// silent reports whether another replica has not answered for a while.
+func (n *Node) silent(id MemberID, now time.Time) bool {
+	p := n.peers[id]
+	if p == nil {
+		return false
+	}
+	since := time.Unix(0, max(p.acked, n.heardAt.UnixNano()))
+	return now.Sub(since) > silentTimeouts*n.cfg.ElectionTimeout
+}
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -319,7 +319,7 @@
 		l := g.waitLeader()
 		if next, ok := l.node.Join(Member{ID: id, Name: name}); ok {
 			l.node.ProposeMembers(next, g.now)
-		} else if next, ok := l.node.Repair(); ok {
+		} else if next, ok := l.node.Repair(0, g.now); ok {
 			l.node.ProposeMembers(next, g.now)
 		}
 		g.ready(l, nil)
@@ -340,7 +340,7 @@
 		}
 		if next, ok := l.node.Join(Member{ID: "c3#2", Name: "c3"}); ok {
 			l.node.ProposeMembers(next, g.now)
-		} else if next, ok := l.node.Repair(); ok && i%10 == 0 {
+		} else if next, ok := l.node.Repair(0, g.now); ok && i%10 == 0 {
 			l.node.ProposeMembers(next, g.now)
 		}
 		g.ready(l, nil)
--- /dev/null
+++ b/replica/peers.go
@@ -0,0 +1,273 @@
+package replica
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"rudderfork.example/rudderfork/internal/steady"
+	"rudderfork.example/rudderfork/quorum"
+	"rudderfork.example/rudderfork/wire"
+)
+
+const (
+	// peerQueue bounds the messages that wait for a slow peer; more are lost,
+	// which the quorum protocol allows.
+	peerQueue = 1024
+	// redialPause is how long a broken link rests.
+	redialPause = 100 * time.Millisecond
+	// joinPause is how often a process that is no member asks to be one.
+	joinPause = 300 * time.Millisecond
+)
+
+// Peers is the links to the other replicas, one for each address. Each process
+// dials each other and sends on its own link; answers come on the other's.
+//
+// The addresses are those that the process was told at its start, and those of
+// the group's members.
+type Peers struct {
+	self quorum.Member
+	dial map[string]string // by member name: where to reach it, if not at its address
+	log  zerolog.Logger
+
+	mu      sync.Mutex
+	told    []string
+	members []quorum.Member
+	joined  bool
+	links   map[string]*link // by address
+	changed chan struct{}
+}
+
+// link is the way to one peer.
+type link struct {
+	addr  string
+	queue chan wire.Peer
+	stop  context.CancelFunc
+}
+
+// NewPeers returns the links of a replica. addrs are those it is told of. dial
+// says, by member name, where a member is reached that is not at its address.
+func NewPeers(self quorum.Member, addrs []string, dial map[string]string, log zerolog.Logger) *Peers {
+	return &Peers{
+		self: self, told: addrs, dial: dial, log: log,
+		links: map[string]*link{}, changed: make(chan struct{}, 1),
+	}
+}
+
+// String names the service in the supervisor's log.
+func (p *Peers) String() string { return "peers" }
+
+// Tell replaces the addresses that the process is told of.
+func (p *Peers) Tell(addrs []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.told = addrs
+	p.wake()
+}
+
+// SetGroup implements Sender.
+func (p *Peers) SetGroup(members []quorum.Member, joined bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.joined = joined
+	if !sameMembers(p.members, members) {
+		p.members = append([]quorum.Member(nil), members...)
+		p.wake()
+	}
+}
+
+func sameMembers(a, b []quorum.Member) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].ID != b[i].ID || a[i].Addr != b[i].Addr {
+			return false
+		}
+	}
+	return true
+}
+
+// wake makes Serve look at the addresses again. The caller holds mu.
+func (p *Peers) wake() {
+	select {
+	case p.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Send implements Sender.
+func (p *Peers) Send(m quorum.Message) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l := p.links[p.addrOf(m.To)]; l != nil {
+		l.push(wire.Peer{Quorum: &m})
+	}
+}
+
+// addrOf returns where a member is reached. The caller holds mu.
+func (p *Peers) addrOf(id quorum.MemberID) string {
+	if a := p.dial[memberName(id)]; a != "" {
+		return a
+	}
+	for _, m := range p.members {
+		if m.ID == id {
+			return m.Addr
+		}
+	}
+	return ""
+}
+
+func (l *link) push(m wire.Peer) {
+	select {
+	case l.queue <- m:
+	default:
+	}
+}
+
+// Serve implements suture.Service.
+func (p *Peers) Serve(ctx context.Context) error {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for {
+		p.mu.Lock()
+		for _, l := range p.reconcile() {
+			linkCtx, cancel := context.WithCancel(ctx)
+			l.stop = cancel
+			wg.Go(func() { p.run(linkCtx, l) })
+		}
+		p.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			p.forgetLinks()
+			return ctx.Err()
+		case <-p.changed:
+		}
+	}
+}
+
+// forgetLinks lets a later Serve dial anew.
+func (p *Peers) forgetLinks() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, l := range p.links {
+		l.stop()
+		delete(p.links, addr)
+	}
+}
+
+// reconcile ends links that lead to nobody, and returns new ones to run. The
+// caller holds mu.
+func (p *Peers) reconcile() (fresh []*link) {
+	want := map[string]bool{}
+	for _, a := range p.told {
+		want[a] = true
+	}
+	for _, m := range p.members {
+		if m.ID != p.self.ID {
+			want[p.addrOf(m.ID)] = true
+		}
+	}
+	delete(want, p.self.Addr)
+	for addr, l := range p.links {
+		if !want[addr] {
+			l.stop()
+			delete(p.links, addr)
+		}
+	}
+	for addr := range want {
+		if p.links[addr] == nil {
+			l := &link{addr: addr, queue: make(chan wire.Peer, peerQueue)}
+			p.links[addr] = l
+			fresh = append(fresh, l)
+		}
+	}
+	return fresh
+}
+
+// run keeps one link up.
+func (p *Peers) run(ctx context.Context, l *link) {
+	for ctx.Err() == nil {
+		c, err := wire.Dial[wire.Peer, wire.Peer](ctx, "ws://"+l.addr+"/peer")
+		if err != nil {
+			l.discard()
+			steady.Pause(ctx, redialPause)
+			continue
+		}
+		p.log.Info().Str("peer", l.addr).Msg("peer_connected")
+		err = p.pump(ctx, l, c)
+		c.Close()
+		p.log.Info().Str("peer", l.addr).AnErr("error", err).Msg("peer_disconnected")
+	}
+}
+
+// discard drops what waits for a peer that cannot be reached: it is stale by
+// the time the link is back.
+func (l *link) discard() {
+	for {
+		select {
+		case <-l.queue:
+		default:
+			return
+		}
+	}
+}
+
+func (p *Peers) pump(ctx context.Context, l *link, c *wire.Conn[wire.Peer, wire.Peer]) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		defer cancel()
+		_, _ = c.Receive(ctx) // nothing is sent this way; it ends when the link does
+	}()
+	tick := time.NewTicker(joinPause)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case m := <-l.queue:
+			if err := c.Send(ctx, m); err != nil {
+				return err
+			}
+		case <-tick.C:
+			if !p.isJoined() {
+				self := p.self
+				l.push(wire.Peer{Join: &self})
+			}
+		}
+	}
+}
+
+func (p *Peers) isJoined() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.joined
+}
+
+// Accept takes the links of other processes and hands what they carry to rep.
+func (p *Peers) Accept(rep *Replica) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c, err := wire.Accept[wire.Peer, wire.Peer](w, r)
+		if err != nil {
+			p.log.Warn().Err(err).Msg("peer_refused")
+			return
+		}
+		defer c.Close()
+		for {
+			m, err := c.Receive(r.Context())
+			if err != nil {
+				return
+			}
+			switch {
+			case m.Quorum != nil:
+				rep.Step(r.Context(), *m.Quorum)
+			case m.Join != nil:
+				rep.Join(*m.Join)
+			}
+		}
+	}
+}
--- a/control/replica.go
+++ b/replica/replica.go
@@ -1,4 +1,8 @@
-package control
+// Package replica runs one replica of the durable state: it drives the
+// replication core (quorum) with messages, commands and time, keeps its log on
+// disk, applies what is committed to the state, and holds the links to the
+// other replicas.
+package replica
 
 import (
 	"context"
@@ -36,8 +40,9 @@
 // Sender sends messages to other replicas; it may lose them.
 type Sender interface {
 	Send(m quorum.Message)
-	// SetMember tells whether this replica is in the group, or has to join.
-	SetMember(member bool)
+	// SetGroup tells the present members, and whether this replica is one of
+	// them and follows or is a leader; if not, it has to ask to join.
+	SetGroup(members []quorum.Member, joined bool)
 }
 
 // Replica drives a quorum.Node: it feeds it messages, commands and time, makes
@@ -49,6 +54,7 @@
 	send  Sender
 	store *disk.Store
 	every uint64 // applied entries between snapshots
+	size  int    // voters that the group is to have
 
 	msgs      chan quorum.Message
 	proposals chan proposal
@@ -99,16 +105,20 @@
 	done   chan error // buffered
 }
 
-// ReplicaConfig sets up a Replica.
-type ReplicaConfig struct {
+// Config sets up a Replica.
+type Config struct {
 	ElectionTimeout time.Duration
 	Heartbeat       time.Duration
 	SnapshotEvery   uint64
 	Seed            uint64
+
+	// Voters is how many the group is to have: a silent voter above that number
+	// is removed. 0 means that none ever is.
+	Voters int
 }
 
-// NewReplica returns a replica that resumes from store.
-func NewReplica(cfg ReplicaConfig, store *disk.Store, send Sender, log zerolog.Logger, rec rudderfork.Recorder, now func() time.Time) (r *Replica, err error) {
+// New returns a replica that resumes from store.
+func New(cfg Config, store *disk.Store, send Sender, log zerolog.Logger, rec rudderfork.Recorder, now func() time.Time) (r *Replica, err error) {
 	defer errs.Annotate(&err, "replica")
 	hs, snap, entries := store.Loaded()
 	st, err := state.Decode(snap.Data)
@@ -119,7 +129,7 @@
 		ID: store.Identity().ID, ElectionTimeout: cfg.ElectionTimeout, Heartbeat: cfg.Heartbeat, Seed: cfg.Seed,
 	}, hs, snap, entries, now())
 	r = &Replica{
-		log: log, rec: rec, now: now, send: send, store: store, every: cfg.SnapshotEvery,
+		log: log, rec: rec, now: now, send: send, store: store, every: cfg.SnapshotEvery, size: cfg.Voters,
 		msgs: make(chan quorum.Message, maxDrain), proposals: make(chan proposal, maxDrain),
 		reads: make(chan read, maxDrain), joins: make(chan quorum.Member, 1),
 		node: node, waiting: map[uint64]proposal{}, snapAt: snap.Index,
@@ -329,7 +339,7 @@
 	}
 	st.Leader, _ = n.Member(n.Leader())
 	_, member := n.Member(n.ID())
-	r.send.SetMember(member)
+	r.send.SetGroup(st.Members, member && n.Leader() != "")
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.status
@@ -426,9 +436,10 @@
 }
 
 // Leads reports whether this replica is a settled leader.
-func (r *Replica) Leads() bool { return r.Status().leads() }
+func (r *Replica) Leads() bool { return r.Status().Leads() }
 
-func (s Status) leads() bool { return s.Settled && s.Role == quorum.Leader.String() }
+// Leads reports whether the replica was a settled leader.
+func (s Status) Leads() bool { return s.Settled && s.Role == quorum.Leader.String() }
 
 // Changed returns a channel that closes at the next change of state or role.
 func (r *Replica) Changed() <-chan struct{} {
@@ -461,7 +472,7 @@
 	if !r.node.Settled() {
 		return
 	}
-	next, ok := r.node.Repair()
+	next, ok := r.node.Repair(r.size, r.now())
 	if !ok {
 		return
 	}
--- a/control/replica_test.go
+++ b/replica/replica_test.go
@@ -1,4 +1,4 @@
-package control
+package replica
 
 import (
 	"context"
@@ -19,9 +19,9 @@
 // nobody is the sender and the recorder of a replica that is alone.
 type nobody struct{}
 
-func (nobody) Send(quorum.Message)     {}
-func (nobody) SetMember(bool)          {}
-func (nobody) Record(rudderfork.Event) {}
+func (nobody) Send(quorum.Message)            {}
+func (nobody) SetGroup([]quorum.Member, bool) {}
+func (nobody) Record(rudderfork.Event)        {}
 
 // newReplica returns a running replica that is its group's only member.
 func newReplica(t *testing.T) *Replica {
@@ -31,8 +31,8 @@
 	assert.NilError(t, disk.Format(dir, disk.Identity{ID: self.ID, Members: []quorum.Member{self}}))
 	store, err := disk.Open(dir)
 	assert.NilError(t, err)
-	cfg := ReplicaConfig{ElectionTimeout: 50 * time.Millisecond, Heartbeat: 10 * time.Millisecond, SnapshotEvery: 50}
-	r, err := NewReplica(cfg, store, nobody{}, zerolog.Nop(), nobody{}, steady.Now)
+	cfg := Config{ElectionTimeout: 50 * time.Millisecond, Heartbeat: 10 * time.Millisecond, SnapshotEvery: 50}
+	r, err := New(cfg, store, nobody{}, zerolog.Nop(), nobody{}, steady.Now)
 	assert.NilError(t, err)
 	return r
 }
--- a/state/command.go
+++ b/state/command.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/queue"
 )
 
 // Command is one change. Exactly one of the pointers is set.
@@ -20,6 +21,8 @@
 	Reports  *Reports  `cbor:"10,keyasint,omitempty"`
 	Claim    *ClaimAsk `cbor:"11,keyasint,omitempty"`
 	Settle   *Settle   `cbor:"12,keyasint,omitempty"`
+
+	Queue *queue.Command `cbor:"13,keyasint,omitempty"`
 }
 
 // Code says how a command ended.
@@ -45,6 +48,7 @@
 	Taken    []bool              `cbor:"10,keyasint,omitempty" json:"-"` // per report that arrived
 	Claim    *Claim              `cbor:"8,keyasint,omitempty" json:"-"`
 	Granted  bool                `cbor:"9,keyasint,omitempty" json:"-"` // the asker holds the claim
+	Queue    queue.Result        `cbor:"-" json:"-"`                    // of a command on the queues
 }
 
 func (s *State) ok() Result { return Result{Code: CodeOK, Revision: s.revision} }
--- a/state/image.go
+++ b/state/image.go
@@ -7,6 +7,7 @@
 
 	"rudderfork.example/rudderfork"
 	"rudderfork.example/rudderfork/internal/errs"
+	"rudderfork.example/rudderfork/queue"
 )
 
 // image is the form of the state in a snapshot. Counts and indexes that follow
@@ -23,6 +24,7 @@
 	Claims     []*Claim            `cbor:"9,keyasint"`
 	ClaimQueue []claimExpiry       `cbor:"10,keyasint"`
 	Upstreams  rudderfork.Revision `cbor:"11,keyasint"`
+	Queues     queue.Image         `cbor:"12,keyasint"`
 }
 
 // Encode returns the state as CBOR.
@@ -33,6 +35,7 @@
 		Cells: s.CellsAfter(0), Edits: s.edits.records(),
 		VMs: s.VMs(), Jobs: s.Jobs(), Tasks: sorted(s.tasks),
 		Finished: s.finished, ClaimQueue: s.claimQueue, Upstreams: s.upstreamRev,
+		Queues: s.queues.Image(),
 	}
 	for _, c := range s.claims {
 		im.Claims = append(im.Claims, c)
@@ -63,6 +66,7 @@
 	s.revision, s.tableRev = im.Revision, im.TableRev
 	s.finished, s.claimQueue = im.Finished, im.ClaimQueue
 	s.upstreamRev = im.Upstreams
+	s.queues = queue.Restore(im.Queues)
 	for _, c := range im.Cells {
 		s.cells[c.Key] = c
 	}
--- a/state/state.go
+++ b/state/state.go
@@ -24,6 +24,7 @@
 	"slices"
 
 	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/queue"
 )
 
 // State is the replicated state. It is not safe for concurrent use.
@@ -43,6 +44,8 @@
 
 	upstreamRev rudderfork.Revision // of the newest change of the VMs that serve
 
+	queues *queue.State
+
 	claims     map[ClaimKey]*Claim
 	claimQueue []claimExpiry
 }
@@ -59,6 +62,7 @@
 		onVM:    map[rudderfork.VMID]map[rudderfork.TaskID]*Task{},
 		pending: map[rudderfork.TaskID]*Task{},
 		claims:  map[ClaimKey]*Claim{},
+		queues:  queue.New(),
 	}
 }
 
@@ -94,10 +98,17 @@
 		return s.claim(*c.Claim, c.At)
 	case c.Settle != nil:
 		return s.settle(*c.Settle, c.At)
+	case c.Queue != nil:
+		res := s.ok()
+		res.Queue = s.queues.Apply(*c.Queue, c.At)
+		return res
 	}
 	return s.reject(CodeInvalid, "the command is empty")
 }
 
+// Queues returns the state of the queues.
+func (s *State) Queues() *queue.State { return s.queues }
+
 // VMs returns all VMs in the order of their names.
 func (s *State) VMs() []*VM { return sorted(s.vms) }
 
