--- /dev/null
+++ b/cmd/rudder-platform/main.go
@@ -0,0 +1,94 @@
+// Command rudder-platform runs rudderfork on the users' platform: as "entry" on
+// edge machines, as "agent" on side machines and as "control" on core machines.
+// The settings file is the one that the platform's environment names.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+	"github.com/rs/zerolog"
+
+	"rudderfork.example/rudderfork/internal/cli"
+	"rudderfork.example/rudderfork/internal/logging"
+	"rudderfork.example/rudderfork/platform"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(&role{"entry", "take jobs from clients (edge machines)", platform.NewEntry}, "")
+	subcommands.Register(&role{"agent", "run the tasks of one machine (side machines)", platform.NewAgent}, "")
+	subcommands.Register(&role{"control", "hold a replica of the state, and lead (core machines)", platform.NewControl}, "")
+	subcommands.Register(&check{}, "")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
+
+// role is the subcommand of one program.
+type role struct {
+	name, synopsis string
+	build          func(cfg platform.Settings, log zerolog.Logger) (*platform.Process, error)
+}
+
+// Name implements subcommands.Command.
+func (r *role) Name() string { return r.name }
+
+// Synopsis implements subcommands.Command.
+func (r *role) Synopsis() string { return r.synopsis }
+
+// Usage implements subcommands.Command.
+func (r *role) Usage() string { return r.name + ": " + r.synopsis + "\n" }
+
+// SetFlags implements subcommands.Command.
+func (r *role) SetFlags(*flag.FlagSet) {}
+
+// Execute implements subcommands.Command.
+func (r *role) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	cfg, err := platform.ReadSettings()
+	if err != nil {
+		return cli.Fail(os.Stderr, err, cli.ExitSettings)
+	}
+	log, flush := logging.NewBounded(os.Stdout, cfg.Node, cfg.Place)
+	defer flush()
+	p, err := r.build(cfg, log)
+	if err != nil {
+		return cli.Fail(os.Stderr, err, cli.ExitFailure)
+	}
+	if err := p.Run(ctx, reload); err != nil {
+		return cli.Fail(os.Stderr, err, cli.ExitFailure)
+	}
+	return subcommands.ExitSuccess
+}
+
+// check is the subcommand that reads the settings and stops.
+type check struct{}
+
+// Name implements subcommands.Command.
+func (*check) Name() string { return "check" }
+
+// Synopsis implements subcommands.Command.
+func (*check) Synopsis() string { return "check the settings file and report every mistake" }
+
+// Usage implements subcommands.Command.
+func (*check) Usage() string { return "check\n" }
+
+// SetFlags implements subcommands.Command.
+func (*check) SetFlags(*flag.FlagSet) {}
+
+// Execute implements subcommands.Command.
+func (*check) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	if _, err := platform.ReadSettings(); err != nil {
+		return cli.Fail(os.Stderr, err, cli.ExitSettings)
+	}
+	fmt.Println("ok")
+	return subcommands.ExitSuccess
+}
--- a/disk/disk.go
+++ b/disk/disk.go
@@ -94,6 +94,12 @@
 	return writeSealed(filepath.Join(dir, "identity"), id)
 }
 
+// Empty reports whether dir was never formatted.
+func Empty(dir string) bool {
+	_, err := os.Stat(filepath.Join(dir, "identity"))
+	return errors.Is(err, fs.ErrNotExist)
+}
+
 // SetAside renames dir so that it can be formatted anew, and returns its new
 // path.
 func SetAside(dir string, now time.Time) (to string, err error) {
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -83,5 +83,10 @@
 // WriteJSON writes v as the whole answer.
 func WriteJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
+	EncodeJSON(w, v)
+}
+
+// EncodeJSON writes v to an answer whose header is set.
+func EncodeJSON(w http.ResponseWriter, v any) {
 	_ = json.NewEncoder(w).Encode(v) // a client that is gone needs no answer
 }
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
 
 	"rudderfork.example/rudderfork"
 )
@@ -42,3 +43,25 @@
 	}
 	return s
 }
+
+const (
+	// queued is how many lines wait for a reader that is slow; more are dropped
+	// and counted. At some 100 bytes a line this is 400 kB.
+	queued = 4096
+	// dropNotice names the line that says how many were dropped.
+	dropNotice = "log_lines_dropped"
+)
+
+// NewBounded returns a logger of JSON lines that never blocks the process: lines
+// wait in a bounded queue, and if w does not keep up the oldest are dropped. A
+// line then says how many. flush writes what waits; it is called at the end.
+func NewBounded(w io.Writer, process string, p rudderfork.Place) (log zerolog.Logger, flush func()) {
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMicro
+	zerolog.MessageFieldName = "event"
+	direct := zerolog.New(w).With().Timestamp().Str("process", process).Logger()
+	dw := diode.NewWriter(w, queued, 0, func(missed int) {
+		direct.Warn().Int("lines", missed).Msg(dropNotice)
+	})
+	log = zerolog.New(dw).Level(zerolog.InfoLevel).With().Timestamp().Str("process", process).Str("domain", string(p.Domain)).Logger()
+	return log, func() { _ = dw.Close() } // there is nobody left to tell
+}
--- a/queue/apply.go
+++ b/queue/apply.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"path"
 	"regexp"
 
 	"rudderfork.example/rudderfork"
@@ -63,11 +64,11 @@
 }
 
 // locate finds the queue and the job's ID that a host and path name.
-func (s *State) locate(host, path string) (q Queue, id rudderfork.JobID, refusal Result, ok bool) {
+func (s *State) locate(host, where string) (q Queue, id rudderfork.JobID, refusal Result, ok bool) {
 	if s.doc == nil {
 		return q, "", Result{Code: NoDocument, Text: "no document was ever taken"}, false
 	}
-	q, rest, found := s.doc.Find(host, path)
+	q, rest, found := s.doc.Find(host, where)
 	if !found {
 		return q, "", Result{Code: NoQueue, Text: "no queue has this host and path"}, false
 	}
@@ -78,13 +79,15 @@
 }
 
 func (s *State) submit(c Submit, at int64) Result {
+	// A job that is here stays accepted, also if its queue is gone since.
+	last := rudderfork.JobID(path.Base(c.Path))
+	if j := s.jobs[last]; j != nil {
+		return Result{Code: OK, Job: last, Queue: j.Queue.Name, Text: "handed in before"}
+	}
 	q, id, refusal, ok := s.locate(c.Host, c.Path)
 	if !ok {
 		return refusal
 	}
-	if s.jobs[id] != nil {
-		return Result{Code: OK, Job: id, Queue: q.Name, Text: "handed in before"}
-	}
 	if err := c.Spec.Check(); err != nil {
 		return Result{Code: Invalid, Text: err.Error()}
 	}
@@ -299,10 +302,14 @@
 	if old != nil && old.Life != v.Life {
 		s.endAll(old, nil, at)
 	}
-	v.Live = true
+	v.Epoch = 1
 	if old != nil {
-		v.used, v.runs = old.used, old.runs
+		v.used, v.runs, v.Epoch = old.used, old.runs, old.Epoch
+		if old.Life != v.Life || !old.Live {
+			v.Epoch++
+		}
 	}
+	v.Live = true
 	s.vms[v.ID] = &v
 	return Result{Code: OK}
 }
--- a/queue/model.go
+++ b/queue/model.go
@@ -18,6 +18,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -241,6 +242,9 @@
 	Labels   []string             `cbor:"7,keyasint,omitempty"`
 	Live     bool                 `cbor:"8,keyasint"` // may hold runs
 
+	// Epoch rises with each registration that starts with no runs.
+	Epoch uint64 `cbor:"9,keyasint,omitempty"`
+
 	used rudderfork.Resources
 	runs map[TaskKey]uint32 // run numbers of active runs
 }
@@ -251,15 +255,16 @@
 // Runs returns the active runs of the VM, by task. It must not be changed.
 func (v *VM) Runs() map[TaskKey]uint32 { return v.runs }
 
+// Same reports whether o describes the same life in the same way.
+func (v *VM) Same(o VM) bool {
+	return v.Life == o.Life && v.Domain == o.Domain && v.Rack == o.Rack && v.Service == o.Service &&
+		v.Capacity == o.Capacity && slices.Equal(v.Labels, o.Labels)
+}
+
 // HasLabel reports whether the VM carries a label; every VM has the empty one.
 func (v *VM) HasLabel(label string) bool {
 	if label == "" {
 		return true
 	}
-	for _, l := range v.Labels {
-		if l == label {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(v.Labels, label)
 }
--- /dev/null
+++ b/runner/look.go
@@ -0,0 +1,110 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/internal/steady"
+)
+
+// lookLoop asks the executor for its account again and again. Each look extends
+// the lease of all that runs, as far as the leader's grant reaches.
+func (a *Agent) lookLoop(ctx context.Context) error {
+	for ctx.Err() == nil {
+		req, life, ok := a.nextLook()
+		if !ok {
+			steady.Pause(ctx, failPause)
+			continue
+		}
+		asked := steady.Now()
+		look, err := a.look(ctx, life, req)
+		if err != nil {
+			a.lookFailed(life, err)
+			steady.Pause(ctx, failPause)
+			continue
+		}
+		noted, listed := a.looked(ctx, life, look, asked)
+		if listed || req.UntilMS == 0 {
+			await(ctx, noted, notedTimeout)
+		}
+	}
+	return ctx.Err()
+}
+
+func await(ctx context.Context, ch <-chan struct{}, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-ch:
+	case <-t.C:
+	}
+}
+
+// nextLook returns the next request; ok is false while no life is known.
+func (a *Agent) nextLook() (req rudderfork.LookRequest, life string, ok bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.known {
+		return req, "", false
+	}
+	req = rudderfork.LookRequest{Fence: a.keeper.Fence(), AckedUpTo: a.acked, WaitMS: lookWait.Milliseconds()}
+	req.UntilMS, _ = a.keeper.Until(steady.Now())
+	if _, _, paced := a.pressure(); paced {
+		req.WaitMS = pacedWait.Milliseconds()
+	}
+	if req.UntilMS == 0 {
+		req.WaitMS = 0 // without a clock or a lease there is nothing to wait for
+	}
+	return req, a.keeper.Life(), true
+}
+
+func (a *Agent) look(ctx context.Context, life string, req rudderfork.LookRequest) (rudderfork.Look, error) {
+	wait := time.Duration(req.WaitMS) * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, wait+lookTimeout)
+	defer cancel()
+	return a.exec.Look(ctx, life, req)
+}
+
+func (a *Agent) lookFailed(life string, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.keeper.Life() != life {
+		return
+	}
+	if errors.Is(err, rudderfork.ErrOtherLife) {
+		a.log.Info().Str("life", life).Msg("executor_replaced")
+		a.lost()
+		return
+	}
+	a.met.calls.WithLabelValues("look", "unanswered").Inc()
+	a.log.Info().Err(err).Dur("silent", steady.Now().Sub(a.seenAt)).Msg("look_failed")
+}
+
+// looked takes an account. listed says that it holds ends that the leader has
+// not taken note of: until noted, the executor would list them again at once.
+func (a *Agent) looked(ctx context.Context, life string, look rudderfork.Look, asked time.Time) (noted <-chan struct{}, listed bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.keeper.Life() != life {
+		return nil, false
+	}
+	now := steady.Now()
+	a.seenAt = now
+	a.keeper.SetClock(look.ClockMS, now)
+	upTo := a.acked
+	for _, e := range look.Ended {
+		upTo = max(upTo, e.Seq)
+	}
+	noted = a.noted
+	a.report(a.keeper.Looked(look, asked), upTo)
+	clear(a.rows)
+	for _, r := range look.Running {
+		a.rows[r.RunRef] = r
+	}
+	a.adjustPace(ctx)
+	wake(a.kicked)
+	return noted, upTo > a.acked
+}
--- /dev/null
+++ b/runner/runner.go
@@ -0,0 +1,368 @@
+// Package runner is the process beside a VM's executor: it carries out what
+// package runs decides, tells the leader how the VM is, and paces fillers.
+//
+// Three loops share one Keeper. The look loop asks the executor for its account
+// and waits there for ends; the call loop sends starts and stops; the beat loop
+// sends heartbeats, each of which brings a lease back.
+package runner
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/thejerf/suture/v4"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/internal/steady"
+	"rudderfork.example/rudderfork/pace"
+	"rudderfork.example/rudderfork/queue"
+	"rudderfork.example/rudderfork/runs"
+	"rudderfork.example/rudderfork/session"
+	"rudderfork.example/rudderfork/wire"
+)
+
+const (
+	// beatEvery is between two heartbeats. A lease of seconds survives several
+	// lost ones, and the leader hears of changes of load in time.
+	beatEvery = 500 * time.Millisecond
+	// lookWait is how long the executor holds an answer back while there is no
+	// end to tell; pacedWait is the same while serving tasks have fillers beside
+	// them, whose effect is seen in half a second.
+	lookWait  = 1000 * time.Millisecond
+	pacedWait = 500 * time.Millisecond
+	// lookTimeout is added to the wait before a look is given up.
+	lookTimeout = 700 * time.Millisecond
+	// callTimeout bounds one start, stop or pace.
+	callTimeout = 500 * time.Millisecond
+	// notedTimeout bounds the wait for the leader to take note of ends before
+	// the executor is looked at again.
+	notedTimeout = 300 * time.Millisecond
+	// failPause is between looks that fail.
+	failPause = 150 * time.Millisecond
+	// muteAfter is how long the executor may leave looks unanswered before the
+	// VM counts as mute and asks for no lease.
+	muteAfter = 1200 * time.Millisecond
+)
+
+// Agent runs one VM's tasks. It is safe for concurrent use.
+type Agent struct {
+	exec    rudderfork.Executor
+	session *session.Client
+	log     zerolog.Logger
+	met     *metrics
+
+	kicked chan struct{} // the call loop has something to do
+	beatUp chan struct{} // a heartbeat is due at once
+
+	mu       sync.Mutex
+	keeper   *runs.Keeper
+	vm       queue.VM
+	known    bool // vm describes a life of the executor
+	draining bool
+	leaveAt  time.Time
+	seenAt   time.Time // when the executor last answered a look
+	rows     map[rudderfork.RunRef]rudderfork.RunRow
+	told     map[rudderfork.RunRef]rudderfork.RunRow // rows that the leader has
+	pacer    *pace.Controller
+	paces    map[rudderfork.RunRef]int
+
+	reports  map[uint64]report // not noted yet
+	reportID uint64
+	acked    uint64        // ends of the executor's list that were noted
+	noted    chan struct{} // closed at the next Noted
+}
+
+// report is ends on their way to the leader.
+type report struct {
+	ends queue.Ends
+	upTo uint64 // row of the executor's list that they reach
+}
+
+// New returns an agent that drives exec.
+func New(process string, seeds func() []string, exec rudderfork.Executor, log zerolog.Logger) *Agent {
+	a := &Agent{
+		exec: exec, log: log, met: newMetrics(), kicked: make(chan struct{}, 1), beatUp: make(chan struct{}, 1),
+		keeper: runs.New(), pacer: pace.New(),
+	}
+	a.session = session.New(process, seeds, a, log)
+	a.forget()
+	return a
+}
+
+// forget drops what concerned a life of the executor. The caller holds mu.
+func (a *Agent) forget() {
+	a.rows = map[rudderfork.RunRef]rudderfork.RunRow{}
+	a.told = map[rudderfork.RunRef]rudderfork.RunRow{}
+	a.paces = map[rudderfork.RunRef]int{}
+	a.reports = map[uint64]report{}
+	a.acked = 0
+	a.noted = make(chan struct{})
+	a.seenAt = steady.Now()
+}
+
+// Services returns the agent's loops, for a supervisor.
+func (a *Agent) Services() []suture.Service {
+	return []suture.Service{a.session, loop{"look", a.lookLoop}, loop{"calls", a.callLoop}, loop{"beat", a.beatLoop}}
+}
+
+// loop is a supervised loop.
+type loop struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+// Serve implements suture.Service.
+func (l loop) Serve(ctx context.Context) error { return l.run(ctx) }
+
+// String names the service in the supervisor's log.
+func (l loop) String() string { return l.name }
+
+// Describe takes the executor's description of itself. leave is the time that
+// is left at least while it drains.
+func (a *Agent) Describe(vm queue.VM, draining bool, leave time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	changed := !a.known || !a.vm.Same(vm) || a.draining != draining
+	if a.keeper.Life() != vm.Life {
+		a.log.Info().Str("life", vm.Life).Str("before", a.keeper.Life()).Stringer("capacity", vm.Capacity).
+			Strs("labels", vm.Labels).Msg("executor_life")
+		a.keeper.Reset(vm.Life)
+		a.forget()
+	}
+	if a.draining != draining {
+		a.log.Info().Bool("draining", draining).Dur("leave", leave).Msg("executor_draining")
+	}
+	a.vm, a.known, a.draining, a.leaveAt = vm, true, draining, steady.Now().Add(leave)
+	a.keeper.SetDraining(draining)
+	if changed {
+		wake(a.beatUp)
+		wake(a.kicked)
+	}
+}
+
+// Life returns the executor's life that the agent knows, or "".
+func (a *Agent) Life() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.keeper.Life()
+}
+
+// Gone notes that the executor has left; what it ran is over.
+func (a *Agent) Gone(life string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.keeper.Life() != life {
+		return
+	}
+	a.log.Info().Str("life", life).Msg("executor_gone")
+	a.lost()
+}
+
+// lost forgets the executor until it describes itself anew. The caller holds mu.
+func (a *Agent) lost() {
+	a.keeper.Reset("")
+	a.forget()
+	a.known = false
+}
+
+func wake(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
+
+// Opened implements session.Handler.
+func (a *Agent) Opened(w wire.QueueWelcome) {
+	a.mu.Lock()
+	a.keeper.SetTerm(w.Term)
+	a.told = map[rudderfork.RunRef]rudderfork.RunRow{}
+	var again []wire.FromNode
+	for id, r := range a.reports {
+		again = append(again, wire.FromNode{Ends: &wire.EndsReport{Seq: id, Ends: r.ends}})
+	}
+	a.mu.Unlock()
+	wake(a.beatUp)
+	for _, m := range again {
+		a.session.Send(m) // if it fails, the next session sends it again
+	}
+}
+
+// Closed implements session.Handler.
+func (a *Agent) Closed() {}
+
+// Handle implements session.Handler.
+func (a *Agent) Handle(m wire.ToQueueNode) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case m.Grant != nil:
+		if m.Grant.LeaseMS > 0 {
+			sent := time.Unix(0, m.Grant.Sent)
+			a.keeper.Grant(m.Grant.Epoch, sent.Add(time.Duration(m.Grant.LeaseMS)*time.Millisecond))
+		}
+	case m.Orders != nil:
+		a.keeper.Order(*m.Orders)
+		a.log.Debug().Uint64("epoch", m.Orders.Epoch).Bool("full", m.Orders.Full).
+			Int("start", len(m.Orders.Start)).Int("stop", len(m.Orders.Stop)).Msg("orders")
+	case m.Noted != nil:
+		a.takeNoted(m.Noted.Seq)
+	default:
+		return
+	}
+	wake(a.kicked)
+}
+
+// takeNoted forgets ends that are committed. The caller holds mu.
+func (a *Agent) takeNoted(id uint64) {
+	r, ok := a.reports[id]
+	if !ok {
+		return
+	}
+	delete(a.reports, id)
+	a.keeper.Noted(r.ends.List)
+	a.acked = max(a.acked, r.upTo)
+	close(a.noted)
+	a.noted = make(chan struct{})
+}
+
+// report sends ends to the leader. The caller holds mu.
+func (a *Agent) report(ends []queue.End, upTo uint64) {
+	if len(ends) == 0 {
+		return
+	}
+	a.reportID++
+	r := report{queue.Ends{VM: a.vm.ID, Life: a.vm.Life, List: ends}, upTo}
+	a.reports[a.reportID] = r
+	for _, e := range ends {
+		a.met.ends.WithLabelValues(string(e.How)).Inc()
+	}
+	a.session.Send(wire.FromNode{Ends: &wire.EndsReport{Seq: a.reportID, Ends: r.ends}})
+}
+
+// beatLoop sends heartbeats.
+func (a *Agent) beatLoop(ctx context.Context) error {
+	tick := time.NewTicker(beatEvery)
+	defer tick.Stop()
+	for {
+		if b, ok := a.beat(); ok {
+			a.session.Send(wire.FromNode{Beat: &b})
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		case <-a.beatUp:
+		}
+	}
+}
+
+// beat returns a heartbeat, with the rows that have changed.
+func (a *Agent) beat() (b wire.VMBeat, ok bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.known {
+		return b, false
+	}
+	now := steady.Now()
+	b = wire.VMBeat{Sent: now.UnixNano(), VM: a.vm, Draining: a.draining, Mute: now.Sub(a.seenAt) > muteAfter}
+	if a.draining {
+		b.LeaveMS = max(0, a.leaveAt.Sub(now).Milliseconds())
+	}
+	for ref, row := range a.rows {
+		if a.told[ref] != row {
+			a.told[ref] = row
+			b.Rows = append(b.Rows, row)
+		}
+	}
+	for ref := range a.told {
+		if _, there := a.rows[ref]; !there {
+			delete(a.told, ref)
+		}
+	}
+	return b, true
+}
+
+// callLoop sends starts and stops as they fall due.
+func (a *Agent) callLoop(ctx context.Context) error {
+	timer := time.NewTimer(beatEvery)
+	defer timer.Stop()
+	for {
+		timer.Reset(a.sendDue(ctx))
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-a.kicked:
+		case <-timer.C:
+		}
+	}
+}
+
+// sendDue sends the calls that are due, and returns when to look again.
+func (a *Agent) sendDue(ctx context.Context) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := steady.Now()
+	calls, ends := a.keeper.Due(now)
+	a.report(ends, 0)
+	life, fence := a.keeper.Life(), a.keeper.Fence()
+	for _, c := range calls {
+		go a.call(ctx, life, fence, c)
+	}
+	wait := beatEvery
+	if at, ok := a.keeper.RetryAt(); ok {
+		wait = min(wait, max(time.Millisecond, at.Sub(now)))
+	}
+	return wait
+}
+
+// call makes one call and hands its answer to the keeper.
+func (a *Agent) call(ctx context.Context, life string, fence uint64, c runs.Call) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var out rudderfork.StartOutcome
+	var err error
+	began := steady.Now()
+	if c.Start != nil {
+		out, err = a.exec.Start(ctx, life, *c.Start)
+	} else {
+		err = a.exec.Stop(ctx, life, c.Ref, fence)
+	}
+	now := steady.Now()
+	a.noteCall(c, out, err, now.Sub(began))
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.keeper.Life() != life {
+		return // it concerned a life that is over
+	}
+	if errors.Is(err, rudderfork.ErrOtherLife) {
+		a.lost()
+		return
+	}
+	if c.Start == nil {
+		a.keeper.Stopped(c.Ref, err, now)
+	} else if end := a.keeper.Started(c.Ref, out, err, now); end != nil {
+		a.report([]queue.End{*end}, 0)
+	}
+	if err == nil && c.Start != nil && out == rudderfork.Started {
+		a.paceNew(ctx, c.Ref)
+	}
+	wake(a.kicked)
+}
+
+func (a *Agent) noteCall(c runs.Call, out rudderfork.StartOutcome, err error, took time.Duration) {
+	kind, outcome := "stop", "ok"
+	if c.Start != nil {
+		kind, outcome = "start", out.String()
+	}
+	if err != nil {
+		outcome = "unanswered"
+	}
+	a.met.calls.WithLabelValues(kind, outcome).Inc()
+	a.met.took.WithLabelValues(kind).Observe(took.Seconds())
+	a.log.Info().Str("call", kind).Str("task", string(c.Ref.Task)).Uint32("run", c.Ref.Run).Str("outcome", outcome).
+		Dur("took", took).AnErr("error", err).Msg("executor_called")
+}
--- /dev/null
+++ b/runs/keeper.go
@@ -0,0 +1,363 @@
+// Package runs keeps the runs of one VM as control wants them.
+//
+// A Keeper is the part of a VM's agent that decides. It takes what control
+// orders and grants, and what the VM's executor answers, each with the time,
+// and says what to ask of the executor and what to report to control. It does
+// no I/O.
+//
+// Time is chained so that nothing runs on a VM that control has given up:
+// control grants a lease counted from when the agent sent its heartbeat; the
+// agent turns it into an end on the executor's clock that is surely not later;
+// the executor kills everything at that end. An order that the executor carries
+// out late brings its own end of the lease with it, and does nothing after it.
+package runs
+
+import (
+	"time"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/queue"
+	"rudderfork.example/rudderfork/wire"
+)
+
+const (
+	// clockSlow is by how much an executor's clock may run slow (the users'
+	// pages say 2%).
+	clockSlow = 0.02
+	// leaseMargin is kept between the grant's end and the executor's, for
+	// rounding on both clocks.
+	leaseMargin = 20 * time.Millisecond
+	// retryPause is between two tries of a call that was not answered.
+	retryPause = 100 * time.Millisecond
+	// leastLease is the least time left for which a start is worth sending.
+	leastLease = 200 * time.Millisecond
+)
+
+// Call is one thing to ask of the executor.
+type Call struct {
+	Ref   rudderfork.RunRef
+	Start *rudderfork.RunStart // nil means to stop it
+}
+
+// Keeper holds one VM's orders. It is not safe for concurrent use.
+type Keeper struct {
+	life   string
+	epoch  uint64
+	term   uint64 // of the leader whose orders are obeyed; the fencing token
+	synced bool   // the full list of the epoch has come
+	grant  time.Time
+	leave  bool // the executor is draining: nothing more is started
+
+	clockMS int64 // of the executor, read not later than clockAt
+	clockAt time.Time
+
+	orders map[rudderfork.TaskID]*order
+	strays map[rudderfork.RunRef]*order // to stop, and nothing to report
+}
+
+// order is one run that control wants here, or wants gone.
+type order struct {
+	wire.RunOrder
+	stop      bool
+	inFlight  bool
+	unsure    bool      // a start was sent and not answered
+	confirmed time.Time // when the executor confirmed the start, or the stop
+	retryAt   time.Time
+	ended     bool // its end was reported
+}
+
+// New returns a keeper without a life of the executor.
+func New() *Keeper {
+	k := &Keeper{}
+	k.Reset("")
+	return k
+}
+
+// Reset forgets everything: the executor has another life, which runs nothing.
+func (k *Keeper) Reset(life string) {
+	*k = Keeper{
+		life: life, term: k.term,
+		orders: map[rudderfork.TaskID]*order{}, strays: map[rudderfork.RunRef]*order{},
+	}
+}
+
+// Life returns the executor's life.
+func (k *Keeper) Life() string { return k.life }
+
+// Fence returns the fencing token for the executor.
+func (k *Keeper) Fence() uint64 { return k.term }
+
+// SetDraining tells whether the executor is draining.
+func (k *Keeper) SetDraining(leave bool) { k.leave = leave }
+
+// SetTerm notes the term of the leader that the session is with.
+func (k *Keeper) SetTerm(term uint64) { k.term = max(k.term, term) }
+
+// Grant takes a lease that ends at the given time. It counts only for the epoch
+// whose orders are here.
+func (k *Keeper) Grant(epoch uint64, until time.Time) {
+	if k.synced && epoch == k.epoch && until.After(k.grant) {
+		k.grant = until
+	}
+}
+
+// Granted returns when the lease ends.
+func (k *Keeper) Granted() time.Time { return k.grant }
+
+// SetClock notes the executor's clock, read between asked and now.
+func (k *Keeper) SetClock(ms int64, now time.Time) { k.clockMS, k.clockAt = ms, now }
+
+// Until returns the end of the lease on the executor's clock; ok is false
+// without a lease that is worth anything.
+func (k *Keeper) Until(now time.Time) (ms int64, ok bool) {
+	if k.clockAt.IsZero() || k.grant.Sub(now) < leastLease {
+		return 0, false
+	}
+	left := k.grant.Sub(k.clockAt) - leaseMargin
+	return k.clockMS + int64(float64(left.Milliseconds())*(1-clockSlow)), true
+}
+
+// Order takes orders of control.
+func (k *Keeper) Order(o wire.Orders) {
+	if o.Full {
+		k.takeAll(o)
+	}
+	if o.Epoch != k.epoch {
+		return
+	}
+	for _, r := range o.Start {
+		if old := k.orders[r.Task]; old == nil || old.Run < r.Run {
+			k.orders[r.Task] = &order{RunOrder: r}
+		}
+	}
+	for _, r := range o.Stop {
+		k.stop(r)
+	}
+}
+
+// takeAll takes a full list: what it does not name is to be stopped.
+func (k *Keeper) takeAll(o wire.Orders) {
+	if o.Epoch != k.epoch {
+		for id, old := range k.orders {
+			k.strays[old.RunRef] = &order{RunOrder: old.RunOrder, stop: true}
+			delete(k.orders, id)
+		}
+		k.epoch, k.grant = o.Epoch, time.Time{}
+	}
+	k.synced = true
+	listed := map[rudderfork.RunRef]bool{}
+	for _, r := range o.Start {
+		listed[r.RunRef] = true
+	}
+	for id, old := range k.orders {
+		if !listed[old.RunRef] {
+			k.strays[old.RunRef] = &order{RunOrder: old.RunOrder, stop: true}
+			delete(k.orders, id)
+		}
+	}
+}
+
+func (k *Keeper) stop(r rudderfork.RunRef) {
+	o := k.orders[r.Task]
+	if o == nil || o.Run != r.Run || o.stop {
+		return
+	}
+	o.stop = true
+	o.confirmed, o.retryAt = time.Time{}, time.Time{}
+}
+
+// Due returns the calls to make now, each to be followed by Started or Stopped,
+// and the ends of runs that will not begin because the executor is draining.
+func (k *Keeper) Due(now time.Time) (calls []Call, ends []queue.End) {
+	for _, o := range k.strays {
+		if c := k.due(o, now); c != nil {
+			calls = append(calls, *c)
+		}
+	}
+	for _, o := range k.orders {
+		if e := k.turnAway(o); e != nil {
+			ends = append(ends, *e)
+		}
+		if c := k.due(o, now); c != nil {
+			calls = append(calls, *c)
+		}
+	}
+	return calls, ends
+}
+
+// turnAway refuses a run that would have to begin on a draining executor.
+func (k *Keeper) turnAway(o *order) *queue.End {
+	if !k.leave || o.stop || o.ended || o.inFlight || !o.confirmed.IsZero() {
+		return nil
+	}
+	if o.unsure {
+		o.stop = true
+		return nil
+	}
+	return k.refuse(o, "draining")
+}
+
+func (k *Keeper) due(o *order, now time.Time) *Call {
+	if o.ended || o.inFlight || !o.confirmed.IsZero() || now.Before(o.retryAt) {
+		return nil
+	}
+	if o.stop {
+		o.inFlight = true
+		return &Call{Ref: o.RunRef}
+	}
+	until, ok := k.Until(now)
+	if !ok {
+		return nil
+	}
+	o.inFlight = true
+	return &Call{Ref: o.RunRef, Start: &rudderfork.RunStart{
+		RunRef: o.RunRef, Payload: o.Payload, Checkpoint: o.Checkpoint, Ticket: o.Ticket,
+		UntilMS: until, Fence: k.term,
+	}}
+}
+
+// RetryAt returns when Due may have something again without another event.
+func (k *Keeper) RetryAt() (at time.Time, ok bool) {
+	for _, o := range k.orders {
+		if !o.retryAt.IsZero() && o.confirmed.IsZero() && !o.ended && (!ok || o.retryAt.Before(at)) {
+			at, ok = o.retryAt, true
+		}
+	}
+	for _, o := range k.strays {
+		if !o.retryAt.IsZero() && o.confirmed.IsZero() && (!ok || o.retryAt.Before(at)) {
+			at, ok = o.retryAt, true
+		}
+	}
+	return at, ok
+}
+
+// Started takes the answer to a start, and returns the end to report if the run
+// surely will never begin here.
+func (k *Keeper) Started(ref rudderfork.RunRef, out rudderfork.StartOutcome, err error, now time.Time) (refused *queue.End) {
+	o := k.orders[ref.Task]
+	if o == nil || o.Run != ref.Run {
+		return nil
+	}
+	o.inFlight = false
+	switch {
+	case err != nil:
+		o.unsure = true
+		o.retryAt = now.Add(retryPause)
+	case o.stop:
+		// The stop is sent next.
+	case out == rudderfork.Started:
+		o.confirmed = now
+	case out == rudderfork.StartLate || out == rudderfork.StartFenced:
+		o.retryAt = now.Add(retryPause)
+	case o.unsure && out != rudderfork.StartOld:
+		// An earlier try may yet be carried out: only a stop ends that.
+		o.stop = true
+	default:
+		return k.refuse(o, out.String())
+	}
+	return nil
+}
+
+// refuse reports a run that did not begin.
+func (k *Keeper) refuse(o *order, reason string) *queue.End {
+	key, err := queue.ParseTaskKey(string(o.Task))
+	if err != nil {
+		return nil
+	}
+	if reason == rudderfork.StartOld.String() {
+		// It has begun and ended there: the end is listed by the next look, or
+		// the run is found gone.
+		o.confirmed, o.stop = k.clockAt, true
+		return nil
+	}
+	o.ended = true
+	return &queue.End{Task: key, Run: o.Run, How: queue.EndRefused, Reason: reason}
+}
+
+// Stopped takes the answer to a stop.
+func (k *Keeper) Stopped(ref rudderfork.RunRef, err error, now time.Time) {
+	if o := k.strays[ref]; o != nil {
+		o.inFlight = false
+		if err == nil {
+			delete(k.strays, ref)
+		} else {
+			o.retryAt = now.Add(retryPause)
+		}
+	}
+	o := k.orders[ref.Task]
+	if o == nil || o.Run != ref.Run || !o.stop {
+		return
+	}
+	o.inFlight = false
+	if err != nil {
+		o.retryAt = now.Add(retryPause)
+		return
+	}
+	o.confirmed = now
+}
+
+// Looked takes an executor's account that was asked for at the given time. It
+// returns the ends to report: those listed, and those of runs that the executor
+// knows nothing of though it should.
+func (k *Keeper) Looked(look rudderfork.Look, asked time.Time) (ends []queue.End) {
+	there := map[rudderfork.RunRef]bool{}
+	for _, r := range look.Running {
+		there[r.RunRef] = true
+		k.checkStray(r.RunRef)
+	}
+	for _, e := range look.Ended {
+		there[e.RunRef] = true
+		key, err := queue.ParseTaskKey(string(e.Task))
+		if err != nil {
+			continue // nothing of ours; it is acknowledged with the others
+		}
+		ends = append(ends, queue.End{Task: key, Run: e.Run, How: queue.Ending(e.How), Checkpoint: e.Checkpoint})
+		if o := k.orders[e.Task]; o != nil && o.Run == e.Run {
+			o.ended = true
+		}
+	}
+	for _, o := range k.orders {
+		if o.ended || there[o.RunRef] || o.confirmed.IsZero() || !o.confirmed.Before(asked) {
+			continue
+		}
+		key, err := queue.ParseTaskKey(string(o.Task))
+		if err != nil {
+			continue
+		}
+		o.ended = true
+		ends = append(ends, queue.End{Task: key, Run: o.Run, How: queue.EndGone, Reason: "the executor knows nothing of it"})
+	}
+	return ends
+}
+
+// checkStray stops a run that control does not want here.
+func (k *Keeper) checkStray(ref rudderfork.RunRef) {
+	if !k.synced || k.strays[ref] != nil {
+		return
+	}
+	if o := k.orders[ref.Task]; o == nil || o.Run != ref.Run {
+		k.strays[ref] = &order{RunOrder: wire.RunOrder{RunRef: ref}, stop: true}
+	}
+}
+
+// Noted forgets runs whose ends are committed.
+func (k *Keeper) Noted(ends []queue.End) {
+	for _, e := range ends {
+		id := rudderfork.TaskID(e.Task.String())
+		if o := k.orders[id]; o != nil && o.Run == e.Run {
+			delete(k.orders, id)
+		}
+	}
+}
+
+// Wanted returns the orders by task, for pacing. Runs that are to stop are not
+// among them.
+func (k *Keeper) Wanted() map[rudderfork.TaskID]wire.RunOrder {
+	w := make(map[rudderfork.TaskID]wire.RunOrder, len(k.orders))
+	for id, o := range k.orders {
+		if !o.stop && !o.ended {
+			w[id] = o.RunOrder
+		}
+	}
+	return w
+}
--- /dev/null
+++ b/scheduler/ask.go
@@ -0,0 +1,129 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/internal/steady"
+	"rudderfork.example/rudderfork/queue"
+	"rudderfork.example/rudderfork/replica"
+	"rudderfork.example/rudderfork/state"
+	"rudderfork.example/rudderfork/wire"
+)
+
+// ask answers a front's call on its own session.
+func (ses *session) ask(ctx context.Context, a wire.Ask) {
+	ans := ses.s.Answer(ctx, a)
+	ans.ID = a.ID
+	ses.reply(wire.ToQueueNode{Answer: &ans})
+}
+
+// Answer carries out a call: it commits orders, and reads at a point that the
+// quorum confirmed.
+func (s *Scheduler) Answer(ctx context.Context, a wire.Ask) (ans wire.AskAnswer) {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	began := steady.Now()
+	kind := kindOf(a)
+	defer func() { s.noteAnswer(kind, ans, began) }()
+	switch {
+	case a.Submit != nil:
+		a.Submit.KeepMS = s.cfg.KeepStatus.Milliseconds()
+		ans = s.commit(ctx, queue.Command{Submit: a.Submit})
+		s.logAsk(kind, a.Submit.Path, ans)
+	case a.Cancel != nil:
+		ans = s.commit(ctx, queue.Command{Cancel: a.Cancel})
+		s.logAsk(kind, a.Cancel.Path, ans)
+	case a.Put != nil:
+		ans = s.commit(ctx, queue.Command{Document: a.Put})
+		s.log.Info().Uint64("version", a.Put.Version).Int("queues", len(a.Put.Queues)).Str("result", string(ans.Code)).
+			Bool("unsure", ans.Unsure).Msg("document_put")
+	case a.Status != nil:
+		ans = s.read(ctx, func(st *queue.State) wire.AskAnswer { return statusOf(st, *a.Status) })
+	case a.Get:
+		ans = s.read(ctx, documentOf)
+	default:
+		ans = wire.AskAnswer{Code: queue.Invalid, Text: "the call is empty"}
+	}
+	return ans
+}
+
+func kindOf(a wire.Ask) string {
+	switch {
+	case a.Submit != nil:
+		return "submit"
+	case a.Cancel != nil:
+		return "cancel"
+	case a.Put != nil:
+		return "put_document"
+	case a.Status != nil:
+		return "status"
+	}
+	return "get_document"
+}
+
+func (s *Scheduler) noteAnswer(kind string, ans wire.AskAnswer, began time.Time) {
+	outcome := string(ans.Code)
+	if ans.Unsure {
+		outcome = "unsure"
+	} else if ans.NotTaken {
+		outcome = "not-taken"
+	}
+	s.met.asks.WithLabelValues(kind, outcome).Inc()
+	s.met.answer.WithLabelValues(kind).Observe(steady.Now().Sub(began).Seconds())
+}
+
+func (s *Scheduler) logAsk(kind, path string, ans wire.AskAnswer) {
+	s.log.Info().Str("ask", kind).Str("path", path).Str("result", string(ans.Code)).Str("detail", ans.Text).
+		Bool("unsure", ans.Unsure).Bool("not_taken", ans.NotTaken).Msg("ask_answered")
+}
+
+// commit carries out an order.
+func (s *Scheduler) commit(ctx context.Context, c queue.Command) wire.AskAnswer {
+	res, err := s.do(ctx, c)
+	switch {
+	case errors.Is(err, replica.ErrNotLeader), errors.Is(err, replica.ErrSuperseded):
+		return wire.AskAnswer{NotTaken: true, Text: err.Error()}
+	case err != nil:
+		return wire.AskAnswer{Unsure: true, Text: err.Error()}
+	}
+	return wire.AskAnswer{Code: res.Code, Text: res.Text}
+}
+
+// read answers from a state that no newer one had replaced when the call came.
+func (s *Scheduler) read(ctx context.Context, f func(st *queue.State) wire.AskAnswer) (ans wire.AskAnswer) {
+	if err := s.rep.Barrier(ctx); err != nil {
+		return wire.AskAnswer{NotTaken: true, Text: err.Error()}
+	}
+	s.rep.View(func(st *state.State) { ans = f(st.Queues()) })
+	return ans
+}
+
+func statusOf(st *queue.State, p wire.Place) wire.AskAnswer {
+	doc := st.Document()
+	if doc == nil {
+		return wire.AskAnswer{Code: queue.NoDocument}
+	}
+	q, rest, ok := doc.Find(p.Host, p.Path)
+	if !ok {
+		return wire.AskAnswer{Code: queue.NoQueue}
+	}
+	if rest == "" {
+		return wire.AskAnswer{Code: queue.OK, IsQueue: true, Waiting: st.Waiting(q.Name)}
+	}
+	j := st.Job(rudderfork.JobID(rest))
+	if j == nil {
+		return wire.AskAnswer{Code: queue.NoJob}
+	}
+	return wire.AskAnswer{Code: queue.OK, Status: j.Status}
+}
+
+func documentOf(st *queue.State) wire.AskAnswer {
+	doc := st.Document()
+	if doc == nil {
+		return wire.AskAnswer{Code: queue.NoDocument}
+	}
+	return wire.AskAnswer{Code: queue.OK, Document: doc.Text}
+}
--- /dev/null
+++ b/scheduler/fleet.go
@@ -0,0 +1,217 @@
+package scheduler
+
+import (
+	"time"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/dispatch"
+	"rudderfork.example/rudderfork/queue"
+	"rudderfork.example/rudderfork/wire"
+)
+
+const (
+	// beatLimit is how old the newest heartbeat of a usable VM may be: two of
+	// them and some delay.
+	beatLimit = 1_300 * time.Millisecond
+	// refusalPause keeps a task that was refused back for a moment, so that a
+	// VM that refuses everything does not cause a commit after the other.
+	refusalPause = 150 * time.Millisecond
+	// doubtStep is what one failure adds to a VM's doubt, and doubtHalf how
+	// long it takes to lose half of it.
+	doubtStep = 0.5
+	doubtHalf = 3 * time.Second
+	// maxFailedOn bounds the VMs remembered for a task.
+	maxFailedOn = 8
+)
+
+// fleet is what the leader knows of the VMs and runs beside the replicated
+// state. It is guarded by the scheduler's mu.
+type fleet struct {
+	vms     map[rudderfork.VMID]*vmInfo
+	stops   map[rudderfork.RunRef]string // runs that are to end, with why
+	noted   map[rudderfork.RunRef]bool   // stops that were logged
+	failed  map[queue.TaskKey][]rudderfork.VMID
+	putOff  map[queue.TaskKey]time.Time
+	pruneAt time.Time
+}
+
+// vmInfo is one VM at the moment.
+type vmInfo struct {
+	leaseUntil time.Time
+	expiring   bool
+	session    *session
+	beatAt     time.Time
+	beat       wire.VMBeat
+	rows       map[queue.TaskKey]*runInfo
+	doubt      float64
+	doubtAt    time.Time
+}
+
+// runInfo is one run at the moment.
+type runInfo struct {
+	row     rudderfork.RunRow
+	movedAt time.Time
+}
+
+func newFleet() *fleet {
+	return &fleet{
+		vms: map[rudderfork.VMID]*vmInfo{}, stops: map[rudderfork.RunRef]string{}, noted: map[rudderfork.RunRef]bool{},
+		failed: map[queue.TaskKey][]rudderfork.VMID{}, putOff: map[queue.TaskKey]time.Time{},
+	}
+}
+
+func (f *fleet) vm(id rudderfork.VMID) *vmInfo {
+	v := f.vms[id]
+	if v == nil {
+		v = &vmInfo{rows: map[queue.TaskKey]*runInfo{}}
+		f.vms[id] = v
+	}
+	return v
+}
+
+// checkpoints returns the newest known of each run on the VM.
+func (v *vmInfo) checkpoints() map[queue.TaskKey]string {
+	m := map[queue.TaskKey]string{}
+	for k, r := range v.rows {
+		if r.row.Checkpoint != "" {
+			m[k] = r.row.Checkpoint
+		}
+	}
+	return m
+}
+
+// take notes a heartbeat.
+func (v *vmInfo) take(b wire.VMBeat, now time.Time) {
+	if v.beat.VM.Life != b.VM.Life {
+		clear(v.rows)
+		v.doubt = 0
+	}
+	v.beat, v.beatAt = b, now
+	for _, row := range b.Rows {
+		k, err := queue.ParseTaskKey(string(row.Task))
+		if err != nil {
+			continue // not a run of ours; the agent stops it
+		}
+		r := v.rows[k]
+		if r == nil || r.row.Run != row.Run {
+			r = &runInfo{movedAt: now}
+			v.rows[k] = r
+		}
+		if r.row.Percent != row.Percent {
+			r.movedAt = now
+		}
+		r.row = row
+	}
+	v.beat.Rows = nil
+}
+
+func (v *vmInfo) usable(now time.Time) bool {
+	return v.session != nil && !v.expiring && !v.beat.Mute && now.Sub(v.beatAt) < beatLimit && now.Before(v.leaseUntil)
+}
+
+// addDoubt counts a failure, or with a negative step a success.
+func (v *vmInfo) addDoubt(step float64, now time.Time) {
+	v.doubt = max(0, v.doubtNow(now)+step)
+	v.doubtAt = now
+}
+
+// doubtNow is the doubt, which halves every doubtHalf.
+func (v *vmInfo) doubtNow(now time.Time) float64 {
+	d := v.doubt
+	for span := now.Sub(v.doubtAt); span >= doubtHalf && d > 0.01; span -= doubtHalf {
+		d /= 2
+	}
+	return d
+}
+
+// view returns what dispatch reads, and drops what concerns runs that are over.
+func (f *fleet) view(s *queue.State, now time.Time) dispatch.View {
+	view := dispatch.View{
+		Now: rudderfork.Millis(now), VMs: map[rudderfork.VMID]dispatch.VMView{}, Runs: map[queue.TaskKey]dispatch.RunView{},
+		Failed: f.failed, PutOff: map[queue.TaskKey]int64{},
+	}
+	for _, vm := range s.VMs() {
+		v := f.vm(vm.ID)
+		view.VMs[vm.ID] = dispatch.VMView{Usable: v.usable(now), Draining: v.beat.Draining, Doubt: v.doubtNow(now)}
+		for k, r := range v.rows {
+			if vm.Runs()[k] != r.row.Run {
+				delete(v.rows, k)
+				continue
+			}
+			view.Runs[k] = dispatch.RunView{
+				Number: r.row.Run, Percent: r.row.Percent, MovedAt: rudderfork.Millis(r.movedAt), Load: r.row.Load,
+			}
+		}
+	}
+	for k, until := range f.putOff {
+		if now.After(until) {
+			delete(f.putOff, k)
+			continue
+		}
+		view.PutOff[k] = rudderfork.Millis(until)
+	}
+	f.prune(s, now)
+	return view
+}
+
+// prunePause is how often what concerns jobs that are over is dropped.
+const prunePause = 5 * time.Second
+
+func (f *fleet) prune(s *queue.State, now time.Time) {
+	if now.Before(f.pruneAt) {
+		return
+	}
+	f.pruneAt = now.Add(prunePause)
+	for k := range f.failed {
+		if s.Live()[k.Job] == nil {
+			delete(f.failed, k)
+		}
+	}
+	for ref := range f.noted {
+		if _, ok := f.stops[ref]; !ok {
+			delete(f.noted, ref)
+		}
+	}
+}
+
+// setStops replaces the runs that are to end.
+func (f *fleet) setStops(stops []dispatch.Stop) {
+	clear(f.stops)
+	for _, st := range stops {
+		f.stops[rudderfork.RunRef{Task: rudderfork.TaskID(st.Task.String()), Run: st.Run}] = st.Reason
+	}
+}
+
+// noteStop reports whether a stop is new.
+func (f *fleet) noteStop(st dispatch.Stop) bool {
+	ref := rudderfork.RunRef{Task: rudderfork.TaskID(st.Task.String()), Run: st.Run}
+	if f.noted[ref] {
+		return false
+	}
+	f.noted[ref] = true
+	return true
+}
+
+// learn draws conclusions from the end of a run.
+func (f *fleet) learn(vm rudderfork.VMID, e queue.End, now time.Time) {
+	v := f.vm(vm)
+	ref := rudderfork.RunRef{Task: rudderfork.TaskID(e.Task.String()), Run: e.Run}
+	switch {
+	case e.How == queue.EndDone:
+		v.addDoubt(-doubtStep, now)
+	case e.How == queue.EndFailed, e.How == queue.EndRefused, f.stops[ref] == dispatch.Stuck:
+		v.addDoubt(doubtStep, now)
+		f.failedOn(e.Task, vm)
+	}
+	if e.How == queue.EndRefused {
+		f.putOff[e.Task] = now.Add(refusalPause)
+	}
+}
+
+func (f *fleet) failedOn(k queue.TaskKey, vm rudderfork.VMID) {
+	list := f.failed[k]
+	if len(list) >= maxFailedOn {
+		list = list[1:]
+	}
+	f.failed[k] = append(list, vm)
+}
--- /dev/null
+++ b/scheduler/metrics.go
@@ -0,0 +1,39 @@
+package scheduler
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// metrics are the scheduler's own.
+type metrics struct {
+	commit, plan        prometheus.Histogram
+	starts, stops, lost prometheus.Counter
+	ends, asks          *prometheus.CounterVec
+	answer              *prometheus.HistogramVec
+}
+
+// latencyBuckets fit objectives of a few hundred milliseconds, in seconds.
+var latencyBuckets = []float64{.001, .0025, .005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5}
+
+func newMetrics() *metrics {
+	histogram := func(name, help string) prometheus.HistogramOpts {
+		return prometheus.HistogramOpts{Namespace: "rudderfork", Subsystem: "queue", Name: name, Help: help, Buckets: latencyBuckets}
+	}
+	counter := func(name, help string) prometheus.CounterOpts {
+		return prometheus.CounterOpts{Namespace: "rudderfork", Subsystem: "queue", Name: name, Help: help}
+	}
+	return &metrics{
+		commit: prometheus.NewHistogram(histogram("commit_seconds", "From a command's proposal until it is applied.")),
+		plan:   prometheus.NewHistogram(histogram("plan_seconds", "Time taken to make one plan.")),
+		starts: prometheus.NewCounter(counter("starts_total", "Runs started.")),
+		stops:  prometheus.NewCounter(counter("stops_total", "Runs asked to stop.")),
+		lost:   prometheus.NewCounter(counter("vms_lost_total", "VMs whose lease ran out.")),
+		ends:   prometheus.NewCounterVec(counter("ends_total", "Runs that ended, by how."), []string{"how"}),
+		asks:   prometheus.NewCounterVec(counter("asks_total", "Calls of fronts, by kind and outcome."), []string{"kind", "outcome"}),
+		answer: prometheus.NewHistogramVec(histogram("answer_seconds", "Time until a front's call is answered."), []string{"kind"}),
+	}
+}
+
+// Collectors returns the scheduler's metrics, for a registry.
+func (s *Scheduler) Collectors() []prometheus.Collector {
+	m := s.met
+	return []prometheus.Collector{m.commit, m.plan, m.starts, m.stops, m.lost, m.ends, m.asks, m.answer}
+}
--- /dev/null
+++ b/scheduler/scheduler.go
@@ -0,0 +1,266 @@
+// Package scheduler is what the leader of the control processes does for the
+// queues: it holds the sessions of fronts and of VMs' agents, grants the VMs
+// their leases, carries out the plans of package dispatch, and answers fronts.
+//
+// Nothing is told to anyone before it is committed: a front hears that a job is
+// taken, an agent that an end is noted, and a VM what to run, only after the
+// quorum holds it. What is read is read at a point that the quorum confirmed.
+package scheduler
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/dispatch"
+	"rudderfork.example/rudderfork/internal/steady"
+	"rudderfork.example/rudderfork/queue"
+	"rudderfork.example/rudderfork/replica"
+	"rudderfork.example/rudderfork/state"
+)
+
+const (
+	// roundPause is the longest pause between two rounds: leases run out and
+	// stand-stills are seen without any event.
+	roundPause = 100 * time.Millisecond
+	// commandTimeout bounds one command; a leader that cannot commit for so
+	// long has most likely lost its quorum.
+	commandTimeout = 3 * time.Second
+	// drift is by how much two steady clocks may disagree over a lease.
+	drift = 0.01
+	// leaseSlack is waited after a lease has run out, for rounding and for the
+	// time that an executor takes to kill what it runs.
+	leaseSlack = 100 * time.Millisecond
+)
+
+// Settings are those of a scheduler.
+type Settings struct {
+	// Lease is how long a VM may run on without contact to the leader.
+	Lease time.Duration
+	// KeepStatus is how long the status of a finished job can be asked for.
+	KeepStatus time.Duration
+}
+
+// Scheduler is the leader's part for the queues. It runs on every control
+// process and does something only on the leader.
+type Scheduler struct {
+	cfg Settings
+	rep *replica.Replica
+	log zerolog.Logger
+	rec rudderfork.Recorder
+	met *metrics
+
+	kicked chan struct{}
+
+	mu       sync.Mutex
+	term     uint64 // for which sessions are taken; 0 while not leading
+	fleet    *fleet
+	sessions map[*session]bool
+}
+
+// New returns a scheduler over a replica.
+func New(cfg Settings, rep *replica.Replica, log zerolog.Logger, rec rudderfork.Recorder) *Scheduler {
+	return &Scheduler{
+		cfg: cfg, rep: rep, log: log, rec: rec, met: newMetrics(),
+		kicked: make(chan struct{}, 1), fleet: newFleet(), sessions: map[*session]bool{},
+	}
+}
+
+// String names the service in the supervisor's log.
+func (s *Scheduler) String() string { return "scheduler" }
+
+// Serve implements suture.Service.
+func (s *Scheduler) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		changed := s.rep.Changed()
+		if s.rep.Leads() {
+			s.round(ctx)
+		} else {
+			s.endTerm()
+		}
+		wait := time.NewTimer(roundPause)
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-s.kicked:
+		case <-wait.C:
+		}
+		wait.Stop()
+	}
+	s.endTerm()
+	return ctx.Err()
+}
+
+// kick makes the next round come at once.
+func (s *Scheduler) kick() {
+	select {
+	case s.kicked <- struct{}{}:
+	default:
+	}
+}
+
+// round does the leader's duties once.
+func (s *Scheduler) round(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	if term := s.rep.Status().Term; term != s.currentTerm() {
+		if s.rep.Barrier(ctx) != nil {
+			return // leadership was lost again
+		}
+		s.startTerm(term)
+	}
+	s.expire(ctx)
+	s.dispatch(ctx)
+	s.wakeSessions()
+}
+
+func (s *Scheduler) currentTerm() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.term
+}
+
+// startTerm opens the scheduler for a term. Every live VM may hold a lease that
+// an earlier leader granted until now.
+func (s *Scheduler) startTerm(term uint64) {
+	now := steady.Now()
+	var vms []*queue.VM
+	s.rep.View(func(st *state.State) { vms = st.Queues().VMs() })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closeSessions()
+	s.term = term
+	s.fleet = newFleet()
+	for _, vm := range vms {
+		s.fleet.vm(vm.ID).leaseUntil = now.Add(s.cfg.Lease)
+	}
+	s.log.Info().Uint64("term", term).Int("vms", len(vms)).Msg("queues_leading")
+}
+
+func (s *Scheduler) endTerm() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.term == 0 {
+		return
+	}
+	s.log.Info().Uint64("term", s.term).Msg("queues_not_leading")
+	s.term = 0
+	s.closeSessions()
+}
+
+// closeSessions ends all sessions. The caller holds mu.
+func (s *Scheduler) closeSessions() {
+	for ses := range s.sessions {
+		ses.cancel()
+	}
+}
+
+func (s *Scheduler) wakeSessions() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for ses := range s.sessions {
+		ses.wake()
+	}
+}
+
+// do commits a command on the queues.
+func (s *Scheduler) do(ctx context.Context, c queue.Command) (queue.Result, error) {
+	began := steady.Now()
+	res, err := s.rep.Do(ctx, state.Command{Queue: &c})
+	s.met.commit.Observe(steady.Now().Sub(began).Seconds())
+	return res.Queue, err
+}
+
+// expire ends the runs of VMs whose lease has run out for sure.
+func (s *Scheduler) expire(ctx context.Context) {
+	for _, lost := range s.expired() {
+		res, err := s.do(ctx, queue.Command{Lost: &lost})
+		if err != nil {
+			s.log.Warn().Str("lost_vm", string(lost.VM)).Err(err).Msg("vm_lost_not_committed")
+			continue
+		}
+		s.met.lost.Inc()
+		s.log.Warn().Str("lost_vm", string(lost.VM)).Str("life", lost.Life).Str("result", string(res.Code)).Msg("vm_lost")
+		s.record("vm_lost", string(lost.VM), "its lease ran out and it did not come back")
+	}
+}
+
+func (s *Scheduler) expired() (list []queue.Lost) {
+	now := steady.Now()
+	s.rep.View(func(st *state.State) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for _, vm := range st.Queues().VMs() {
+			v := s.fleet.vm(vm.ID)
+			slack := leaseSlack + time.Duration(drift*float64(s.cfg.Lease))
+			if !vm.Live || now.Before(v.leaseUntil.Add(slack)) {
+				continue
+			}
+			v.expiring = true // no lease is granted until it has registered again
+			list = append(list, queue.Lost{VM: vm.ID, Life: vm.Life, Checkpoints: v.checkpoints()})
+		}
+	})
+	return list
+}
+
+// dispatch makes a plan and carries it out.
+func (s *Scheduler) dispatch(ctx context.Context) {
+	began := steady.Now()
+	var plan dispatch.Plan
+	s.rep.View(func(st *state.State) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		plan = dispatch.Make(st.Queues(), s.fleet.view(st.Queues(), began))
+		s.fleet.setStops(plan.Stops)
+	})
+	s.met.plan.Observe(steady.Now().Sub(began).Seconds())
+	s.logStops(plan.Stops)
+	if len(plan.Starts) == 0 {
+		return
+	}
+	c := queue.Command{Starts: make([]queue.Start, len(plan.Starts))}
+	for i, st := range plan.Starts {
+		c.Starts[i] = st.Start
+	}
+	res, err := s.do(ctx, c)
+	if err != nil {
+		s.log.Warn().Int("starts", len(c.Starts)).Err(err).Msg("starts_not_committed")
+		return
+	}
+	s.logStarts(plan.Starts, res.Numbers)
+}
+
+func (s *Scheduler) logStarts(starts []dispatch.Start, numbers []uint32) {
+	for i, st := range starts {
+		if numbers[i] == 0 {
+			s.log.Info().Str("task", st.Task.String()).Str("to", string(st.VM)).Msg("start_outdated")
+			continue
+		}
+		s.met.starts.Inc()
+		s.log.Info().Str("task", st.Task.String()).Uint32("run", numbers[i]).Str("to", string(st.VM)).
+			Str("reason", st.Reason).Msg("task_placed")
+		s.record("task_placed", st.Task.String(), "on "+string(st.VM)+": "+st.Reason)
+	}
+}
+
+func (s *Scheduler) logStops(stops []dispatch.Stop) {
+	for _, st := range stops {
+		s.mu.Lock()
+		fresh := s.fleet.noteStop(st)
+		s.mu.Unlock()
+		if !fresh {
+			continue
+		}
+		s.met.stops.Inc()
+		s.log.Info().Str("task", st.Task.String()).Uint32("run", st.Run).Str("on", string(st.VM)).
+			Str("reason", st.Reason).Msg("task_stopping")
+		s.record("task_stopping", st.Task.String(), st.Reason)
+	}
+}
+
+func (s *Scheduler) record(kind, subject, text string) {
+	s.rec.Record(rudderfork.Event{Kind: kind, Subject: subject, Text: text})
+}
--- /dev/null
+++ b/wire/queue.go
@@ -0,0 +1,130 @@
+package wire
+
+import (
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/queue"
+)
+
+// FromNode is sent to control in a queue session: by fronts, which take jobs
+// from clients, and by the agents of VMs that run tasks.
+type FromNode struct {
+	Hello *QueueHello `cbor:"1,keyasint,omitempty"`
+	Ask   *Ask        `cbor:"2,keyasint,omitempty"`
+	Beat  *VMBeat     `cbor:"3,keyasint,omitempty"`
+	Ends  *EndsReport `cbor:"4,keyasint,omitempty"`
+	Ping  int64       `cbor:"5,keyasint,omitempty"` // answered by the same number
+}
+
+// ToQueueNode is sent by control in a queue session.
+type ToQueueNode struct {
+	Redirect *QueueRedirect `cbor:"1,keyasint,omitempty"`
+	Welcome  *QueueWelcome  `cbor:"2,keyasint,omitempty"`
+	Answer   *AskAnswer     `cbor:"3,keyasint,omitempty"`
+	Grant    *VMGrant       `cbor:"4,keyasint,omitempty"`
+	Orders   *Orders        `cbor:"5,keyasint,omitempty"`
+	Noted    *Noted         `cbor:"6,keyasint,omitempty"`
+	Pong     int64          `cbor:"7,keyasint,omitempty"`
+}
+
+// QueueHello opens a queue session.
+type QueueHello struct {
+	Version int    `cbor:"1,keyasint"`
+	Process string `cbor:"2,keyasint"`
+}
+
+// QueueRedirect says that another control process leads, if it is known, and
+// where all of them are.
+type QueueRedirect struct {
+	Leader  string   `cbor:"1,keyasint,omitempty"`
+	Members []string `cbor:"2,keyasint,omitempty"`
+}
+
+// QueueWelcome says that the session stands with the leader of a term.
+type QueueWelcome struct {
+	Term    uint64   `cbor:"1,keyasint"`
+	Members []string `cbor:"2,keyasint,omitempty"` // addresses of all control processes
+}
+
+// Place names a host and path, as a client asked for them.
+type Place struct {
+	Host string `cbor:"1,keyasint"`
+	Path string `cbor:"2,keyasint"`
+}
+
+// Ask is a question or order of a front. One of the pointers is set.
+type Ask struct {
+	ID     uint64          `cbor:"1,keyasint"`
+	Submit *queue.Submit   `cbor:"2,keyasint,omitempty"`
+	Cancel *queue.Cancel   `cbor:"3,keyasint,omitempty"`
+	Status *Place          `cbor:"4,keyasint,omitempty"` // of a job, or a queue's count
+	Put    *queue.Document `cbor:"5,keyasint,omitempty"`
+	Get    bool            `cbor:"6,keyasint,omitempty"` // the document
+}
+
+// AskAnswer answers an Ask.
+type AskAnswer struct {
+	ID uint64 `cbor:"1,keyasint"`
+
+	// Unsure says that the order may or may not have been taken; with NotTaken
+	// it surely was not. Otherwise Code tells.
+	Unsure   bool         `cbor:"2,keyasint,omitempty"`
+	NotTaken bool         `cbor:"3,keyasint,omitempty"`
+	Code     queue.Code   `cbor:"4,keyasint,omitempty"`
+	Text     string       `cbor:"5,keyasint,omitempty"`
+	Status   queue.Status `cbor:"6,keyasint,omitempty"`
+	Waiting  int          `cbor:"7,keyasint,omitempty"`
+	IsQueue  bool         `cbor:"8,keyasint,omitempty"` // Waiting was asked for
+	Document []byte       `cbor:"9,keyasint,omitempty"`
+}
+
+// VMBeat is the heartbeat of a VM's agent, and its account.
+type VMBeat struct {
+	Sent int64    `cbor:"1,keyasint"` // the sender's steady clock, ns; echoed
+	VM   queue.VM `cbor:"2,keyasint"`
+
+	Draining bool  `cbor:"3,keyasint,omitempty"`
+	LeaveMS  int64 `cbor:"4,keyasint,omitempty"` // time left at least, while draining
+	// Mute says that the VM's executor does not answer: no lease is asked for.
+	Mute bool                `cbor:"5,keyasint,omitempty"`
+	Rows []rudderfork.RunRow `cbor:"6,keyasint,omitempty"` // that have changed
+}
+
+// VMGrant answers a VMBeat: the VM may run what it is ordered to for so long
+// from when the beat was sent.
+type VMGrant struct {
+	Sent    int64  `cbor:"1,keyasint"`
+	LeaseMS int64  `cbor:"2,keyasint"`
+	Epoch   uint64 `cbor:"3,keyasint"`
+}
+
+// RunOrder asks a VM to run a task.
+type RunOrder struct {
+	rudderfork.RunRef `cbor:"1,keyasint"`
+	Payload           string `cbor:"2,keyasint,omitempty"`
+	Checkpoint        string `cbor:"3,keyasint,omitempty"`
+	Ticket            string `cbor:"4,keyasint,omitempty"`
+	TailMS            int64  `cbor:"5,keyasint,omitempty"`
+	Filler            bool   `cbor:"6,keyasint,omitempty"`
+	Image             string `cbor:"7,keyasint,omitempty"`
+}
+
+// Orders is what a VM is to run. With Full it is all of it, and what is not
+// listed is to be stopped.
+type Orders struct {
+	Epoch uint64              `cbor:"1,keyasint"`
+	Full  bool                `cbor:"2,keyasint,omitempty"`
+	Start []RunOrder          `cbor:"3,keyasint,omitempty"`
+	Stop  []rudderfork.RunRef `cbor:"4,keyasint,omitempty"`
+}
+
+// EndsReport tells of runs that have ended on a life of the VM. Seq is the
+// sender's, echoed by Noted once the ends are committed.
+type EndsReport struct {
+	Seq  uint64     `cbor:"1,keyasint"`
+	Ends queue.Ends `cbor:"2,keyasint"`
+}
+
+// Noted answers an EndsReport.
+type Noted struct {
+	Seq uint64 `cbor:"1,keyasint"`
+}
