Let a joining replica answer its leader

The new replica had asked to join and was added, but its match stayed 0: answers go to the leader's address in the log, which it did not have yet, so it dropped them all.

Ruled out: the quorum core (TestReplacedForGood passes as it was written), the timer of the leader's duties (it fired ten times a second in a debug run).

Change: a process that dials says who it is, and is answered there.

Test: TestJoinByAddress failed before (b#1 is no voter after 20 s), passes now.

--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -3,18 +3,16 @@
 import (
 	"slices"
 
-	"rudderfork.example/rudderfork"
 	"rudderfork.example/rudderfork/queue"
 )
 
 // The parts of a place's cost. One stands for a VM that is wholly taken; the
 // rest are set against that and are first guesses that no run has chosen yet.
 const (
-	costFar      = 1.0  // the data is in another rack: half as long again
-	costFailed   = 8.0  // the task has failed there before
-	costDoubt    = 4.0  // for each unit of doubt in the VM
-	costBeside   = 1.5  // a filler beside a serving task, or the reverse
-	costCrowding = 0.25 // for each filler that shares the idle processors
+	costFar    = 1.0  // the data is in another rack: half as long again
+	costFailed = 8.0  // the task has failed there before
+	costDoubt  = 4.0  // for each unit of doubt in the VM
+	costOther  = 0.25 // for each serving task of another image
 )
 
 // cost weighs a VM for a task; the least is chosen.
@@ -27,13 +25,11 @@
 	if slices.Contains(p.view.Failed[k], vm.ID) {
 		c += costFailed
 	}
-	serving, fillers := p.company(vm)
-	if st.Filler {
-		c += costCrowding * float64(fillers)
-		c += costBeside * float64(serving)
-	}
-	if st.TailMS > 0 {
-		c += costBeside * float64(fillers)
+	switch {
+	case st.Filler:
+		c += p.fillerCost(st, vm)
+	case st.TailMS > 0:
+		c += p.servingCost(st, vm)
 	}
 	return c
 }
@@ -51,37 +47,6 @@
 	return float64(part) / float64(whole)
 }
 
-// company counts the serving tasks and the fillers on a VM.
-func (p *planner) company(vm *queue.VM) (serving, fillers int) {
-	count := func(st queue.Step) {
-		if st.TailMS > 0 {
-			serving++
-		}
-		if st.Filler {
-			fillers++
-		}
-	}
-	for k := range vm.Runs() {
-		count(p.stepOf(k))
-	}
-	for _, st := range p.plan.Starts {
-		if st.VM == vm.ID {
-			count(p.stepOf(st.Task))
-		}
-	}
-	return serving, fillers
-}
-
 func (p *planner) stepOf(k queue.TaskKey) queue.Step {
 	return p.state.Job(k.Job).Spec.Steps[k.Step]
 }
-
-// CapacityOf sums what the usable VMs have.
-func CapacityOf(s *queue.State, v View) (sum rudderfork.Resources) {
-	for _, vm := range s.VMs() {
-		if v.VMs[vm.ID].Usable {
-			sum = sum.Add(vm.Capacity)
-		}
-	}
-	return sum
-}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -32,6 +32,8 @@
 	Percent int
 	MovedAt int64 // when Percent last changed, leader's clock, Unix ms
 	Load    int64
+	Held    int   // percent by which it is paced down
+	HeldAt  int64 // since when it is held down by more than a little, or 0
 }
 
 // View is the leader's knowledge that is not replicated.
@@ -43,6 +45,9 @@
 	Failed map[queue.TaskKey][]rudderfork.VMID
 	// PutOff holds tasks back until a time, after a refusal.
 	PutOff map[queue.TaskKey]int64
+	// Effect is what fillers of one image do to serving tasks of another, as
+	// package interference gives it.
+	Effect func(serving, filler string) float64
 }
 
 // Stop asks for the end of a run.
@@ -67,7 +72,7 @@
 
 // Make returns what to do now.
 func Make(s *queue.State, v View) Plan {
-	p := &planner{state: s, view: v, vms: s.VMs(), taken: map[rudderfork.VMID]rudderfork.Resources{}, placed: map[stepOnVM]int{}}
+	p := &planner{state: s, view: v, vms: s.VMs(), taken: map[rudderfork.VMID]rudderfork.Resources{}, placed: map[stepOnVM]int{}, shared: map[rudderfork.VMID]*colocation{}}
 	jobs := p.ranked()
 	for _, j := range jobs {
 		p.stops(j)
@@ -87,6 +92,8 @@
 	taken  map[rudderfork.VMID]rudderfork.Resources // by the starts of this plan
 	placed map[stepOnVM]int
 	groups int
+	moves  int
+	shared map[rudderfork.VMID]*colocation
 }
 
 // stepOnVM names the tasks of a step, of one time, on a VM.
@@ -162,6 +169,7 @@
 	p.plan.Starts = append(p.plan.Starts, Start{queue.Start{Task: k, VM: vm.ID, Life: vm.Life, Group: group}, reason})
 	p.taken[vm.ID] = p.taken[vm.ID].Add(st.Need())
 	p.placed[stepOnVM{k.Job, k.Time, k.Step, vm.ID}]++
+	p.colocationOn(vm).add(st, RunView{})
 }
 
 // startGang starts all tasks of a gang, or none.
@@ -218,6 +226,7 @@
 	for _, st := range p.plan.Starts[mark:] {
 		p.taken[st.VM] = p.taken[st.VM].Sub(j.Spec.Steps[st.Task.Step].Need())
 		p.placed[stepOnVM{st.Task.Job, st.Task.Time, st.Task.Step, st.VM}]--
+		delete(p.shared, st.VM) // made anew, without the other starts: an estimate
 	}
 	p.plan.Starts = p.plan.Starts[:mark]
 }
--- a/dispatch/stops.go
+++ b/dispatch/stops.go
@@ -9,11 +9,25 @@
 	stillMS = 1_500
 	// startupMS is how long a lasting task may take until it is at work.
 	startupMS = 4_000
+	// heldMS is how long a filler must be held down before it is moved, and
+	// moveSpeed what it must expect elsewhere: more than a move costs it, with
+	// its restart and a second of work.
+	heldMS    = 1_000
+	moveSpeed = 0.6
+	// maxMoves bounds the fillers moved in one plan, since each changes what the
+	// next one can expect.
+	maxMoves = 2
+	// littleDone is the part of its work, in percent, up to which a filler that
+	// keeps no checkpoint is moved too.
+	littleDone = 15
 )
 
 // Stuck is the reason for stopping a run that gets nowhere.
 const Stuck = "its progress stands still"
 
+// HeldBack is the reason for moving a filler.
+const HeldBack = "it is held back by the tasks beside it"
+
 // stops plans the ends of a job's runs that should not go on.
 func (p *planner) stops(j *queue.Job) {
 	for time, o := range j.Times {
@@ -45,10 +59,25 @@
 		return "the VM is about to leave"
 	case p.stuck(st, k, r):
 		return Stuck
+	case p.heldBack(j, k, r):
+		p.moves++
+		return HeldBack
 	}
 	return ""
 }
 
+// heldBack reports whether a filler is held down here and would work elsewhere.
+func (p *planner) heldBack(j *queue.Job, k queue.TaskKey, r queue.Run) bool {
+	run, ok := p.view.Runs[k]
+	if !ok || run.Number != r.Number || run.HeldAt == 0 || p.view.Now-run.HeldAt < heldMS || p.moves >= maxMoves {
+		return false
+	}
+	if !j.Spec.Steps[k.Step].Checkpoints && run.Percent > littleDone {
+		return false
+	}
+	return p.betterPlace(j, k, r.VM)
+}
+
 // stuck reports whether a run gets nowhere. Fillers may be paced to a
 // standstill, so nothing is concluded from theirs.
 func (p *planner) stuck(st queue.Step, k queue.TaskKey, r queue.Run) bool {
--- a/executor.go
+++ b/executor.go
@@ -51,6 +51,7 @@
 	Checkpoint string `cbor:"2,keyasint,omitempty"`
 	Percent    int    `cbor:"3,keyasint,omitempty"` // of the work; of a lasting task 100 when it is at work
 	Load       int64  `cbor:"4,keyasint,omitempty"` // tail of a serving task's answers in ms, else thousandths of a core
+	Held       int    `cbor:"5,keyasint,omitempty"` // percent by which it is paced down, as last asked for
 }
 
 // EndRow is the end of a run as its executor lists it, until it is told that
--- a/interference/interference.go
+++ b/interference/interference.go
@@ -20,18 +20,33 @@
 	"rudderfork.example/rudderfork"
 )
 
-const (
-	// halfLife is after how much time a sample counts half.
-	halfLife = 30 * time.Minute
-	// priorEffect and priorError are what is assumed of an unseen pair: a kind
-	// that holds all processors slows a service by a fifth, give or take.
-	priorEffect = 0.18
-	priorError  = 0.35
-	// noiseVar is the variance of ln(latency) between windows.
-	noiseVar = 0.02
-	// assumedShare is the part of a VM's processors at which Slowdown is given.
-	assumedShare = 0.25
-)
+// assumedShare is the part of a VM's processors at which Slowdown is given.
+const assumedShare = 0.25
+
+// Prior is what is assumed before anything was seen, and how fast the past is
+// forgotten.
+type Prior struct {
+	HalfLife    time.Duration // after which a sample counts half
+	Effect      float64       // of an unseen pair: on ln(latency), for all processors
+	EffectError float64       // its standard error
+	NoiseVar    float64       // variance of ln(latency) between windows
+}
+
+// Services is the prior for services beside batch jobs that hold processors of
+// their own: one that holds all of them slows a service by a fifth, give or
+// take.
+func Services() Prior {
+	return Prior{HalfLife: 30 * time.Minute, Effect: 0.18, EffectError: 0.35, NoiseVar: 0.02}
+}
+
+// Fillers is the prior for serving tasks beside fillers. In a trial on a lean
+// day of the users' platform, a filler at half speed on a twentieth of a VM's
+// processors left most serving images alone and slowed a few tenfold; an unseen
+// pair is taken to be in between. Tails of half a second swing by a half of
+// themselves without any filler.
+func Fillers() Prior {
+	return Prior{HalfLife: 30 * time.Second, Effect: 10, EffectError: 20, NoiseVar: 0.12}
+}
 
 // Sample is one window of one service at one upstream.
 type Sample struct {
@@ -44,11 +59,12 @@
 
 // Model holds the fits. It is not safe for concurrent use.
 type Model struct {
-	fits map[rudderfork.Service]*fit
+	prior Prior
+	fits  map[rudderfork.Service]*fit
 }
 
-// New returns a model that knows nothing.
-func New() *Model { return &Model{fits: map[rudderfork.Service]*fit{}} }
+// New returns a model that knows nothing but a prior.
+func New(p Prior) *Model { return &Model{prior: p, fits: map[rudderfork.Service]*fit{}} }
 
 // Observe takes one window. Windows may arrive late and out of order.
 func (m *Model) Observe(s Sample) {
@@ -57,7 +73,7 @@
 	}
 	f := m.fits[s.Service]
 	if f == nil {
-		f = newFit()
+		f = newFit(m.prior)
 		m.fits[s.Service] = f
 	}
 	f.observe(s)
@@ -66,25 +82,32 @@
 // Slowdown implements rudderfork.Interference: the factor for a task that holds
 // a quarter of the VM's processors.
 func (m *Model) Slowdown(s rudderfork.Service, kind string, now time.Time) (factor, stderr float64) {
-	effect, e := priorEffect, priorError
-	if f := m.fits[s]; f != nil {
-		effect, e = f.effect(kind, now)
-	}
+	effect, e := m.Effect(s, kind, now)
 	factor = math.Exp(effect * assumedShare)
 	return factor, factor * e * assumedShare
 }
 
+// Effect is what a kind that holds all processors adds to ln(latency), with its
+// standard error.
+func (m *Model) Effect(s rudderfork.Service, kind string, now time.Time) (effect, stderr float64) {
+	if f := m.fits[s]; f != nil {
+		return f.effect(kind, now)
+	}
+	return m.prior.Effect, m.prior.EffectError
+}
+
 // fit is the regression of one service. Index 0 is the base, 1 the load, the
 // rest are kinds.
 type fit struct {
+	prior Prior
 	index map[string]int
 	beta  []float64
 	cov   [][]float64
 	at    time.Time
 }
 
-func newFit() *fit {
-	f := &fit{index: map[string]int{}}
+func newFit(p Prior) *fit {
+	f := &fit{prior: p, index: map[string]int{}}
 	f.grow(math.Log(0.01), 4) // 10 ms within a factor of e² or so
 	f.grow(0.5, 1)
 	return f
@@ -105,7 +128,7 @@
 func (f *fit) kind(k string) int {
 	i, ok := f.index[k]
 	if !ok {
-		i = f.grow(priorEffect, priorError*priorError)
+		i = f.grow(f.prior.Effect, f.prior.EffectError*f.prior.EffectError)
 		f.index[k] = i
 	}
 	return i
@@ -132,14 +155,14 @@
 		}
 		return
 	}
-	grow := math.Exp2(float64(at.Sub(f.at)) / float64(halfLife))
+	grow := math.Exp2(float64(at.Sub(f.at)) / float64(f.prior.HalfLife))
 	f.at = at
 	for i := range f.cov {
 		for j := range f.cov[i] {
 			f.cov[i][j] *= grow
 		}
 		// No effect is known worse than the prior.
-		limit := priorError * priorError
+		limit := f.prior.EffectError * f.prior.EffectError
 		if i < 2 {
 			limit = 4
 		}
@@ -157,7 +180,7 @@
 func (f *fit) update(x []float64, y float64) {
 	n := len(x)
 	px := make([]float64, n)
-	predicted, variance := 0.0, noiseVar
+	predicted, variance := 0.0, f.prior.NoiseVar
 	for i := range n {
 		for j := range n {
 			px[i] += f.cov[i][j] * x[j]
@@ -181,11 +204,11 @@
 func (f *fit) effect(kind string, now time.Time) (effect, stderr float64) {
 	i, ok := f.index[kind]
 	if !ok {
-		return priorEffect, priorError
+		return f.prior.Effect, f.prior.EffectError
 	}
 	v := f.cov[i][i]
 	if now.After(f.at) {
-		v *= math.Exp2(float64(now.Sub(f.at)) / float64(halfLife))
+		v *= math.Exp2(float64(now.Sub(f.at)) / float64(f.prior.HalfLife))
 	}
-	return f.beta[i], math.Sqrt(min(max(v, 0), priorError*priorError))
+	return f.beta[i], math.Sqrt(min(max(v, 0), f.prior.EffectError*f.prior.EffectError))
 }
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -1,67 +1,113 @@
-// Package pace decides how fast the fillers of one VM work beside its serving
-// tasks.
+// Package pace decides how fast each filler of one VM works beside the VM's
+// serving tasks.
 //
-// Fillers disturb serving tasks, by amounts that differ by image and change
-// within seconds. A Controller keeps one share of full speed for all fillers of
-// the VM: it falls at once when the worst serving task nears its objective, and
-// rises slowly while all of them are well below. (Additive increase and
-// multiplicative decrease, after Chiu and Jain 1989; the marks with a gap
-// between them after Heracles, ISCA 2015.)
+// Fillers disturb serving tasks by amounts that differ widely by the pair of
+// images: most pairs hardly at all, some tenfold. The model is that of package
+// interference: the logarithm of a serving task's tail is a base plus, for each
+// filler, the effect of the pair times the share of the VM's processors at which
+// the filler works. A step reads the tails, takes from each what the fillers
+// explain, and deals what is left under the objective to the fillers, the least
+// harmful first. A tail over its objective cuts what may harm it, whatever the
+// model says.
 package pace
 
-import "time"
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"rudderfork.example/rudderfork"
+)
 
 const (
-	// full is an unhindered filler's share, in percent.
-	full = 100
-	// firstShare is where fillers begin beside a serving task that is not known
-	// to be disturbed: a guess that leaves room both ways.
-	firstShare = 40
-	// stopAt, cutAt and riseBelow are the worst tail over its objective at which
-	// fillers stop, are halved, and may rise. An objective missed for seconds
-	// costs far more than a paced filler earns.
-	stopAt    = 1.0
-	cutAt     = 0.85
-	riseBelow = 0.70
-	// riseStep is added at each rise, in percent, and risePause is between two:
-	// the executor's figure covers the last half second.
-	riseStep  = 10
-	risePause = 500 * time.Millisecond
-	// cutPause is between two cuts, for the same reason.
-	cutPause = 400 * time.Millisecond
+	// aim is the tail over its objective that is aimed at. The room above is for
+	// load that swings faster than half a second, the age of the figures.
+	aim = 0.80
+	// leastBase is the least tail over its objective that is believed without
+	// fillers: the figure is in whole milliseconds and noisy.
+	leastBase = 0.30
+	// harmless is the effect on the logarithm of a tail, at full speed, below
+	// which a pair is not paced at all: 3%.
+	harmless = 0.03
+	// cut is what is left of the speed of a filler that may harm a tail that is
+	// over its objective.
+	cut = 0.3
+	// rise bounds the gain of one step: the model may be wrong, and the figures
+	// show it half a second later.
+	rise = 0.25
 )
 
-// Controller holds the share of one VM's fillers. It is not safe for concurrent
-// use.
-type Controller struct {
-	share  float64
-	riseAt time.Time
-	cutAt  time.Time
-	alone  bool // no serving task was there at the last step
+// Serving is a serving task as it was last seen.
+type Serving struct {
+	Image string
+	Tail  float64 // over its objective
+}
+
+// Filler is a filler and its present speed.
+type Filler struct {
+	Run   rudderfork.RunRef
+	Image string
+	Share float64 // of the VM's processors, at full speed
+	Speed float64 // 0 to 1, as last asked for
+}
+
+// Effects tells the effect of a pair of images: what a filler on all processors
+// adds to the logarithm of a tail.
+type Effects func(serving, filler string) float64
+
+// Step returns the speeds of the fillers, 0 to 1, in their order.
+func Step(serving []Serving, fillers []Filler, effect Effects) []float64 {
+	room := make([]float64, len(serving))
+	over := make([]bool, len(serving))
+	for i, s := range serving {
+		room[i] = roomOf(s, fillers, effect)
+		over[i] = s.Tail >= 1
+	}
+	speeds := make([]float64, len(fillers))
+	for _, f := range byHarm(serving, fillers, effect) {
+		speeds[f] = speedOf(fillers[f], serving, room, over, effect)
+		for i, s := range serving {
+			room[i] -= max(0, effect(s.Image, fillers[f].Image)) * fillers[f].Share * speeds[f]
+		}
+	}
+	return speeds
 }
 
-// New returns a controller of a VM without serving tasks.
-func New() *Controller { return &Controller{share: full, alone: true} }
+// roomOf is how much fillers may add to the logarithm of a task's tail.
+func roomOf(s Serving, fillers []Filler, effect Effects) float64 {
+	explained := 0.0
+	for _, f := range fillers {
+		explained += max(0, effect(s.Image, f.Image)) * f.Share * f.Speed
+	}
+	base := math.Log(max(s.Tail, leastBase)) - explained
+	return math.Log(aim) - max(base, math.Log(leastBase))
+}
+
+// byHarm returns the indexes of the fillers, the least harmful first.
+func byHarm(serving []Serving, fillers []Filler, effect Effects) []int {
+	harm := make([]float64, len(fillers))
+	order := make([]int, len(fillers))
+	for i, f := range fillers {
+		order[i] = i
+		for _, s := range serving {
+			harm[i] = max(harm[i], effect(s.Image, f.Image)*f.Share)
+		}
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(harm[a], harm[b]) })
+	return order
+}
 
-// Step takes the worst tail of the serving tasks over its objective; ok is
-// false if there is no serving task. It returns the share of the fillers.
-func (c *Controller) Step(worst float64, ok bool, now time.Time) (percent int) {
-	switch {
-	case !ok:
-		c.share, c.alone = full, true
-	case c.alone:
-		c.alone = false
-		c.share = firstShare
-		c.riseAt = now.Add(risePause)
-	case worst >= stopAt:
-		c.share = 0
-		c.riseAt = now.Add(2 * risePause)
-	case worst >= cutAt && !now.Before(c.cutAt):
-		c.share /= 2
-		c.cutAt, c.riseAt = now.Add(cutPause), now.Add(2*risePause)
-	case worst < riseBelow && !now.Before(c.riseAt):
-		c.share = min(full, c.share+riseStep)
-		c.riseAt = now.Add(risePause)
+func speedOf(f Filler, serving []Serving, room []float64, over []bool, effect Effects) float64 {
+	speed := min(1, f.Speed+rise)
+	for i, s := range serving {
+		harm := effect(s.Image, f.Image) * f.Share
+		if harm < harmless {
+			continue
+		}
+		speed = min(speed, max(0, room[i])/harm)
+		if over[i] {
+			speed = min(speed, cut*f.Speed)
+		}
 	}
-	return int(c.share)
+	return speed
 }
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -453,3 +453,37 @@
 	_, ok = l.node.ProposeMembers(g.members, g.now)
 	assert.Assert(t, !ok, "a change was taken while another was under way")
 }
+
+// TestReplacedForGood loses replicas for good, one after the other, each
+// replaced by an empty one of another name: every time the group must come back
+// to three voters that live, also while it is busy.
+func TestReplacedForGood(t *testing.T) {
+	g := newGroup(t, 3, 7)
+	g.waitLeader()
+	const wanted = 3
+	for round := range 4 {
+		lost := g.waitLeader().id
+		g.crash(lost)
+		g.replicas[lost].frozen = true // it never starts again
+		id := MemberID(fmt.Sprintf("n%d#1", round))
+		g.add(id, Snapshot{})
+		for step := range 600 {
+			l := g.waitLeader()
+			if step%3 == 0 {
+				_, ok := g.propose(fmt.Sprintf("busy-%d-%d", round, step))
+				assert.Assert(t, ok)
+			}
+			if next, ok := l.node.Join(Member{ID: id, Name: string(id[:2])}); ok {
+				l.node.ProposeMembers(next, g.now)
+			} else if next, ok := l.node.Repair(wanted, g.now); ok {
+				l.node.ProposeMembers(next, g.now)
+			}
+			g.ready(l, nil)
+			g.step(nil)
+		}
+		assert.Equal(t, voterCount(g), wanted, "round %d", round)
+		for _, m := range g.waitLeader().node.Members() {
+			assert.Assert(t, m.ID != lost, "round %d: %s is gone for good and still a member", round, lost)
+		}
+	}
+}
--- a/replica/peers.go
+++ b/replica/peers.go
@@ -26,8 +26,9 @@
 // Peers is the links to the other replicas, one for each address. Each process
 // dials each other and sends on its own link; answers come on the other's.
 //
-// The addresses are those that the process was told at its start, and those of
-// the group's members.
+// The addresses are those that the process was told at its start, those of the
+// group's members, and those of processes that have dialled: a replica without a
+// log learns only so where the leader is that it has to answer.
 type Peers struct {
 	self quorum.Member
 	dial map[string]string // by member name: where to reach it, if not at its address
@@ -36,6 +37,7 @@
 	mu      sync.Mutex
 	told    []string
 	members []quorum.Member
+	callers map[quorum.MemberID]string // addresses of those that have dialled
 	joined  bool
 	links   map[string]*link // by address
 	changed chan struct{}
@@ -53,7 +55,7 @@
 func NewPeers(self quorum.Member, addrs []string, dial map[string]string, log zerolog.Logger) *Peers {
 	return &Peers{
 		self: self, told: addrs, dial: dial, log: log,
-		links: map[string]*link{}, changed: make(chan struct{}, 1),
+		callers: map[quorum.MemberID]string{}, links: map[string]*link{}, changed: make(chan struct{}, 1),
 	}
 }
 
@@ -118,7 +120,24 @@
 			return m.Addr
 		}
 	}
-	return ""
+	return p.callers[id]
+}
+
+// maxCallers bounds the processes that are remembered for having dialled.
+const maxCallers = 64
+
+// noteCaller remembers a process that has dialled.
+func (p *Peers) noteCaller(m quorum.Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.callers[m.ID] == m.Addr {
+		return
+	}
+	if len(p.callers) >= maxCallers {
+		clear(p.callers) // those that live dial again, and are answered then
+	}
+	p.callers[m.ID] = m.Addr
+	p.wake()
 }
 
 func (l *link) push(m wire.Peer) {
@@ -171,6 +190,11 @@
 			want[p.addrOf(m.ID)] = true
 		}
 	}
+	for id, addr := range p.callers {
+		if p.dial[memberName(id)] == "" {
+			want[addr] = true
+		}
+	}
 	delete(want, p.self.Addr)
 	for addr, l := range p.links {
 		if !want[addr] {
@@ -223,6 +247,10 @@
 		defer cancel()
 		_, _ = c.Receive(ctx) // nothing is sent this way; it ends when the link does
 	}()
+	self := p.self
+	if err := c.Send(ctx, wire.Peer{Self: &self}); err != nil {
+		return err
+	}
 	tick := time.NewTicker(joinPause)
 	defer tick.Stop()
 	for {
@@ -235,7 +263,6 @@
 			}
 		case <-tick.C:
 			if !p.isJoined() {
-				self := p.self
 				l.push(wire.Peer{Join: &self})
 			}
 		}
@@ -267,6 +294,8 @@
 				rep.Step(r.Context(), *m.Quorum)
 			case m.Join != nil:
 				rep.Join(*m.Join)
+			case m.Self != nil:
+				p.noteCaller(*m.Self)
 			}
 		}
 	}
--- /dev/null
+++ b/replica/peers_test.go
@@ -0,0 +1,115 @@
+package replica
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"rudderfork.example/rudderfork/disk"
+	"rudderfork.example/rudderfork/internal/steady"
+	"rudderfork.example/rudderfork/quorum"
+)
+
+// joinLimit ends a test whose group does not form; nothing rests on it.
+const joinLimit = 20 * time.Second
+
+// linked is a replica with its links on loopback.
+type linked struct {
+	rep   *Replica
+	peers *Peers
+	self  quorum.Member
+	stop  context.CancelFunc
+}
+
+// startLinked runs a replica. A founding one is its group's only member; others
+// start empty and are told of the given addresses.
+func startLinked(t *testing.T, name string, founding bool, told ...string) *linked {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	dir := filepath.Join(t.TempDir(), "data")
+	self := quorum.Member{ID: MemberID(name, Founding), Name: name, Addr: ln.Addr().String(), Voter: founding}
+	id := disk.Identity{ID: self.ID}
+	if founding {
+		id.Members = []quorum.Member{self}
+	}
+	assert.NilError(t, disk.Format(dir, id))
+	store, err := disk.Open(dir)
+	assert.NilError(t, err)
+	self.Voter = false
+	peers := NewPeers(self, told, nil, zerolog.Nop())
+	rep, err := New(Config{
+		ElectionTimeout: 100 * time.Millisecond, Heartbeat: 20 * time.Millisecond, SnapshotEvery: 1000, Seed: Seed(name), Voters: 3,
+	}, store, peers, zerolog.Nop(), nobody{}, steady.Now)
+	assert.NilError(t, err)
+	l := &linked{rep: rep, peers: peers, self: self}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /peer", peers.Accept(rep))
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{}, 3)
+	go func() { _ = srv.Serve(ln); done <- struct{}{} }()
+	go func() { _ = rep.Serve(ctx); done <- struct{}{} }()
+	go func() { _ = peers.Serve(ctx); done <- struct{}{} }()
+	stopped := false
+	l.stop = func() {
+		if stopped {
+			return
+		}
+		stopped = true
+		cancel()
+		_ = srv.Close()
+		for range 3 {
+			<-done
+		}
+	}
+	t.Cleanup(l.stop)
+	return l
+}
+
+// waitVoters waits until a replica sees just these voters.
+func waitVoters(t *testing.T, l *linked, want ...*linked) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		voters := map[quorum.MemberID]bool{}
+		for _, m := range l.rep.Status().Members {
+			if m.Voter {
+				voters[m.ID] = true
+			}
+		}
+		for _, w := range want {
+			if !voters[w.self.ID] {
+				return poll.Continue("%s is no voter among %v", w.self.ID, voters)
+			}
+		}
+		if len(voters) != len(want) {
+			return poll.Continue("voters are %v", voters)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(joinLimit))
+}
+
+// TestJoinByAddress adds replicas that know the address of one member and no
+// name, then replaces one of them for good. (A new member once dropped its
+// answers to the leader, whose address stands in the log that it did not have
+// yet, and was never promoted; the next loss then stopped the group.)
+func TestJoinByAddress(t *testing.T) {
+	a := startLinked(t, "a", true)
+	b := startLinked(t, "b", false, a.self.Addr)
+	waitVoters(t, a, a, b)
+	c := startLinked(t, "c", false, b.self.Addr, a.self.Addr)
+	waitVoters(t, b, a, b, c)
+	a.stop()
+	d := startLinked(t, "d", false, c.self.Addr, b.self.Addr)
+	waitVoters(t, d, b, c, d)
+	b.stop()
+	e := startLinked(t, "e", false, a.self.Addr, d.self.Addr, c.self.Addr)
+	waitVoters(t, e, c, d, e)
+}
--- a/runner/pace.go
+++ b/runner/pace.go
@@ -4,66 +4,92 @@
 	"context"
 
 	"rudderfork.example/rudderfork"
-	"rudderfork.example/rudderfork/internal/steady"
+	"rudderfork.example/rudderfork/interference"
+	"rudderfork.example/rudderfork/pace"
+	"rudderfork.example/rudderfork/wire"
 )
 
-// pressure returns the worst tail of the serving tasks over its objective.
-// serving says whether there is one, paced whether there are fillers too. The
-// caller holds mu.
-func (a *Agent) pressure() (worst float64, serving, paced bool) {
-	fillers := false
+const (
+	// fullPace is the share at which a run begins, in percent.
+	fullPace = 100
+	// paceStep is the least change of a share that is worth a call, in percent,
+	// unless it is to or from a standstill or full speed.
+	paceStep = 5
+	// maxEffects bounds the pairs of images that are remembered.
+	maxEffects = 10_000
+)
+
+// pair names a serving image and a filler's.
+type pair struct{ serving, filler string }
+
+// takeEffects notes what the leader has learned. The caller holds mu.
+func (a *Agent) takeEffects(list []wire.PairEffect) {
+	if len(a.effects) > maxEffects {
+		clear(a.effects) // the leader sends what matters with the next session
+	}
+	for _, e := range list {
+		a.effects[pair{e.Serving, e.Filler}] = float64(e.Effect)
+	}
+}
+
+// effect is what is known or assumed of a pair. The caller holds mu.
+func (a *Agent) effect(serving, filler string) float64 {
+	if e, ok := a.effects[pair{serving, filler}]; ok {
+		return e
+	}
+	return interference.Fillers().Effect
+}
+
+// paceOf is the share last asked for. The caller holds mu.
+func (a *Agent) paceOf(ref rudderfork.RunRef) int {
+	if p, ok := a.paces[ref]; ok {
+		return p
+	}
+	return fullPace
+}
+
+// company returns the serving tasks that are at work and the fillers. The caller
+// holds mu.
+func (a *Agent) company() (serving []pace.Serving, fillers []pace.Filler) {
 	for id, o := range a.keeper.Wanted() {
-		fillers = fillers || o.Filler
-		if o.TailMS == 0 {
-			continue
+		ref := rudderfork.RunRef{Task: id, Run: o.Run}
+		row, there := a.rows[ref]
+		switch {
+		case o.TailMS > 0 && there && row.Percent == fullPace:
+			serving = append(serving, pace.Serving{Image: o.Image, Tail: float64(row.Load) / float64(o.TailMS)})
+		case o.Filler && there:
+			fillers = append(fillers, pace.Filler{
+				Run: ref, Image: o.Image, Share: float64(o.CPUMilli) / float64(max(1, a.vm.Capacity.CPUMilli)),
+				Speed: float64(a.paceOf(ref)) / fullPace,
+			})
 		}
-		serving = true
-		row := a.rows[rudderfork.RunRef{Task: id, Run: o.Run}]
-		worst = max(worst, float64(row.Load)/float64(o.TailMS))
 	}
-	return worst, serving, serving && fillers
+	return serving, fillers
 }
 
-// adjustPace sets the fillers to the share that the serving tasks leave them.
-// The caller holds mu.
+// adjustPace sets the fillers to what the serving tasks leave them. The caller
+// holds mu.
 func (a *Agent) adjustPace(ctx context.Context) {
-	worst, serving, _ := a.pressure()
-	share := a.pacer.Step(worst, serving, steady.Now())
 	for ref := range a.paces {
 		if _, there := a.rows[ref]; !there {
 			delete(a.paces, ref)
 		}
 	}
-	for id, o := range a.keeper.Wanted() {
-		ref := rudderfork.RunRef{Task: id, Run: o.Run}
-		if _, there := a.rows[ref]; o.Filler && there {
-			a.setPace(ctx, ref, share, worst)
-		}
+	serving, fillers := a.company()
+	worst := 0.0
+	for _, s := range serving {
+		worst = max(worst, s.Tail)
 	}
-}
-
-// paceNew sets a filler that has just begun to the present share. The caller
-// holds mu.
-func (a *Agent) paceNew(ctx context.Context, ref rudderfork.RunRef) {
-	o, ok := a.keeper.Wanted()[ref.Task]
-	if !ok || !o.Filler {
-		return
+	for i, speed := range pace.Step(serving, fillers, a.effect) {
+		a.setPace(ctx, fillers[i].Run, int(speed*fullPace), worst)
 	}
-	worst, serving, _ := a.pressure()
-	a.setPace(ctx, ref, a.pacer.Step(worst, serving, steady.Now()), worst)
 }
 
-// fullPace is the share at which a run begins, in percent.
-const fullPace = 100
-
-// setPace asks for a share unless it is the one last asked for. The caller
+// setPace asks for a share unless it is about the one last asked for. The caller
 // holds mu.
 func (a *Agent) setPace(ctx context.Context, ref rudderfork.RunRef, share int, worst float64) {
-	old, ok := a.paces[ref]
-	if !ok {
-		old = fullPace
-	}
-	if old == share {
+	old := a.paceOf(ref)
+	if old == share || abs(old-share) < paceStep && share != 0 && share != fullPace {
 		return
 	}
 	a.paces[ref] = share
@@ -81,3 +107,5 @@
 		}
 	}()
 }
+
+func abs(n int) int { return max(n, -n) }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -17,7 +17,6 @@
 
 	"rudderfork.example/rudderfork"
 	"rudderfork.example/rudderfork/internal/steady"
-	"rudderfork.example/rudderfork/pace"
 	"rudderfork.example/rudderfork/queue"
 	"rudderfork.example/rudderfork/runs"
 	"rudderfork.example/rudderfork/session"
@@ -66,8 +65,8 @@
 	seenAt   time.Time // when the executor last answered a look
 	rows     map[rudderfork.RunRef]rudderfork.RunRow
 	told     map[rudderfork.RunRef]rudderfork.RunRow // rows that the leader has
-	pacer    *pace.Controller
-	paces    map[rudderfork.RunRef]int
+	paces    map[rudderfork.RunRef]int               // speeds of fillers in percent, as last asked for
+	effects  map[pair]float64
 
 	reports  map[uint64]report // not noted yet
 	reportID uint64
@@ -85,7 +84,7 @@
 func New(process string, seeds func() []string, exec rudderfork.Executor, log zerolog.Logger) *Agent {
 	a := &Agent{
 		exec: exec, log: log, met: newMetrics(), kicked: make(chan struct{}, 1), beatUp: make(chan struct{}, 1),
-		keeper: runs.New(), pacer: pace.New(),
+		keeper: runs.New(), effects: map[pair]float64{},
 	}
 	a.session = session.New(process, seeds, a, log)
 	a.forget()
@@ -200,11 +199,13 @@
 	defer a.mu.Unlock()
 	switch {
 	case m.Grant != nil:
+		a.takeEffects(m.Grant.Effects)
 		if m.Grant.LeaseMS > 0 {
 			sent := time.Unix(0, m.Grant.Sent)
 			a.keeper.Grant(m.Grant.Epoch, sent.Add(time.Duration(m.Grant.LeaseMS)*time.Millisecond))
 		}
 	case m.Orders != nil:
+		a.takeEffects(m.Orders.Effects)
 		a.keeper.Order(*m.Orders)
 		a.log.Debug().Uint64("epoch", m.Orders.Epoch).Bool("full", m.Orders.Full).
 			Int("start", len(m.Orders.Start)).Int("stop", len(m.Orders.Stop)).Msg("orders")
@@ -273,6 +274,7 @@
 		b.LeaveMS = max(0, a.leaveAt.Sub(now).Milliseconds())
 	}
 	for ref, row := range a.rows {
+		row.Held = fullPace - a.paceOf(ref)
 		if a.told[ref] != row {
 			a.told[ref] = row
 			b.Rows = append(b.Rows, row)
@@ -348,7 +350,7 @@
 		a.report([]queue.End{*end}, 0)
 	}
 	if err == nil && c.Start != nil && out == rudderfork.Started {
-		a.paceNew(ctx, c.Ref)
+		a.adjustPace(ctx)
 	}
 	wake(a.kicked)
 }
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -22,6 +22,9 @@
 	doubtHalf = 3 * time.Second
 	// maxFailedOn bounds the VMs remembered for a task.
 	maxFailedOn = 8
+	// heldDown is the percent by which a filler is paced down that counts as
+	// being held back.
+	heldDown = 70
 )
 
 // fleet is what the leader knows of the VMs and runs beside the replicated
@@ -33,6 +36,7 @@
 	failed  map[queue.TaskKey][]rudderfork.VMID
 	putOff  map[queue.TaskKey]time.Time
 	pruneAt time.Time
+	effects *effects
 }
 
 // vmInfo is one VM at the moment.
@@ -43,6 +47,7 @@
 	beatAt     time.Time
 	beat       wire.VMBeat
 	rows       map[queue.TaskKey]*runInfo
+	lastPaces  map[queue.TaskKey]int // of the fillers, in the account before
 	doubt      float64
 	doubtAt    time.Time
 }
@@ -51,12 +56,14 @@
 type runInfo struct {
 	row     rudderfork.RunRow
 	movedAt time.Time
+	heldAt  time.Time // since when it is held down; zero if it is not
 }
 
 func newFleet() *fleet {
 	return &fleet{
 		vms: map[rudderfork.VMID]*vmInfo{}, stops: map[rudderfork.RunRef]string{}, noted: map[rudderfork.RunRef]bool{},
 		failed: map[queue.TaskKey][]rudderfork.VMID{}, putOff: map[queue.TaskKey]time.Time{},
+		effects: newEffects(),
 	}
 }
 
@@ -100,6 +107,12 @@
 		if r.row.Percent != row.Percent {
 			r.movedAt = now
 		}
+		switch {
+		case row.Held < heldDown:
+			r.heldAt = time.Time{}
+		case r.heldAt.IsZero():
+			r.heldAt = now
+		}
 		r.row = row
 	}
 	v.beat.Rows = nil
@@ -129,6 +142,7 @@
 	view := dispatch.View{
 		Now: rudderfork.Millis(now), VMs: map[rudderfork.VMID]dispatch.VMView{}, Runs: map[queue.TaskKey]dispatch.RunView{},
 		Failed: f.failed, PutOff: map[queue.TaskKey]int64{},
+		Effect: func(serving, filler string) float64 { return f.effects.of(serving, filler, now) },
 	}
 	for _, vm := range s.VMs() {
 		v := f.vm(vm.ID)
@@ -138,9 +152,13 @@
 				delete(v.rows, k)
 				continue
 			}
-			view.Runs[k] = dispatch.RunView{
-				Number: r.row.Run, Percent: r.row.Percent, MovedAt: rudderfork.Millis(r.movedAt), Load: r.row.Load,
+			run := dispatch.RunView{
+				Number: r.row.Run, Percent: r.row.Percent, MovedAt: rudderfork.Millis(r.movedAt), Load: r.row.Load, Held: r.row.Held,
+			}
+			if !r.heldAt.IsZero() {
+				run.HeldAt = rudderfork.Millis(r.heldAt)
 			}
+			view.Runs[k] = run
 		}
 	}
 	for k, until := range f.putOff {
--- a/scheduler/session.go
+++ b/scheduler/session.go
@@ -43,6 +43,7 @@
 	full  bool            // the full list was sent in this epoch
 	sent  map[rudderfork.RunRef]bool
 	stops map[rudderfork.RunRef]bool // sent
+	told  map[imagePair]float64      // effects that were sent
 }
 
 // Accept takes the sessions of fronts and agents.
@@ -63,6 +64,7 @@
 	ses := &session{
 		s: s, conn: c, hello: *hello, cancel: cancel, out: make(chan wire.ToQueueNode, outQueue),
 		woken: make(chan struct{}, 1), sent: map[rudderfork.RunRef]bool{}, stops: map[rudderfork.RunRef]bool{},
+		told: map[imagePair]float64{},
 	}
 	if !s.open(ses) {
 		_ = c.Send(ctx, wire.ToQueueNode{Redirect: s.redirect()}) // the node asks another if it is lost
@@ -244,6 +246,14 @@
 		}
 		delete(ses.stops, ref)
 	}
+	if len(o.Start) > 0 {
+		// A filler's pace is right from its start only if its effects are known.
+		c := crewOf(qs, vm, ses.s.fleet.vm(ses.vm))
+		for k := range vm.Runs() {
+			c.add(qs.Job(k.Job).Spec.Steps[k.Step])
+		}
+		o.Effects = ses.s.fleet.effects.news(c, ses.told, steady.Now())
+	}
 	return o
 }
 
@@ -251,7 +261,7 @@
 	st := j.Spec.Steps[k.Step]
 	return wire.RunOrder{
 		RunRef: ref, Payload: j.Spec.Payload, Checkpoint: j.Task(k).Checkpoint,
-		TailMS: st.TailMS, Filler: st.Filler, Image: st.Image,
+		TailMS: st.TailMS, Filler: st.Filler, Image: st.Image, CPUMilli: st.Size.CPUMilli,
 	}
 }
 
@@ -283,6 +293,7 @@
 	if !granted {
 		grant.LeaseMS = 0
 	}
+	grant.Effects = ses.learn(now)
 	ses.reply(wire.ToQueueNode{Grant: &grant})
 	if fresh {
 		ses.wake()
@@ -291,6 +302,24 @@
 	return nil
 }
 
+// learn draws on the VM's account for the effects of fillers, and returns those
+// that its agent lacks.
+func (ses *session) learn(now time.Time) (list []wire.PairEffect) {
+	ses.s.rep.View(func(st *state.State) {
+		ses.s.mu.Lock()
+		defer ses.s.mu.Unlock()
+		vm := st.Queues().VM(ses.vm)
+		if vm == nil {
+			return
+		}
+		v := ses.s.fleet.vm(ses.vm)
+		c := crewOf(st.Queues(), vm, v)
+		ses.s.fleet.effects.learn(c, v, now)
+		list = ses.s.fleet.effects.news(c, ses.told, now)
+	})
+	return list
+}
+
 // register commits the VM's description if it is new.
 func (ses *session) register(ctx context.Context, vm queue.VM) error {
 	if ses.registered(vm) || !ses.mayRegister(vm.ID) {
--- a/wire/queue.go
+++ b/wire/queue.go
@@ -95,6 +95,16 @@
 	Sent    int64  `cbor:"1,keyasint"`
 	LeaseMS int64  `cbor:"2,keyasint"`
 	Epoch   uint64 `cbor:"3,keyasint"`
+
+	Effects []PairEffect `cbor:"4,keyasint,omitempty"` // that are new or have changed
+}
+
+// PairEffect is what fillers of one image do to serving tasks of another, as
+// package interference gives it.
+type PairEffect struct {
+	Serving string  `cbor:"1,keyasint"`
+	Filler  string  `cbor:"2,keyasint"`
+	Effect  float32 `cbor:"3,keyasint"`
 }
 
 // RunOrder asks a VM to run a task.
@@ -106,6 +116,7 @@
 	TailMS            int64  `cbor:"5,keyasint,omitempty"`
 	Filler            bool   `cbor:"6,keyasint,omitempty"`
 	Image             string `cbor:"7,keyasint,omitempty"`
+	CPUMilli          int64  `cbor:"8,keyasint,omitempty"`
 }
 
 // Orders is what a VM is to run. With Full it is all of it, and what is not
@@ -115,6 +126,8 @@
 	Full  bool                `cbor:"2,keyasint,omitempty"`
 	Start []RunOrder          `cbor:"3,keyasint,omitempty"`
 	Stop  []rudderfork.RunRef `cbor:"4,keyasint,omitempty"`
+
+	Effects []PairEffect `cbor:"5,keyasint,omitempty"` // that are new or have changed
 }
 
 // EndsReport tells of runs that have ended on a life of the VM. Seq is the
