Learn effects from every account, and pack serving tasks by image

In trials with random paces, two pairs of images in three did not disturb each other at all; but effects were learned only from accounts between which no pace had changed, which hardly ever came, and every VM had tasks of several serving images, so that no VM suited any filler.

Ruled out: idle processors as the limit (trial: fillers used all they asked for on VMs asked for at 1.4 times their processors).

Change: a sample takes the mean of the shares in two accounts; the prior is what the trials gave; serving tasks are packed by image; fillers held back for a second move at most every 2 s.

--- a/dispatch/colocate.go
+++ b/dispatch/colocate.go
@@ -15,9 +15,6 @@
 	// of their objective in the mean.
 	usualTail = 0.45
 	leastTail = 0.30
-	// servingUse is the part of its processors that a serving task uses (the
-	// sheets' mean load); the rest is left to fillers.
-	servingUse = 0.45
 	// harmless is the effect on the logarithm of a tail below which a filler is
 	// not paced.
 	harmless = 0.03
@@ -29,8 +26,7 @@
 type colocation struct {
 	serving []servingTask
 	fillers []filler
-	idle    float64 // thousandths of a core that neither serving nor other tasks use
-	whole   float64 // of the VM
+	whole   float64 // thousandths of a core of the VM
 }
 
 type servingTask struct {
@@ -49,7 +45,7 @@
 	if c := p.shared[vm.ID]; c != nil {
 		return c
 	}
-	c := &colocation{idle: float64(vm.Capacity.CPUMilli), whole: float64(max(1, vm.Capacity.CPUMilli))}
+	c := &colocation{whole: float64(max(1, vm.Capacity.CPUMilli))}
 	for k := range vm.Runs() {
 		c.add(p.stepOf(k), p.view.Runs[k])
 	}
@@ -69,21 +65,15 @@
 			tail = max(leastTail, float64(run.Load)/float64(st.TailMS))
 		}
 		c.serving = append(c.serving, servingTask{st.Image, tail})
-		c.idle -= cpu * servingUse
-	default:
-		c.idle -= cpu
 	}
 }
 
-// speed is what a filler can expect on the VM, 0 to 1: what is idle, shared
-// with the fillers there, and what the serving tasks' tails leave room for.
+// speed is what a filler can expect on the VM, 0 to 1: what the serving tasks'
+// tails leave room for. (Idle processors did not bind in trials: fillers worked
+// at full speed on VMs whose processors were all asked for.)
 func (c *colocation) speed(st queue.Step, effect func(serving, filler string) float64) float64 {
 	cpu := float64(max(1, st.Size.CPUMilli))
-	asked := cpu
-	for _, f := range c.fillers {
-		asked += f.cpu * f.speed
-	}
-	speed := min(1, max(0, c.idle)/asked)
+	speed := 1.0
 	for _, s := range c.serving {
 		harm := effect(s.image, st.Image) * cpu / c.whole
 		if harm < harmless {
@@ -100,19 +90,24 @@
 }
 
 // servingCost weighs a VM for a serving task: serving tasks of one image are
-// kept together, so that every filler finds VMs whose tasks it leaves alone, and
-// apart from fillers that harm them.
-func (p *planner) servingCost(st queue.Step, vm *queue.VM) (cost float64) {
+// packed together, so that every filler finds VMs whose tasks it leaves alone,
+// and kept apart from fillers that harm them.
+func (p *planner) servingCost(st queue.Step, vm *queue.VM) float64 {
 	c := p.colocationOn(vm)
-	for _, s := range c.serving {
-		if s.image != st.Image {
-			cost += costOther
+	cost := costEmpty
+	if len(c.serving) > 0 {
+		others := 0
+		for _, s := range c.serving {
+			if s.image != st.Image {
+				others++
+			}
 		}
+		cost = costOthers * float64(others) / float64(len(c.serving))
 	}
 	for _, f := range c.fillers {
 		cost += max(0, p.view.Effect(st.Image, f.image)) * f.cpu * f.speed / c.whole
 	}
-	return cost
+	return cost - packing*p.fullness(vm)
 }
 
 // betterPlace reports whether a filler that is held back would work well
--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -9,10 +9,12 @@
 // The parts of a place's cost. One stands for a VM that is wholly taken; the
 // rest are set against that and are first guesses that no run has chosen yet.
 const (
-	costFar    = 1.0  // the data is in another rack: half as long again
-	costFailed = 8.0  // the task has failed there before
-	costDoubt  = 4.0  // for each unit of doubt in the VM
-	costOther  = 0.25 // for each serving task of another image
+	costFar    = 1.0 // the data is in another rack: half as long again
+	costFailed = 8.0 // the task has failed there before
+	costDoubt  = 4.0 // for each unit of doubt in the VM
+	costOthers = 1.0 // beside serving tasks of other images only
+	costEmpty  = 0.5 // a serving task on a VM that has none yet
+	packing    = 1.3 // a serving task on a full VM: more than it costs others
 )
 
 // cost weighs a VM for a task; the least is chosen.
--- a/dispatch/stops.go
+++ b/dispatch/stops.go
@@ -13,6 +13,7 @@
 	// moveSpeed what it must expect elsewhere: more than a move costs it, with
 	// its restart and a second of work.
 	heldMS    = 1_000
+	restMS    = 2_000 // between two moves of a task
 	moveSpeed = 0.6
 	// maxMoves bounds the fillers moved in one plan, since each changes what the
 	// next one can expect.
@@ -69,7 +70,7 @@
 // heldBack reports whether a filler is held down here and would work elsewhere.
 func (p *planner) heldBack(j *queue.Job, k queue.TaskKey, r queue.Run) bool {
 	run, ok := p.view.Runs[k]
-	if !ok || run.Number != r.Number || run.HeldAt == 0 || p.view.Now-run.HeldAt < heldMS || p.moves >= maxMoves {
+	if !ok || run.Number != r.Number || run.HeldAt == 0 || p.view.Now-run.HeldAt < heldMS || p.view.Now-r.StartedAt < restMS || p.moves >= maxMoves {
 		return false
 	}
 	if !j.Spec.Steps[k.Step].Checkpoints && run.Percent > littleDone {
--- a/interference/interference.go
+++ b/interference/interference.go
@@ -39,13 +39,12 @@
 	return Prior{HalfLife: 30 * time.Minute, Effect: 0.18, EffectError: 0.35, NoiseVar: 0.02}
 }
 
-// Fillers is the prior for serving tasks beside fillers. In a trial on a lean
-// day of the users' platform, a filler at half speed on a twentieth of a VM's
-// processors left most serving images alone and slowed a few tenfold; an unseen
-// pair is taken to be in between. Tails of half a second swing by a half of
-// themselves without any filler.
+// Fillers is the prior for serving tasks beside fillers. In trials with random
+// paces on calm days of the users' platform, two pairs of images in three had
+// effects of about 0, the others of 3 to 25; tails of half a second swing by a
+// third of themselves without any filler.
 func Fillers() Prior {
-	return Prior{HalfLife: 30 * time.Second, Effect: 10, EffectError: 20, NoiseVar: 0.12}
+	return Prior{HalfLife: 30 * time.Second, Effect: 3, EffectError: 8, NoiseVar: 0.12}
 }
 
 // Sample is one window of one service at one upstream.
--- a/runner/pace.go
+++ b/runner/pace.go
@@ -14,7 +14,7 @@
 	fullPace = 100
 	// paceStep is the least change of a share that is worth a call, in percent,
 	// unless it is to or from a standstill or full speed.
-	paceStep = 5
+	paceStep = 10
 	// maxEffects bounds the pairs of images that are remembered.
 	maxEffects = 10_000
 )
--- a/scheduler/effects.go
+++ b/scheduler/effects.go
@@ -35,7 +35,6 @@
 	serving map[string]bool                  // images
 	shares  map[string]float64               // of processors in use, by filler image
 	images  map[string]bool                  // of fillers, also of those paced to a standstill
-	paces   map[queue.TaskKey]int            // to see whether they have changed
 	tails   map[rudderfork.RunRef]servedTail // of the tasks at work
 }
 
@@ -48,7 +47,7 @@
 func crewOf(s *queue.State, vm *queue.VM, v *vmInfo) crew {
 	c := crew{
 		serving: map[string]bool{}, shares: map[string]float64{},
-		images: map[string]bool{}, paces: map[queue.TaskKey]int{}, tails: map[rudderfork.RunRef]servedTail{},
+		images: map[string]bool{}, tails: map[rudderfork.RunRef]servedTail{},
 	}
 	for k, r := range v.rows {
 		if vm.Runs()[k] != r.row.Run {
@@ -63,7 +62,6 @@
 			}
 		case st.Filler:
 			c.images[st.Image] = true
-			c.paces[k] = r.row.Held
 			share := float64(st.Size.CPUMilli) / float64(max(1, vm.Capacity.CPUMilli))
 			c.shares[st.Image] += share * float64(fullPercent-r.row.Held) / fullPercent
 		}
@@ -81,21 +79,25 @@
 	}
 }
 
-// learn takes a VM's account. Figures cover the last half second, so they count
-// only if the fillers have not changed since the account before.
+// learn takes a VM's account. Figures cover the last half second, which is about
+// the time between two accounts, so the fillers' shares are taken as the mean of
+// those in both.
 func (e *effects) learn(c crew, v *vmInfo, now time.Time) {
-	same := len(c.paces) == len(v.lastPaces)
-	for k, held := range c.paces {
-		last, ok := v.lastPaces[k]
-		same = same && ok && last == held
-	}
-	v.lastPaces = c.paces
-	if !same {
+	last := v.lastShares
+	v.lastShares = c.shares
+	if last == nil {
 		return
 	}
+	shares := map[string]float64{}
+	for image, share := range c.shares {
+		shares[image] += share / 2
+	}
+	for image, share := range last {
+		shares[image] += share / 2
+	}
 	for _, t := range c.tails {
 		e.model.Observe(interference.Sample{
-			Service: rudderfork.Service(t.image), At: now, Latency: time.Duration(t.ms) * time.Millisecond, Shares: c.shares,
+			Service: rudderfork.Service(t.image), At: now, Latency: time.Duration(t.ms) * time.Millisecond, Shares: shares,
 		})
 	}
 }
