Give fillers only idle processors, and let those that would crawl wait

Change: fillers beside serving tasks share what is idle (pace.MostUsed); crowded accounts teach nothing; a filler begins at half speed or better, or waits, as long as its job has other runs or for a second.

--- a/dispatch/colocate.go
+++ b/dispatch/colocate.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/pace"
 	"rudderfork.example/rudderfork/queue"
 )
 
@@ -18,6 +19,11 @@
 	// harmless is the effect on the logarithm of a tail below which a filler is
 	// not paced.
 	harmless = 0.03
+	// startSpeed is the least speed at which a filler begins while others of its
+	// job run; waitMS is how long a job may have nothing running for that reason
+	// (the users look after 3 s).
+	startSpeed = 0.5
+	waitMS     = 1_000
 	// leastSpeed bounds the cost of a place where a filler would stand still.
 	leastSpeed = 0.05
 )
@@ -27,6 +33,7 @@
 	serving []servingTask
 	fillers []filler
 	whole   float64 // thousandths of a core of the VM
+	idle    float64 // of these, what fillers may use together
 }
 
 type servingTask struct {
@@ -45,7 +52,8 @@
 	if c := p.shared[vm.ID]; c != nil {
 		return c
 	}
-	c := &colocation{whole: float64(max(1, vm.Capacity.CPUMilli))}
+	whole := float64(max(1, vm.Capacity.CPUMilli))
+	c := &colocation{whole: whole, idle: whole * pace.MostUsed}
 	for k := range vm.Runs() {
 		c.add(p.stepOf(k), p.view.Runs[k])
 	}
@@ -58,22 +66,26 @@
 	cpu := float64(st.Size.CPUMilli)
 	switch {
 	case st.Filler:
-		c.fillers = append(c.fillers, filler{st.Image, cpu, 1 - float64(run.Held)/100})
+		speed := 1 - float64(run.Held)/100
+		c.fillers = append(c.fillers, filler{st.Image, cpu, speed})
+		c.idle -= cpu * speed
 	case st.TailMS > 0:
 		tail := usualTail
 		if run.Load > 0 {
 			tail = max(leastTail, float64(run.Load)/float64(st.TailMS))
 		}
 		c.serving = append(c.serving, servingTask{st.Image, tail})
+		c.idle -= cpu * pace.ServingUse
+	default:
+		c.idle -= cpu
 	}
 }
 
-// speed is what a filler can expect on the VM, 0 to 1: what the serving tasks'
-// tails leave room for. (Idle processors did not bind in trials: fillers worked
-// at full speed on VMs whose processors were all asked for.)
+// speed is what a filler can expect on the VM, 0 to 1: what is idle and what the
+// serving tasks' tails leave room for. Package pace has the limits.
 func (c *colocation) speed(st queue.Step, effect func(serving, filler string) float64) float64 {
 	cpu := float64(max(1, st.Size.CPUMilli))
-	speed := 1.0
+	speed := min(1, max(0, c.idle)/cpu)
 	for _, s := range c.serving {
 		harm := effect(s.image, st.Image) * cpu / c.whole
 		if harm < harmless {
@@ -89,6 +101,30 @@
 	return 1/max(leastSpeed, p.colocationOn(vm).speed(st, p.view.Effect)) - 1
 }
 
+// worthless reports whether a filler had better wait than begin on the best VM
+// there is: many that crawl side by side end later than few at full speed. A job
+// of which nothing runs is not kept waiting for long.
+func (p *planner) worthless(j *queue.Job, k queue.TaskKey, vm *queue.VM) bool {
+	st := j.Spec.Steps[k.Step]
+	if !st.Filler || p.colocationOn(vm).speed(st, p.view.Effect) >= startSpeed {
+		return false
+	}
+	idleSince := max(j.SubmittedAt, p.lastEnd(j))
+	return j.ActiveRuns+p.started[j.ID] > 0 || p.view.Now-idleSince < waitMS
+}
+
+// lastEnd is when a run of the job ended last.
+func (p *planner) lastEnd(j *queue.Job) (last int64) {
+	for _, o := range j.Times {
+		for _, tasks := range o.Steps {
+			for i := range tasks {
+				last = max(last, tasks[i].EndedAt)
+			}
+		}
+	}
+	return last
+}
+
 // servingCost weighs a VM for a serving task: serving tasks of one image are
 // packed together, so that every filler finds VMs whose tasks it leaves alone,
 // and kept apart from fillers that harm them.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -72,7 +72,7 @@
 
 // Make returns what to do now.
 func Make(s *queue.State, v View) Plan {
-	p := &planner{state: s, view: v, vms: s.VMs(), taken: map[rudderfork.VMID]rudderfork.Resources{}, placed: map[stepOnVM]int{}, shared: map[rudderfork.VMID]*colocation{}}
+	p := &planner{state: s, view: v, vms: s.VMs(), taken: map[rudderfork.VMID]rudderfork.Resources{}, placed: map[stepOnVM]int{}, shared: map[rudderfork.VMID]*colocation{}, started: map[rudderfork.JobID]int{}}
 	jobs := p.ranked()
 	for _, j := range jobs {
 		p.stops(j)
@@ -94,6 +94,8 @@
 	groups int
 	moves  int
 	shared map[rudderfork.VMID]*colocation
+
+	started map[rudderfork.JobID]int // runs of this plan
 }
 
 // stepOnVM names the tasks of a step, of one time, on a VM.
@@ -152,7 +154,7 @@
 			continue
 		}
 		vm, reason := p.place(j, k)
-		if vm == nil {
+		if vm == nil || p.worthless(j, k, vm) {
 			return // the others of the step are alike
 		}
 		p.add(j, k, vm, reason, 0)
@@ -170,6 +172,7 @@
 	p.taken[vm.ID] = p.taken[vm.ID].Add(st.Need())
 	p.placed[stepOnVM{k.Job, k.Time, k.Step, vm.ID}]++
 	p.colocationOn(vm).add(st, RunView{})
+	p.started[j.ID]++
 }
 
 // startGang starts all tasks of a gang, or none.
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -8,7 +8,8 @@
 // the filler works. A step reads the tails, takes from each what the fillers
 // explain, and deals what is left under the objective to the fillers, the least
 // harmful first. A tail over its objective cuts what may harm it, whatever the
-// model says.
+// model says. And all tails explode once the VM's processors are used up, so the
+// fillers together get only what the others leave idle.
 package pace
 
 import (
@@ -20,6 +21,12 @@
 )
 
 const (
+	// MostUsed is the part of a VM's processors that may be in use beside serving
+	// tasks. In trials the median tail was flat up to 0.9 and doubled at 1.1.
+	MostUsed = 0.88
+	// ServingUse is the part of its processors that a serving task uses, in the
+	// mean (the sheets' mean load, and a little).
+	ServingUse = 0.5
 	// aim is the tail over its objective that is aimed at. The room above is for
 	// load that swings faster than half a second, the age of the figures.
 	aim = 0.80
@@ -55,8 +62,9 @@
 // adds to the logarithm of a tail.
 type Effects func(serving, filler string) float64
 
-// Step returns the speeds of the fillers, 0 to 1, in their order.
-func Step(serving []Serving, fillers []Filler, effect Effects) []float64 {
+// Step returns the speeds of the fillers, 0 to 1, in their order. idle is the
+// part of the VM's processors that the fillers may use together.
+func Step(serving []Serving, fillers []Filler, idle float64, effect Effects) []float64 {
 	room := make([]float64, len(serving))
 	over := make([]bool, len(serving))
 	for i, s := range serving {
@@ -66,6 +74,10 @@
 	speeds := make([]float64, len(fillers))
 	for _, f := range byHarm(serving, fillers, effect) {
 		speeds[f] = speedOf(fillers[f], serving, room, over, effect)
+		if len(serving) > 0 {
+			speeds[f] = min(speeds[f], max(0, idle)/fillers[f].Share)
+		}
+		idle -= fillers[f].Share * speeds[f]
 		for i, s := range serving {
 			room[i] -= max(0, effect(s.Image, fillers[f].Image)) * fillers[f].Share * speeds[f]
 		}
--- a/runner/pace.go
+++ b/runner/pace.go
@@ -15,6 +15,8 @@
 	// paceStep is the least change of a share that is worth a call, in percent,
 	// unless it is to or from a standstill or full speed.
 	paceStep = 10
+	// leastShare stands for a filler that declares no processors.
+	leastShare = 0.001
 	// maxEffects bounds the pairs of images that are remembered.
 	maxEffects = 10_000
 )
@@ -48,23 +50,33 @@
 	return fullPace
 }
 
-// company returns the serving tasks that are at work and the fillers. The caller
-// holds mu.
-func (a *Agent) company() (serving []pace.Serving, fillers []pace.Filler) {
+// company returns the serving tasks that are at work, the fillers, and the part
+// of the processors that is idle without these. The caller holds mu.
+func (a *Agent) company() (serving []pace.Serving, fillers []pace.Filler, idle float64) {
+	idle = pace.MostUsed
+	whole := float64(max(1, a.vm.Capacity.CPUMilli))
 	for id, o := range a.keeper.Wanted() {
 		ref := rudderfork.RunRef{Task: id, Run: o.Run}
 		row, there := a.rows[ref]
+		share := float64(o.CPUMilli) / whole
+		switch {
+		case o.Filler:
+		case o.TailMS > 0:
+			idle -= share * pace.ServingUse
+		default:
+			idle -= share
+		}
 		switch {
 		case o.TailMS > 0 && there && row.Percent == fullPace:
 			serving = append(serving, pace.Serving{Image: o.Image, Tail: float64(row.Load) / float64(o.TailMS)})
 		case o.Filler && there:
 			fillers = append(fillers, pace.Filler{
-				Run: ref, Image: o.Image, Share: float64(o.CPUMilli) / float64(max(1, a.vm.Capacity.CPUMilli)),
+				Run: ref, Image: o.Image, Share: max(leastShare, share),
 				Speed: float64(a.paceOf(ref)) / fullPace,
 			})
 		}
 	}
-	return serving, fillers
+	return serving, fillers, idle
 }
 
 // adjustPace sets the fillers to what the serving tasks leave them. The caller
@@ -75,12 +87,12 @@
 			delete(a.paces, ref)
 		}
 	}
-	serving, fillers := a.company()
+	serving, fillers, idle := a.company()
 	worst := 0.0
 	for _, s := range serving {
 		worst = max(worst, s.Tail)
 	}
-	for i, speed := range pace.Step(serving, fillers, a.effect) {
+	for i, speed := range pace.Step(serving, fillers, idle, a.effect) {
 		a.setPace(ctx, fillers[i].Run, int(speed*fullPace), worst)
 	}
 }
--- a/scheduler/effects.go
+++ b/scheduler/effects.go
@@ -6,6 +6,7 @@
 
 	"rudderfork.example/rudderfork"
 	"rudderfork.example/rudderfork/interference"
+	"rudderfork.example/rudderfork/pace"
 	"rudderfork.example/rudderfork/queue"
 	"rudderfork.example/rudderfork/wire"
 )
@@ -36,6 +37,7 @@
 	shares  map[string]float64               // of processors in use, by filler image
 	images  map[string]bool                  // of fillers, also of those paced to a standstill
 	tails   map[rudderfork.RunRef]servedTail // of the tasks at work
+	used    float64                          // part of the processors in use, about
 }
 
 // servedTail is one serving task's last figure.
@@ -54,16 +56,21 @@
 			continue
 		}
 		st := s.Job(k.Job).Spec.Steps[k.Step]
+		cpu := float64(st.Size.CPUMilli) / float64(max(1, vm.Capacity.CPUMilli))
 		switch {
 		case st.TailMS > 0:
 			c.serving[st.Image] = true
+			c.used += cpu * pace.ServingUse
 			if r.row.Percent == fullPercent {
 				c.tails[r.row.RunRef] = servedTail{st.Image, r.row.Load}
 			}
 		case st.Filler:
 			c.images[st.Image] = true
-			share := float64(st.Size.CPUMilli) / float64(max(1, vm.Capacity.CPUMilli))
-			c.shares[st.Image] += share * float64(fullPercent-r.row.Held) / fullPercent
+			share := cpu * float64(fullPercent-r.row.Held) / fullPercent
+			c.shares[st.Image] += share
+			c.used += share
+		default:
+			c.used += cpu
 		}
 	}
 	return c
@@ -85,8 +92,10 @@
 func (e *effects) learn(c crew, v *vmInfo, now time.Time) {
 	last := v.lastShares
 	v.lastShares = c.shares
-	if last == nil {
-		return
+	crowded := c.used > pace.MostUsed || v.wasCrowded
+	v.wasCrowded = c.used > pace.MostUsed
+	if last == nil || crowded {
+		return // tails over used-up processors tell nothing of the pairs
 	}
 	shares := map[string]float64{}
 	for image, share := range c.shares {
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -47,6 +47,7 @@
 	beatAt     time.Time
 	beat       wire.VMBeat
 	rows       map[queue.TaskKey]*runInfo
+	wasCrowded bool               // its processors were used up, in the account before
 	lastShares map[string]float64 // of processors in use by filler image, in the account before
 	doubt      float64
 	doubtAt    time.Time
