Set tails against what worked while they were measured

Change: the agent follows each filler's speed and reports the mean shares over the half second of the figures; placing counts fillers that tails do not show yet; effects carry a part of their error.

--- a/dispatch/colocate.go
+++ b/dispatch/colocate.go
@@ -41,10 +41,14 @@
 	tail  float64 // over its objective
 }
 
+// freshMS is how long a filler runs until the tails show it.
+const freshMS = 1_000
+
 type filler struct {
 	image string
 	cpu   float64 // thousandths of a core at full speed
 	speed float64 // 0 to 1
+	fresh bool    // the tails do not show it yet
 }
 
 // colocationOn returns what shares a VM, with the starts of this plan.
@@ -55,19 +59,20 @@
 	whole := float64(max(1, vm.Capacity.CPUMilli))
 	c := &colocation{whole: whole, idle: whole * pace.MostUsed}
 	for k := range vm.Runs() {
-		c.add(p.stepOf(k), p.view.Runs[k])
+		run := p.view.Runs[k]
+		c.add(p.stepOf(k), run, p.view.Now-run.SeenAt < freshMS)
 	}
 	p.shared[vm.ID] = c
 	return c
 }
 
 // add notes a run of a step; the zero view stands for one that was not seen yet.
-func (c *colocation) add(st queue.Step, run RunView) {
+func (c *colocation) add(st queue.Step, run RunView, fresh bool) {
 	cpu := float64(st.Size.CPUMilli)
 	switch {
 	case st.Filler:
 		speed := 1 - float64(run.Held)/100
-		c.fillers = append(c.fillers, filler{st.Image, cpu, speed})
+		c.fillers = append(c.fillers, filler{st.Image, cpu, speed, fresh})
 		c.idle -= cpu * speed
 	case st.TailMS > 0:
 		tail := usualTail
@@ -91,7 +96,13 @@
 		if harm < harmless {
 			continue
 		}
-		speed = min(speed, max(0, math.Log(tailAim/s.tail))/harm)
+		room := math.Log(tailAim / s.tail)
+		for _, f := range c.fillers {
+			if f.fresh {
+				room -= max(0, effect(s.image, f.image)) * f.cpu * f.speed / c.whole
+			}
+		}
+		speed = min(speed, max(0, room)/harm)
 	}
 	return speed
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -30,6 +30,7 @@
 type RunView struct {
 	Number  uint32
 	Percent int
+	SeenAt  int64 // when it was first reported, leader's clock, Unix ms
 	MovedAt int64 // when Percent last changed, leader's clock, Unix ms
 	Load    int64
 	Held    int   // percent by which it is paced down
@@ -171,7 +172,7 @@
 	p.plan.Starts = append(p.plan.Starts, Start{queue.Start{Task: k, VM: vm.ID, Life: vm.Life, Group: group}, reason})
 	p.taken[vm.ID] = p.taken[vm.ID].Add(st.Need())
 	p.placed[stepOnVM{k.Job, k.Time, k.Step, vm.ID}]++
-	p.colocationOn(vm).add(st, RunView{})
+	p.colocationOn(vm).add(st, RunView{}, true)
 	p.started[j.ID]++
 }
 
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -56,6 +56,7 @@
 	Image string
 	Share float64 // of the VM's processors, at full speed
 	Speed float64 // 0 to 1, as last asked for
+	Seen  float64 // 0 to 1, in the mean while the tails were measured
 }
 
 // Effects tells the effect of a pair of images: what a filler on all processors
@@ -89,7 +90,7 @@
 func roomOf(s Serving, fillers []Filler, effect Effects) float64 {
 	explained := 0.0
 	for _, f := range fillers {
-		explained += max(0, effect(s.Image, f.Image)) * f.Share * f.Speed
+		explained += max(0, effect(s.Image, f.Image)) * f.Share * f.Seen
 	}
 	base := math.Log(max(s.Tail, leastBase)) - explained
 	return math.Log(aim) - max(base, math.Log(leastBase))
--- a/runner/look.go
+++ b/runner/look.go
@@ -104,6 +104,8 @@
 	for _, r := range look.Running {
 		a.rows[r.RunRef] = r
 	}
+	a.expose(now)
+	a.worked = a.exposed(now)
 	a.adjustPace(ctx)
 	wake(a.kicked)
 	return noted, upTo > a.acked
--- a/runner/pace.go
+++ b/runner/pace.go
@@ -5,6 +5,7 @@
 
 	"rudderfork.example/rudderfork"
 	"rudderfork.example/rudderfork/interference"
+	"rudderfork.example/rudderfork/internal/steady"
 	"rudderfork.example/rudderfork/pace"
 	"rudderfork.example/rudderfork/wire"
 )
@@ -72,13 +73,22 @@
 		case o.Filler && there:
 			fillers = append(fillers, pace.Filler{
 				Run: ref, Image: o.Image, Share: max(leastShare, share),
-				Speed: float64(a.paceOf(ref)) / fullPace,
+				Speed: float64(a.paceOf(ref)) / fullPace, Seen: a.seen(ref),
 			})
 		}
 	}
 	return serving, fillers, idle
 }
 
+// seen is the mean speed of a filler while the tails were measured. The caller
+// holds mu.
+func (a *Agent) seen(ref rudderfork.RunRef) float64 {
+	if e := a.exposures[ref]; e != nil {
+		return e.mean(a.seenAt)
+	}
+	return 0
+}
+
 // adjustPace sets the fillers to what the serving tasks leave them. The caller
 // holds mu.
 func (a *Agent) adjustPace(ctx context.Context) {
@@ -105,6 +115,9 @@
 		return
 	}
 	a.paces[ref] = share
+	if e := a.exposures[ref]; e != nil {
+		e.set(float64(share)/fullPace, steady.Now().Add(paceDelay))
+	}
 	life, fence := a.keeper.Life(), a.keeper.Fence()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -68,6 +68,10 @@
 	paces    map[rudderfork.RunRef]int               // speeds of fillers in percent, as last asked for
 	effects  map[pair]float64
 
+	exposures map[rudderfork.RunRef]*exposure
+	begun     map[rudderfork.RunRef]time.Time // when starts were confirmed
+	worked    map[string]float64              // shares of fillers by image, at the last look
+
 	reports  map[uint64]report // not noted yet
 	reportID uint64
 	acked    uint64        // ends of the executor's list that were noted
@@ -96,6 +100,9 @@
 	a.rows = map[rudderfork.RunRef]rudderfork.RunRow{}
 	a.told = map[rudderfork.RunRef]rudderfork.RunRow{}
 	a.paces = map[rudderfork.RunRef]int{}
+	a.exposures = map[rudderfork.RunRef]*exposure{}
+	a.begun = map[rudderfork.RunRef]time.Time{}
+	a.worked = nil
 	a.reports = map[uint64]report{}
 	a.acked = 0
 	a.noted = make(chan struct{})
@@ -270,6 +277,7 @@
 	}
 	now := steady.Now()
 	b = wire.VMBeat{Sent: now.UnixNano(), VM: a.vm, Draining: a.draining, Mute: now.Sub(a.seenAt) > muteAfter}
+	b.Worked, a.worked = a.worked, nil
 	if a.draining {
 		b.LeaveMS = max(0, a.leaveAt.Sub(now).Milliseconds())
 	}
@@ -350,6 +358,7 @@
 		a.report([]queue.End{*end}, 0)
 	}
 	if err == nil && c.Start != nil && out == rudderfork.Started {
+		a.begun[c.Ref] = now
 		a.adjustPace(ctx)
 	}
 	wake(a.kicked)
--- a/scheduler/effects.go
+++ b/scheduler/effects.go
@@ -16,6 +16,11 @@
 	// and leastChange the absolute one: less does not change a pace.
 	tellChange  = 0.15
 	leastChange = 0.5
+	// crowded is the part of a VM's processors above which tails are not learned
+	// from: they grow without any harmful pair.
+	crowded = 0.95
+	// caution is the part of an effect's standard error that is added to it.
+	caution = 0.3
 	// fullPercent is a lasting task at work, or a filler that is not paced.
 	fullPercent = 100
 )
@@ -34,10 +39,9 @@
 // crew is the serving tasks and the fillers that run on a VM.
 type crew struct {
 	serving map[string]bool                  // images
-	shares  map[string]float64               // of processors in use, by filler image
 	images  map[string]bool                  // of fillers, also of those paced to a standstill
 	tails   map[rudderfork.RunRef]servedTail // of the tasks at work
-	used    float64                          // part of the processors in use, about
+	used    float64                          // part of the processors that others than fillers use, about
 }
 
 // servedTail is one serving task's last figure.
@@ -48,8 +52,8 @@
 
 func crewOf(s *queue.State, vm *queue.VM, v *vmInfo) crew {
 	c := crew{
-		serving: map[string]bool{}, shares: map[string]float64{},
-		images: map[string]bool{}, tails: map[rudderfork.RunRef]servedTail{},
+		serving: map[string]bool{},
+		images:  map[string]bool{}, tails: map[rudderfork.RunRef]servedTail{},
 	}
 	for k, r := range v.rows {
 		if vm.Runs()[k] != r.row.Run {
@@ -66,9 +70,6 @@
 			}
 		case st.Filler:
 			c.images[st.Image] = true
-			share := cpu * float64(fullPercent-r.row.Held) / fullPercent
-			c.shares[st.Image] += share
-			c.used += share
 		default:
 			c.used += cpu
 		}
@@ -86,35 +87,26 @@
 	}
 }
 
-// learn takes a VM's account. Figures cover the last half second, which is about
-// the time between two accounts, so the fillers' shares are taken as the mean of
-// those in both.
-func (e *effects) learn(c crew, v *vmInfo, now time.Time) {
-	last := v.lastShares
-	v.lastShares = c.shares
-	crowded := c.used > pace.MostUsed || v.wasCrowded
-	v.wasCrowded = c.used > pace.MostUsed
-	if last == nil || crowded {
-		return // tails over used-up processors tell nothing of the pairs
-	}
-	shares := map[string]float64{}
-	for image, share := range c.shares {
-		shares[image] += share / 2
+// learn takes a VM's account.
+func (e *effects) learn(c crew, b wire.VMBeat, now time.Time) {
+	used := c.used
+	for _, share := range b.Worked {
+		used += share
 	}
-	for image, share := range last {
-		shares[image] += share / 2
+	if b.Worked == nil || used > crowded {
+		return // tails over used-up processors tell nothing of the pairs
 	}
 	for _, t := range c.tails {
 		e.model.Observe(interference.Sample{
-			Service: rudderfork.Service(t.image), At: now, Latency: time.Duration(t.ms) * time.Millisecond, Shares: shares,
+			Service: rudderfork.Service(t.image), At: now, Latency: time.Duration(t.ms) * time.Millisecond, Shares: b.Worked,
 		})
 	}
 }
 
-// of returns what is known or assumed of a pair.
+// of returns what is known or assumed of a pair, on the cautious side.
 func (e *effects) of(serving, filler string, now time.Time) float64 {
-	effect, _ := e.model.Effect(rudderfork.Service(serving), filler, now)
-	return effect
+	effect, stderr := e.model.Effect(rudderfork.Service(serving), filler, now)
+	return effect + caution*stderr
 }
 
 // news returns the effects between the images on a VM that an agent has not been
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -47,8 +47,6 @@
 	beatAt     time.Time
 	beat       wire.VMBeat
 	rows       map[queue.TaskKey]*runInfo
-	wasCrowded bool               // its processors were used up, in the account before
-	lastShares map[string]float64 // of processors in use by filler image, in the account before
 	doubt      float64
 	doubtAt    time.Time
 }
@@ -56,6 +54,7 @@
 // runInfo is one run at the moment.
 type runInfo struct {
 	row     rudderfork.RunRow
+	seenAt  time.Time
 	movedAt time.Time
 	heldAt  time.Time // since when it is held down; zero if it is not
 }
@@ -102,7 +101,7 @@
 		}
 		r := v.rows[k]
 		if r == nil || r.row.Run != row.Run {
-			r = &runInfo{movedAt: now}
+			r = &runInfo{seenAt: now, movedAt: now}
 			v.rows[k] = r
 		}
 		if r.row.Percent != row.Percent {
@@ -154,7 +153,7 @@
 				continue
 			}
 			run := dispatch.RunView{
-				Number: r.row.Run, Percent: r.row.Percent, MovedAt: rudderfork.Millis(r.movedAt), Load: r.row.Load, Held: r.row.Held,
+				Number: r.row.Run, Percent: r.row.Percent, SeenAt: rudderfork.Millis(r.seenAt), MovedAt: rudderfork.Millis(r.movedAt), Load: r.row.Load, Held: r.row.Held,
 			}
 			if !r.heldAt.IsZero() {
 				run.HeldAt = rudderfork.Millis(r.heldAt)
--- a/scheduler/session.go
+++ b/scheduler/session.go
@@ -314,7 +314,7 @@
 		}
 		v := ses.s.fleet.vm(ses.vm)
 		c := crewOf(st.Queues(), vm, v)
-		ses.s.fleet.effects.learn(c, v, now)
+		ses.s.fleet.effects.learn(c, v.beat, now)
 		list = ses.s.fleet.effects.news(c, ses.told, now)
 	})
 	return list
--- a/wire/queue.go
+++ b/wire/queue.go
@@ -87,6 +87,10 @@
 	// Mute says that the VM's executor does not answer: no lease is asked for.
 	Mute bool                `cbor:"5,keyasint,omitempty"`
 	Rows []rudderfork.RunRow `cbor:"6,keyasint,omitempty"` // that have changed
+
+	// Worked is the shares of the VM's processors at which fillers worked while
+	// the rows' figures were taken, by image; nil if there is no newer figure.
+	Worked map[string]float64 `cbor:"7,keyasint,omitempty"`
 }
 
 // VMGrant answers a VMBeat: the VM may run what it is ordered to for so long
