Drive leader, agents and executors through seeded faults

A model of the hand-over: the replicated state, the leader's leases, the agents' keepers and executors that lose, double and postpone orders, with clocks up to 2% slow, changes of the leader, restarts, freezes and cuts; 400 seeds. No task runs twice at once or after it is done, and in the end all jobs are done.

Change: the leader's side of a lease moves from scheduler into runs.Grantor.

--- /dev/null
+++ b/runs/keeper_test.go
@@ -0,0 +1,218 @@
+package runs
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/queue"
+	"rudderfork.example/rudderfork/wire"
+)
+
+var (
+	t0      = time.Unix(1000, 0)
+	errLost = errors.New("no answer")
+)
+
+const task = rudderfork.TaskID("j.0.0.0")
+
+func ref(run uint32) rudderfork.RunRef { return rudderfork.RunRef{Task: task, Run: run} }
+
+// ready returns a keeper in its first epoch, with a lease of 5 s and a clock.
+func ready(starts ...uint32) *Keeper {
+	k := New()
+	k.Reset("life-1")
+	k.SetTerm(3)
+	k.SetClock(10_000, t0)
+	o := wire.Orders{Epoch: 1, Full: true}
+	for _, run := range starts {
+		o.Start = append(o.Start, wire.RunOrder{RunRef: ref(run), Payload: "p"})
+	}
+	k.Order(o)
+	k.Grant(1, t0.Add(5*time.Second))
+	return k
+}
+
+// onlyCall returns the single call that is due.
+func onlyCall(t *testing.T, k *Keeper, now time.Time) Call {
+	t.Helper()
+	calls, ends := k.Due(now)
+	assert.Equal(t, len(calls), 1)
+	assert.Equal(t, len(ends), 0)
+	return calls[0]
+}
+
+func checkNothingDue(t *testing.T, k *Keeper, now time.Time) {
+	t.Helper()
+	calls, ends := k.Due(now)
+	assert.Equal(t, len(calls)+len(ends), 0, "%v %v", calls, ends)
+}
+
+func checkEnds(t *testing.T, got []queue.End, how ...queue.Ending) {
+	t.Helper()
+	assert.Equal(t, len(got), len(how), "%v", got)
+	for i, h := range how {
+		assert.Equal(t, got[i].How, h)
+	}
+}
+
+func TestLeaseChain(t *testing.T) {
+	k := ready()
+	until, ok := k.Until(t0)
+	assert.Assert(t, ok)
+	// On a clock that runs 2% slow since 10,000 the end comes no later than 5 s.
+	assert.Assert(t, until <= 10_000+4_900, "the executor's end is %d", until)
+	assert.Assert(t, until > 10_000+4_800, "the executor's end is %d", until)
+	t.Run("a grant of another epoch does not count", func(t *testing.T) {
+		k.Grant(2, t0.Add(time.Hour))
+		assert.Equal(t, k.Granted(), t0.Add(5*time.Second))
+	})
+	t.Run("a grant never shortens", func(t *testing.T) {
+		k.Grant(1, t0.Add(time.Second))
+		assert.Equal(t, k.Granted(), t0.Add(5*time.Second))
+	})
+	t.Run("nothing starts without a lease", func(t *testing.T) {
+		k := ready(1)
+		checkNothingDue(t, k, t0.Add(4900*time.Millisecond))
+	})
+	t.Run("nothing starts without the executor's clock", func(t *testing.T) {
+		k := New()
+		k.Reset("life-1")
+		k.Order(wire.Orders{Epoch: 1, Full: true, Start: []wire.RunOrder{{RunRef: ref(1)}}})
+		k.Grant(1, t0.Add(5*time.Second))
+		checkNothingDue(t, k, t0)
+	})
+}
+
+func TestStart(t *testing.T) {
+	k := ready(1)
+	c := onlyCall(t, k, t0)
+	assert.Equal(t, c.Start.Fence, uint64(3))
+	assert.Equal(t, c.Start.Payload, "p")
+	checkNothingDue(t, k, t0)
+	t.Run("an unanswered start is sent again", func(t *testing.T) {
+		assert.Assert(t, k.Started(ref(1), 0, errLost, t0) == nil)
+		checkNothingDue(t, k, t0)
+		at, ok := k.RetryAt()
+		assert.Assert(t, ok)
+		assert.Assert(t, onlyCall(t, k, at).Start != nil)
+	})
+	t.Run("a confirmed one is not", func(t *testing.T) {
+		assert.Assert(t, k.Started(ref(1), rudderfork.Started, nil, t0.Add(time.Second)) == nil)
+		checkNothingDue(t, k, t0.Add(2*time.Second))
+	})
+}
+
+func TestRefused(t *testing.T) {
+	t.Run("a start that was refused at once is over", func(t *testing.T) {
+		k := ready(1)
+		onlyCall(t, k, t0)
+		end := k.Started(ref(1), rudderfork.StartNoRoom, nil, t0)
+		checkEnds(t, []queue.End{*end}, queue.EndRefused)
+		checkNothingDue(t, k, t0.Add(time.Second))
+	})
+	t.Run("after a try without an answer only a stop ends it", func(t *testing.T) {
+		k := ready(1)
+		onlyCall(t, k, t0)
+		k.Started(ref(1), 0, errLost, t0)
+		onlyCall(t, k, t0.Add(time.Second))
+		assert.Assert(t, k.Started(ref(1), rudderfork.StartNoRoom, nil, t0.Add(time.Second)) == nil)
+		assert.Assert(t, onlyCall(t, k, t0.Add(time.Second)).Start == nil)
+		k.Stopped(ref(1), nil, t0.Add(2*time.Second))
+		checkEnds(t, k.Looked(rudderfork.Look{}, t0.Add(1900*time.Millisecond)))
+		checkEnds(t, k.Looked(rudderfork.Look{}, t0.Add(2100*time.Millisecond)), queue.EndGone)
+	})
+	t.Run("a draining executor is sent nothing", func(t *testing.T) {
+		k := ready(1)
+		k.SetDraining(true)
+		calls, ends := k.Due(t0)
+		assert.Equal(t, len(calls), 0)
+		checkEnds(t, ends, queue.EndRefused)
+	})
+	t.Run("a start that is late is tried with a newer lease", func(t *testing.T) {
+		k := ready(1)
+		onlyCall(t, k, t0)
+		assert.Assert(t, k.Started(ref(1), rudderfork.StartLate, nil, t0) == nil)
+		assert.Assert(t, onlyCall(t, k, t0.Add(time.Second)).Start != nil)
+	})
+}
+
+func TestLooked(t *testing.T) {
+	running := func(run uint32) rudderfork.Look {
+		return rudderfork.Look{Running: []rudderfork.RunRow{{RunRef: ref(run)}}}
+	}
+	t.Run("a run that vanished is gone, if the look is newer than its start", func(t *testing.T) {
+		k := ready(1)
+		onlyCall(t, k, t0)
+		k.Started(ref(1), rudderfork.Started, nil, t0.Add(time.Second))
+		checkEnds(t, k.Looked(rudderfork.Look{}, t0))
+		checkEnds(t, k.Looked(running(1), t0.Add(2*time.Second)))
+		checkEnds(t, k.Looked(rudderfork.Look{}, t0.Add(3*time.Second)), queue.EndGone)
+		checkEnds(t, k.Looked(rudderfork.Look{}, t0.Add(4*time.Second)))
+	})
+	t.Run("ends are reported until they are noted", func(t *testing.T) {
+		k := ready(1)
+		look := rudderfork.Look{Ended: []rudderfork.EndRow{{Seq: 1, RunRef: ref(1), How: "done"}}}
+		for range 2 {
+			checkEnds(t, k.Looked(look, t0), queue.EndDone)
+		}
+		k.Noted([]queue.End{{Task: queue.TaskKey{Job: "j"}, Run: 1}})
+		assert.Equal(t, len(k.Wanted()), 0)
+	})
+	t.Run("a run that is not wanted is stopped, once the orders are known", func(t *testing.T) {
+		k := New()
+		k.Reset("life-1")
+		k.SetClock(1, t0)
+		k.Looked(running(7), t0)
+		checkNothingDue(t, k, t0)
+		k.Order(wire.Orders{Epoch: 1, Full: true})
+		k.Looked(running(7), t0)
+		c := onlyCall(t, k, t0)
+		assert.Equal(t, c.Ref, ref(7))
+		assert.Assert(t, c.Start == nil)
+		k.Stopped(ref(7), errLost, t0)
+		assert.Assert(t, onlyCall(t, k, t0.Add(time.Second)).Start == nil)
+	})
+	t.Run("a run of another number is stopped and the wanted one stays", func(t *testing.T) {
+		k := ready(2)
+		onlyCall(t, k, t0)
+		k.Started(ref(2), 0, errLost, t0)
+		k.Looked(running(1), t0)
+		c := onlyCall(t, k, t0)
+		assert.Equal(t, c.Ref, ref(1))
+		assert.Assert(t, c.Start == nil)
+	})
+}
+
+func TestEpochs(t *testing.T) {
+	k := ready(1)
+	onlyCall(t, k, t0)
+	k.Started(ref(1), rudderfork.Started, nil, t0)
+	k.Order(wire.Orders{Epoch: 2, Full: true})
+	t.Run("the lease of the old epoch is void", func(t *testing.T) {
+		_, ok := k.Until(t0)
+		assert.Assert(t, !ok)
+	})
+	t.Run("what the new one does not list is stopped and not reported", func(t *testing.T) {
+		c := onlyCall(t, k, t0)
+		assert.Assert(t, c.Start == nil)
+		k.Stopped(ref(1), nil, t0)
+		checkEnds(t, k.Looked(rudderfork.Look{}, t0.Add(time.Second)))
+	})
+	t.Run("orders of the old one are not taken", func(t *testing.T) {
+		k.Order(wire.Orders{Epoch: 1, Start: []wire.RunOrder{{RunRef: ref(2)}}})
+		assert.Equal(t, len(k.Wanted()), 0)
+	})
+}
+
+func TestStopBeforeStart(t *testing.T) {
+	k := ready(1)
+	k.Order(wire.Orders{Epoch: 1, Stop: []rudderfork.RunRef{ref(1)}})
+	c := onlyCall(t, k, t0)
+	assert.Assert(t, c.Start == nil, "a run that was never sent is barred there")
+	k.Stopped(ref(1), nil, t0)
+	checkEnds(t, k.Looked(rudderfork.Look{}, t0.Add(time.Second)), queue.EndGone)
+}
--- /dev/null
+++ b/runs/model_test.go
@@ -0,0 +1,424 @@
+package runs_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/dispatch"
+	"rudderfork.example/rudderfork/queue"
+	"rudderfork.example/rudderfork/runs"
+	"rudderfork.example/rudderfork/standin/executor"
+	"rudderfork.example/rudderfork/wire"
+)
+
+const (
+	lease     = 2 * time.Second
+	stepTime  = 20 * time.Millisecond
+	beatSteps = 5 // between two heartbeats
+	host      = "tours.example"
+)
+
+// site is a leader, agents and executors in simulated time. The leader's state
+// is taken as replicated: commands commit at once, and a change of the leader
+// loses what it knew beside the state.
+type site struct {
+	t   *testing.T
+	rng *rand.Rand
+	now time.Time
+
+	state   *queue.State
+	term    uint64
+	leadAt  time.Time // the present leader's election
+	contact time.Time // of its quorum
+	leases  map[rudderfork.VMID]*runs.Grantor
+	vms     []*vm
+	faulty  bool
+
+	active map[rudderfork.TaskID]rudderfork.VMID // at work now, by what executors tell
+	done   map[rudderfork.TaskID]bool            // the leader has committed it
+}
+
+// vm is one VM: its executor, its agent, and the session between agent and
+// leader.
+type vm struct {
+	id     rudderfork.VMID
+	s      *site
+	exec   *executor.Executor
+	lives  int
+	keeper *runs.Keeper
+	ended  uint64 // ends acknowledged to the executor
+
+	open     bool // the session
+	epoch    uint64
+	sent     map[rudderfork.RunRef]bool
+	toAgent  []func()
+	toLeader []func()
+	frozen   int // steps for which the agent stands still
+	cut      int // steps for which agent and leader do not hear each other
+}
+
+func newSite(t *testing.T, seed uint64, vms int) *site {
+	s := &site{
+		t: t, rng: rand.New(rand.NewPCG(seed, 11)), now: time.Unix(1000, 0), state: queue.New(), term: 1,
+		leases: map[rudderfork.VMID]*runs.Grantor{}, active: map[rudderfork.TaskID]rudderfork.VMID{}, done: map[rudderfork.TaskID]bool{},
+	}
+	s.leadAt, s.contact = s.now, s.now
+	s.apply(queue.Command{Document: &queue.Document{
+		Version: 1, Queues: []queue.Queue{{Name: "q", Host: host, Prefix: "/q/", Service: "desk", MaxAttempts: 50}},
+		Pools: []queue.Pool{{Service: "desk"}},
+	}})
+	for i := range vms {
+		v := &vm{id: rudderfork.VMID(fmt.Sprintf("vm%d", i)), s: s}
+		v.exec = executor.New(v.nextLife(), executor.Config{
+			Now: func() time.Time { return s.now }, Rate: 1 - 0.02*s.rng.Float64(), Fate: v.fate,
+			OnStart:  func(r rudderfork.RunRef) { s.began(v, r) },
+			OnFinish: func(r rudderfork.RunRef, _ string) { s.finished(v, r) },
+		})
+		v.restartAgent()
+		s.vms = append(s.vms, v)
+	}
+	return s
+}
+
+func (s *site) apply(c queue.Command) queue.Result {
+	return s.state.Apply(c, rudderfork.Millis(s.now))
+}
+
+// began holds that a task never runs twice at once, nor after it is done.
+func (s *site) began(v *vm, r rudderfork.RunRef) {
+	other, twice := s.active[r.Task]
+	assert.Assert(s.t, !twice, "%v: %s run %d begins on %s while a run is at work on %s", s.now, r.Task, r.Run, v.id, other)
+	assert.Assert(s.t, !s.done[r.Task], "%v: %s run %d begins on %s after it was done", s.now, r.Task, r.Run, v.id)
+	s.active[r.Task] = v.id
+}
+
+func (s *site) finished(v *vm, r rudderfork.RunRef) {
+	if s.active[r.Task] == v.id {
+		delete(s.active, r.Task)
+	}
+}
+
+func (v *vm) nextLife() string {
+	v.lives++
+	return fmt.Sprintf("%s-life-%d", v.id, v.lives)
+}
+
+func (v *vm) fate(string) executor.Fate {
+	if !v.s.faulty {
+		return executor.Answered
+	}
+	switch v.s.rng.IntN(20) {
+	case 0:
+		return executor.Unheard
+	case 1:
+		return executor.Lost
+	case 2, 3:
+		return executor.Postponed
+	}
+	return executor.Answered
+}
+
+func (v *vm) restartAgent() {
+	term := uint64(0)
+	if v.keeper != nil {
+		term = v.keeper.Fence()
+	}
+	v.keeper = runs.New()
+	v.keeper.SetTerm(term * 0) // a new process has seen no leader
+	v.keeper.Reset(v.exec.Life())
+	v.ended = 0
+	v.closeSession()
+}
+
+func (v *vm) closeSession() {
+	v.open, v.epoch = false, 0
+	v.sent = map[rudderfork.RunRef]bool{}
+	v.toAgent, v.toLeader = nil, nil
+}
+
+// step advances time and lets everyone act.
+func (s *site) step(n int) {
+	s.now = s.now.Add(stepTime)
+	for _, v := range s.vms {
+		v.exec.Running() // ends what is due, so that it is not counted as at work
+	}
+	if s.faulty {
+		s.break1()
+	}
+	if !s.faulty || s.rng.IntN(3) > 0 {
+		s.contact = s.now
+	}
+	s.lead()
+	for _, v := range s.vms {
+		v.step(n)
+	}
+}
+
+// break1 breaks one thing at random.
+func (s *site) break1() {
+	v := s.vms[s.rng.IntN(len(s.vms))]
+	switch s.rng.IntN(400) {
+	case 0:
+		s.elect()
+	case 1, 2:
+		v.exec.Restart(v.nextLife())
+	case 3, 4:
+		v.restartAgent()
+	case 5, 6, 7:
+		v.frozen = s.rng.IntN(300)
+	case 8, 9, 10:
+		v.cut = s.rng.IntN(300)
+	case 11, 12, 13, 14:
+		v.closeSession()
+	case 15, 16, 17, 18, 19, 20:
+		v.exec.Flush()
+	}
+}
+
+// elect puts a new leader in place, who knows only what is replicated.
+func (s *site) elect() {
+	s.term++
+	s.leadAt, s.contact = s.now, s.now
+	s.leases = map[rudderfork.VMID]*runs.Grantor{}
+	for _, vm := range s.state.VMs() {
+		s.grantor(vm.ID).Assume(s.now.Add(lease))
+	}
+	for _, v := range s.vms {
+		v.closeSession()
+	}
+}
+
+func (s *site) grantor(id rudderfork.VMID) *runs.Grantor {
+	if s.leases[id] == nil {
+		s.leases[id] = &runs.Grantor{}
+	}
+	return s.leases[id]
+}
+
+// lead does the leader's round: it gives up VMs and starts tasks.
+func (s *site) lead() {
+	for _, vm := range s.state.VMs() {
+		if vm.Live && s.grantor(vm.ID).Expire(s.now, lease) {
+			s.apply(queue.Command{Lost: &queue.Lost{VM: vm.ID, Life: vm.Life}})
+		}
+	}
+	view := dispatch.View{Now: rudderfork.Millis(s.now), VMs: map[rudderfork.VMID]dispatch.VMView{}}
+	for _, v := range s.vms {
+		view.VMs[v.id] = dispatch.VMView{Usable: v.open && s.grantor(v.id).Leased(s.now)}
+	}
+	plan := dispatch.Make(s.state, view)
+	if len(plan.Starts) == 0 {
+		return
+	}
+	var c queue.Command
+	for _, st := range plan.Starts {
+		c.Starts = append(c.Starts, st.Start)
+	}
+	s.apply(c)
+}
+
+func (v *vm) step(n int) {
+	if v.cut > 0 {
+		v.cut--
+	} else {
+		deliver(&v.toLeader)
+		v.push()
+	}
+	if v.frozen > 0 {
+		v.frozen--
+		return
+	}
+	if v.cut == 0 {
+		deliver(&v.toAgent)
+	}
+	if n%beatSteps == 0 {
+		v.beat()
+		v.look()
+	}
+	calls, ends := v.keeper.Due(v.s.now)
+	v.report(ends, 0)
+	for _, c := range calls {
+		v.call(c)
+	}
+}
+
+func deliver(box *[]func()) {
+	all := *box
+	*box = nil
+	for _, f := range all {
+		f()
+	}
+}
+
+// post puts a message of the present session into a box.
+func (v *vm) post(box *[]func(), f func()) { *box = append(*box, f) }
+
+// beat sends a heartbeat; without a session it opens one.
+func (v *vm) beat() {
+	if !v.open {
+		if v.cut > 0 {
+			return
+		}
+		v.open = true
+		v.keeper.SetTerm(v.s.term)
+	}
+	sent, life := v.s.now, v.keeper.Life()
+	v.post(&v.toLeader, func() { v.leaderBeat(sent, life) })
+}
+
+// leaderBeat is the leader's handling of a heartbeat, as in package scheduler.
+func (v *vm) leaderBeat(sent time.Time, life string) {
+	s, g := v.s, v.s.grantor(v.id)
+	desc := queue.VM{ID: v.id, Life: life, Service: "desk", Capacity: rudderfork.Resources{CPUMilli: 2000}}
+	known := s.state.VM(v.id)
+	if known == nil || !known.Live || !known.Same(desc) || g.Expiring() {
+		if g.Expiring() && known != nil && known.Live {
+			return
+		}
+		g.Assume(s.now.Add(lease))
+		s.apply(queue.Command{Register: &desc})
+		g.Renew()
+		known = s.state.VM(v.id)
+	}
+	if v.epoch != known.Epoch {
+		v.epoch = known.Epoch
+		v.sent = map[rudderfork.RunRef]bool{}
+		v.sendOrders(true)
+	}
+	if left := g.Grant(s.contact, s.now, lease); left > 0 {
+		epoch := known.Epoch
+		v.post(&v.toAgent, func() { v.keeper.Grant(epoch, sent.Add(left)) })
+	}
+}
+
+// push sends orders that are new.
+func (v *vm) push() {
+	known := v.s.state.VM(v.id)
+	if v.open && known != nil && known.Live && known.Epoch == v.epoch {
+		v.sendOrders(false)
+	}
+}
+
+func (v *vm) sendOrders(full bool) {
+	o := wire.Orders{Epoch: v.epoch, Full: full}
+	active := map[rudderfork.RunRef]bool{}
+	for k, run := range v.s.state.VM(v.id).Runs() {
+		ref := rudderfork.RunRef{Task: rudderfork.TaskID(k.String()), Run: run}
+		active[ref] = true
+		if !v.sent[ref] {
+			v.sent[ref] = true
+			o.Start = append(o.Start, wire.RunOrder{RunRef: ref, Payload: v.s.state.Job(k.Job).Spec.Payload})
+		}
+	}
+	for ref := range v.sent {
+		if !active[ref] {
+			delete(v.sent, ref)
+			o.Stop = append(o.Stop, ref)
+		}
+	}
+	if full || len(o.Start)+len(o.Stop) > 0 {
+		v.post(&v.toAgent, func() { v.keeper.Order(o) })
+	}
+}
+
+func (v *vm) look() {
+	s := v.s
+	req := rudderfork.LookRequest{Fence: v.keeper.Fence(), AckedUpTo: v.ended}
+	req.UntilMS, _ = v.keeper.Until(s.now)
+	look, err := v.exec.Look(context.Background(), v.keeper.Life(), req)
+	if errors.Is(err, rudderfork.ErrOtherLife) {
+		v.keeper.Reset(v.exec.Life())
+		v.ended = 0
+		return
+	}
+	if err != nil {
+		return
+	}
+	v.keeper.SetClock(look.ClockMS, s.now)
+	upTo := v.ended
+	for _, e := range look.Ended {
+		upTo = max(upTo, e.Seq)
+	}
+	v.report(v.keeper.Looked(look, s.now), upTo)
+}
+
+// report sends ends to the leader, who commits them and says so.
+func (v *vm) report(ends []queue.End, upTo uint64) {
+	if len(ends) == 0 {
+		return
+	}
+	life := v.keeper.Life()
+	v.post(&v.toLeader, func() {
+		res := v.s.apply(queue.Command{Ends: &queue.Ends{VM: v.id, Life: life, List: ends}})
+		for i, e := range ends {
+			if res.Taken[i] && e.How == queue.EndDone {
+				v.s.done[rudderfork.TaskID(e.Task.String())] = true
+			}
+		}
+		v.post(&v.toAgent, func() {
+			if v.keeper.Life() == life {
+				v.keeper.Noted(ends)
+				v.ended = max(v.ended, upTo)
+			}
+		})
+	})
+}
+
+func (v *vm) call(c runs.Call) {
+	ctx, life := context.Background(), v.keeper.Life()
+	if c.Start == nil {
+		v.keeper.Stopped(c.Ref, v.exec.Stop(ctx, life, c.Ref, v.keeper.Fence()), v.s.now)
+		return
+	}
+	out, err := v.exec.Start(ctx, life, *c.Start)
+	if end := v.keeper.Started(c.Ref, out, err, v.s.now); end != nil {
+		v.report([]queue.End{*end}, 0)
+	}
+}
+
+// seeds is how many schedules are tried, steps how long each is.
+const (
+	seeds      = 400
+	faultSteps = 1500
+	calmSteps  = 3000
+)
+
+// TestModel drives leader, agents and executors through lost, doubled and late
+// orders, changes of the leader, restarts, freezes and cuts. What holds at every
+// step stands in began; in the end every job must be done.
+func TestModel(t *testing.T) {
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := newSite(t, seed, 3)
+			s.faulty = true
+			for i := range 8 {
+				spec := queue.Spec{
+					Payload: fmt.Sprintf("work=%dms", 100+300*i),
+					Steps:   []queue.Step{{Count: 3, Size: rudderfork.Resources{CPUMilli: 500}}, {Count: 1, DependsOn: []int{0}}},
+				}
+				s.apply(queue.Command{Submit: &queue.Submit{Host: host, Path: fmt.Sprintf("/q/job%d", i), Spec: spec, KeepMS: 1 << 40}})
+			}
+			for n := range faultSteps {
+				s.step(n)
+			}
+			s.faulty = false
+			for _, v := range s.vms {
+				v.exec.Flush()
+			}
+			for n := range calmSteps {
+				s.step(n)
+			}
+			for i := range 8 {
+				j := s.state.Job(rudderfork.JobID(fmt.Sprintf("job%d", i)))
+				assert.Equal(t, j.Status, queue.Completed, "%s", j.ID)
+			}
+		})
+	}
+}
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -6,6 +6,7 @@
 	"rudderfork.example/rudderfork"
 	"rudderfork.example/rudderfork/dispatch"
 	"rudderfork.example/rudderfork/queue"
+	"rudderfork.example/rudderfork/runs"
 	"rudderfork.example/rudderfork/wire"
 )
 
@@ -41,14 +42,13 @@
 
 // vmInfo is one VM at the moment.
 type vmInfo struct {
-	leaseUntil time.Time
-	expiring   bool
-	session    *session
-	beatAt     time.Time
-	beat       wire.VMBeat
-	rows       map[queue.TaskKey]*runInfo
-	doubt      float64
-	doubtAt    time.Time
+	lease   runs.Grantor
+	session *session
+	beatAt  time.Time
+	beat    wire.VMBeat
+	rows    map[queue.TaskKey]*runInfo
+	doubt   float64
+	doubtAt time.Time
 }
 
 // runInfo is one run at the moment.
@@ -119,7 +119,7 @@
 }
 
 func (v *vmInfo) usable(now time.Time) bool {
-	return v.session != nil && !v.expiring && !v.beat.Mute && now.Sub(v.beatAt) < beatLimit && now.Before(v.leaseUntil)
+	return v.session != nil && !v.beat.Mute && now.Sub(v.beatAt) < beatLimit && v.lease.Leased(now)
 }
 
 // addDoubt counts a failure, or with a negative step a success.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -29,11 +29,6 @@
 	// commandTimeout bounds one command; a leader that cannot commit for so
 	// long has most likely lost its quorum.
 	commandTimeout = 3 * time.Second
-	// drift is by how much two steady clocks may disagree over a lease.
-	drift = 0.01
-	// leaseSlack is waited after a lease has run out, for rounding and for the
-	// time that an executor takes to kill what it runs.
-	leaseSlack = 100 * time.Millisecond
 )
 
 // Settings are those of a scheduler.
@@ -135,7 +130,7 @@
 	s.term = term
 	s.fleet = newFleet()
 	for _, vm := range vms {
-		s.fleet.vm(vm.ID).leaseUntil = now.Add(s.cfg.Lease)
+		s.fleet.vm(vm.ID).lease.Assume(now.Add(s.cfg.Lease))
 	}
 	s.log.Info().Uint64("term", term).Int("vms", len(vms)).Msg("queues_leading")
 }
@@ -195,11 +190,9 @@
 		defer s.mu.Unlock()
 		for _, vm := range st.Queues().VMs() {
 			v := s.fleet.vm(vm.ID)
-			slack := leaseSlack + time.Duration(drift*float64(s.cfg.Lease))
-			if !vm.Live || now.Before(v.leaseUntil.Add(slack)) {
+			if !vm.Live || !v.lease.Expire(now, s.cfg.Lease) {
 				continue
 			}
-			v.expiring = true // no lease is granted until it has registered again
 			list = append(list, queue.Lost{VM: vm.ID, Life: vm.Life, Checkpoints: v.checkpoints()})
 		}
 	})
--- a/scheduler/session.go
+++ b/scheduler/session.go
@@ -278,21 +278,16 @@
 	if !st.Leads() || st.Term != ses.term {
 		return errNotLeading
 	}
-	until := time.Unix(0, st.ContactNS).Add(s.cfg.Lease)
-	grant := wire.VMGrant{Sent: b.Sent, LeaseMS: until.Sub(now).Milliseconds(), Epoch: ses.epoch}
+	grant := wire.VMGrant{Sent: b.Sent, Epoch: ses.epoch}
 	s.mu.Lock()
 	v := s.fleet.vm(b.VM.ID)
 	fresh := v.session != ses
 	v.session = ses
 	v.take(b, now)
-	granted := !b.Mute && !v.expiring && ses.epoch != 0 && grant.LeaseMS > 0
-	if granted && until.After(v.leaseUntil) {
-		v.leaseUntil = until
+	if !b.Mute && ses.epoch != 0 {
+		grant.LeaseMS = v.lease.Grant(time.Unix(0, st.ContactNS), now, s.cfg.Lease).Milliseconds()
 	}
 	s.mu.Unlock()
-	if !granted {
-		grant.LeaseMS = 0
-	}
 	grant.Effects = ses.learn(now)
 	ses.reply(wire.ToQueueNode{Grant: &grant})
 	if fresh {
@@ -333,7 +328,7 @@
 	ses.s.log.Info().Str("registered_vm", string(vm.ID)).Str("life", vm.Life).Stringer("capacity", vm.Capacity).
 		Strs("labels", vm.Labels).Msg("vm_registered")
 	ses.s.mu.Lock()
-	ses.s.fleet.vm(vm.ID).expiring = false
+	ses.s.fleet.vm(vm.ID).lease.Renew()
 	ses.s.mu.Unlock()
 	if !ses.registered(vm) {
 		return errNotLeading
@@ -349,9 +344,9 @@
 		ses.s.mu.Lock()
 		defer ses.s.mu.Unlock()
 		v, known := ses.s.fleet.vm(id), st.Queues().VM(id)
-		ok = !v.expiring || known == nil || !known.Live
-		if until := steady.Now().Add(ses.s.cfg.Lease); ok && until.After(v.leaseUntil) {
-			v.leaseUntil = until
+		ok = !v.lease.Expiring() || known == nil || !known.Live
+		if ok {
+			v.lease.Assume(steady.Now().Add(ses.s.cfg.Lease))
 		}
 	})
 	return ok
@@ -364,7 +359,7 @@
 		ses.s.mu.Lock()
 		defer ses.s.mu.Unlock()
 		known := st.Queues().VM(vm.ID)
-		ok = known != nil && known.Live && known.Same(vm) && !ses.s.fleet.vm(vm.ID).expiring
+		ok = known != nil && known.Live && known.Same(vm) && !ses.s.fleet.vm(vm.ID).lease.Expiring()
 		if !ok {
 			return
 		}
--- /dev/null
+++ b/standin/executor/executor.go
@@ -0,0 +1,346 @@
+// Package executor is a stand-in for what runs the queues' tasks on a VM. It
+// keeps the contract of rudderfork.Executor, with the awkward parts: a steady
+// clock that may run slow, leases that lapse, orders that are carried out late
+// or whose answers are lost, and tasks that fail or hang.
+//
+// What a task does stands in its payload: words separated by spaces, of which
+// "work=500ms" sets how long it works, "fail" makes it fail at the end of that,
+// and "hang" makes it stand still.
+package executor
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"time"
+
+	"rudderfork.example/rudderfork"
+)
+
+// ErrNoAnswer is what a call whose answer is lost comes back with.
+var ErrNoAnswer = errors.New("no answer")
+
+// lookStep is how often a waiting look checks for ends.
+const lookStep = 5 * time.Millisecond
+
+// Fate is what becomes of a call.
+type Fate int
+
+// The fates.
+const (
+	Answered  Fate = iota
+	Unheard        // it is not carried out, and not answered
+	Lost           // it is carried out, and not answered
+	Postponed      // it is not answered, and carried out with the next Flush
+)
+
+// Executor is one VM's stand-in. It is safe for concurrent use.
+type Executor struct {
+	now  func() time.Time
+	rate float64 // of its clock
+
+	mu       sync.Mutex
+	born     time.Time
+	life     string
+	until    int64
+	fence    uint64
+	room     rudderfork.Resources
+	used     rudderfork.Resources
+	running  map[rudderfork.TaskID]*run
+	barred   map[rudderfork.TaskID]uint32 // highest run stopped or ended
+	ended    []rudderfork.EndRow
+	seq      uint64
+	fate     func(call string) Fate
+	late     []func()
+	sizes    func(payload string) rudderfork.Resources
+	onStart  func(rudderfork.RunRef)
+	onFinish func(rudderfork.RunRef, string)
+}
+
+// run is one run at work.
+type run struct {
+	ref     rudderfork.RunRef
+	size    rudderfork.Resources
+	workMS  int64
+	fails   bool
+	hangs   bool
+	percent int
+	pacedMS float64 // work done, in ms at full speed
+	pacedAt int64
+}
+
+// Config sets up an Executor. Only Now and Room are needed.
+type Config struct {
+	Now  func() time.Time
+	Room rudderfork.Resources
+	// Rate is of its steady clock; 0 means 1. The contract allows 0.98.
+	Rate float64
+	// Sizes tells what a task takes, by its payload; nil means nothing.
+	Sizes func(payload string) rudderfork.Resources
+	// Fate decides what becomes of each call; nil means that all are answered.
+	Fate func(call string) Fate
+	// OnStart and OnFinish hear of each run's begin and end, under the lock.
+	OnStart  func(rudderfork.RunRef)
+	OnFinish func(r rudderfork.RunRef, how string)
+}
+
+// New returns an executor with a life.
+func New(life string, cfg Config) *Executor {
+	e := &Executor{
+		now: cfg.Now, rate: cfg.Rate, room: cfg.Room, fate: cfg.Fate, sizes: cfg.Sizes,
+		onStart: cfg.OnStart, onFinish: cfg.OnFinish,
+	}
+	if e.rate == 0 {
+		e.rate = 1
+	}
+	if e.fate == nil {
+		e.fate = func(string) Fate { return Answered }
+	}
+	if e.sizes == nil {
+		e.sizes = func(string) rudderfork.Resources { return rudderfork.Resources{} }
+	}
+	e.Restart(life)
+	return e
+}
+
+// Restart begins a new life, which runs nothing and has seen no token.
+func (e *Executor) Restart(life string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, r := range e.running {
+		e.tell(r.ref, "crashed")
+	}
+	e.life, e.born = life, e.now()
+	e.until, e.fence, e.seq = 0, 0, 0
+	e.used = rudderfork.Resources{}
+	e.running, e.barred, e.ended = map[rudderfork.TaskID]*run{}, map[rudderfork.TaskID]uint32{}, nil
+	e.late = nil
+}
+
+// Life returns the present life.
+func (e *Executor) Life() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.life
+}
+
+// SetFate replaces what becomes of calls.
+func (e *Executor) SetFate(f func(call string) Fate) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fate = f
+}
+
+// Flush carries out the calls that were postponed, the newest first.
+func (e *Executor) Flush() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	late := e.late
+	e.late = nil
+	for i := len(late) - 1; i >= 0; i-- {
+		late[i]()
+	}
+}
+
+// Running returns the runs at work.
+func (e *Executor) Running() (refs []rudderfork.RunRef) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.advance()
+	for _, r := range e.running {
+		refs = append(refs, r.ref)
+	}
+	return refs
+}
+
+// clock is the executor's steady clock, in ms. The caller holds mu.
+func (e *Executor) clock() int64 {
+	return int64(float64(e.now().Sub(e.born).Milliseconds())*e.rate) + 1
+}
+
+// advance ends what is due. The caller holds mu.
+func (e *Executor) advance() {
+	now := e.clock()
+	for _, r := range e.running {
+		r.pacedMS += float64(now-r.pacedAt) * float64(r.percent) / 100
+		r.pacedAt = now
+		switch {
+		case now >= e.until:
+			e.end(r, "lapsed")
+		case r.hangs || r.workMS == 0 || r.pacedMS < float64(r.workMS):
+		case r.fails:
+			e.end(r, "failed")
+		default:
+			e.end(r, "done")
+		}
+	}
+}
+
+// end lists the end of a run. The caller holds mu.
+func (e *Executor) end(r *run, how string) {
+	delete(e.running, r.ref.Task)
+	e.used = e.used.Sub(r.size)
+	e.barred[r.ref.Task] = max(e.barred[r.ref.Task], r.ref.Run)
+	e.seq++
+	e.ended = append(e.ended, rudderfork.EndRow{Seq: e.seq, RunRef: r.ref, How: how})
+	e.tell(r.ref, how)
+}
+
+func (e *Executor) tell(ref rudderfork.RunRef, how string) {
+	if e.onFinish != nil {
+		e.onFinish(ref, how)
+	}
+}
+
+// call lets fate decide over a call. do carries it out, under the lock.
+func (e *Executor) call(name, life string, do func()) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.advance()
+	if life != e.life {
+		return rudderfork.ErrOtherLife
+	}
+	switch e.fate(name) {
+	case Unheard:
+		return ErrNoAnswer
+	case Lost:
+		do()
+		return ErrNoAnswer
+	case Postponed:
+		e.late = append(e.late, func() {
+			e.advance()
+			if life == e.life {
+				do()
+			}
+		})
+		return ErrNoAnswer
+	case Answered:
+	}
+	do()
+	return nil
+}
+
+// Start implements rudderfork.Executor.
+func (e *Executor) Start(_ context.Context, life string, s rudderfork.RunStart) (out rudderfork.StartOutcome, err error) {
+	err = e.call("start", life, func() { out = e.start(s) })
+	return out, err
+}
+
+func (e *Executor) start(s rudderfork.RunStart) rudderfork.StartOutcome {
+	if s.Fence < e.fence {
+		return rudderfork.StartFenced
+	}
+	e.fence = s.Fence
+	if r := e.running[s.Task]; r != nil && r.ref == s.RunRef {
+		e.until = max(e.until, s.UntilMS)
+		return rudderfork.Started
+	}
+	now := e.clock()
+	switch {
+	case e.running[s.Task] != nil || s.Run <= e.barred[s.Task]:
+		e.until = max(e.until, s.UntilMS)
+		return rudderfork.StartOld
+	case s.UntilMS <= now:
+		return rudderfork.StartLate
+	}
+	e.until = max(e.until, s.UntilMS)
+	size := e.sizes(s.Payload)
+	if !e.used.Add(size).Fits(e.room) {
+		return rudderfork.StartNoRoom
+	}
+	r := &run{ref: s.RunRef, size: size, pacedAt: now, percent: 100}
+	r.read(s.Payload)
+	e.running[s.Task] = r
+	e.used = e.used.Add(size)
+	if e.onStart != nil {
+		e.onStart(s.RunRef)
+	}
+	return rudderfork.Started
+}
+
+// read takes what a task does from its payload.
+func (r *run) read(payload string) {
+	for word := range strings.FieldsSeq(payload) {
+		key, val, _ := strings.Cut(word, "=")
+		switch key {
+		case "work":
+			if d, err := time.ParseDuration(val); err == nil {
+				r.workMS = d.Milliseconds()
+			}
+		case "fail":
+			r.fails = true
+		case "hang":
+			r.hangs = true
+		}
+	}
+}
+
+// Stop implements rudderfork.Executor.
+func (e *Executor) Stop(_ context.Context, life string, ref rudderfork.RunRef, fence uint64) error {
+	return e.call("stop", life, func() {
+		if fence < e.fence {
+			return
+		}
+		e.fence = fence
+		e.barred[ref.Task] = max(e.barred[ref.Task], ref.Run)
+		if r := e.running[ref.Task]; r != nil && r.ref.Run <= ref.Run {
+			e.end(r, "stopped")
+		}
+	})
+}
+
+// Pace implements rudderfork.Executor.
+func (e *Executor) Pace(_ context.Context, life string, ref rudderfork.RunRef, percent int, fence uint64) error {
+	return e.call("pace", life, func() {
+		if r := e.running[ref.Task]; r != nil && r.ref == ref && fence >= e.fence {
+			r.percent = percent
+		}
+	})
+}
+
+// Look implements rudderfork.Executor.
+func (e *Executor) Look(ctx context.Context, life string, req rudderfork.LookRequest) (look rudderfork.Look, err error) {
+	deadline := e.now().Add(time.Duration(req.WaitMS) * time.Millisecond)
+	err = e.call("look", life, func() { e.hold(req) })
+	for err == nil {
+		look = e.account()
+		if len(look.Ended) > 0 || !e.now().Before(deadline) {
+			return look, nil
+		}
+		select {
+		case <-ctx.Done():
+			return look, ctx.Err()
+		case <-time.After(lookStep):
+		}
+	}
+	return look, err
+}
+
+// hold extends the lease and drops what was taken note of. The caller holds mu.
+func (e *Executor) hold(req rudderfork.LookRequest) {
+	if req.Fence < e.fence {
+		return
+	}
+	e.fence = req.Fence
+	e.until = max(e.until, req.UntilMS)
+	for len(e.ended) > 0 && e.ended[0].Seq <= req.AckedUpTo {
+		e.ended = e.ended[1:]
+	}
+}
+
+func (e *Executor) account() (look rudderfork.Look) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.advance()
+	look.ClockMS = e.clock()
+	look.Ended = append(look.Ended, e.ended...)
+	for _, r := range e.running {
+		row := rudderfork.RunRow{RunRef: r.ref, Percent: 100}
+		if r.workMS > 0 {
+			row.Percent = int(100 * r.pacedMS / float64(r.workMS))
+		}
+		look.Running = append(look.Running, row)
+	}
+	return look
+}
