Bind orders and leases to the executor's life they are for

Ruled out: the state (it ended the runs once, rightly), the lease (the new life had none; the grant under way had the same fault).

Change: orders and grants name the life; a keeper passes over others.

Also: the operators' own interface to the queues (scheduler.Routes), rudderctl queue-*, and the queues in rudder-control.

--- a/cmd/rudderctl/main.go
+++ b/cmd/rudderctl/main.go
@@ -35,7 +35,7 @@
 		name string
 		cmds []*command
 	}{
-		{"table", tableCommands}, {"jobs", jobCommands}, {"vms and processes", fleetCommands}, {"reasons", reasonCommands},
+		{"table", tableCommands}, {"jobs", jobCommands}, {"vms and processes", fleetCommands}, {"reasons", reasonCommands}, {"queues", queueCommands},
 	} {
 		for _, c := range group.cmds {
 			subcommands.Register(c, group.name)
--- /dev/null
+++ b/cmd/rudderctl/queues.go
@@ -0,0 +1,201 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"path"
+	"text/tabwriter"
+	"time"
+
+	"rudderfork.example/rudderfork/operator"
+	"rudderfork.example/rudderfork/queue"
+	"rudderfork.example/rudderfork/scheduler"
+)
+
+var (
+	queueJSON bool
+	queueWait bool
+)
+
+// waitPause is between two looks at a job that is waited for.
+const waitPause = 200 * time.Millisecond
+
+func jsonFlag(f *flag.FlagSet) { f.BoolVar(&queueJSON, "json", false, "print JSON") }
+
+func submitQueueFlags(f *flag.FlagSet) {
+	f.BoolVar(&queueWait, "wait", false, "wait until the job is finished, with its progress; fail unless it is completed")
+}
+
+var queueCommands = []*command{
+	{name: "queue-put", usage: "FILE", synopsis: "replace the document of queues by a JSON file (- for standard input)", args: 1, do: putQueues},
+	{name: "queues", usage: "[-json]", synopsis: "list the queues", flags: jsonFlag, do: listQueues},
+	{name: "queue-vms", usage: "[-json]", synopsis: "list the VMs that run the queues' tasks", flags: jsonFlag, do: listQueueVMs},
+	{name: "queue-jobs", usage: "[-json]", synopsis: "list the queues' jobs that are not finished", flags: jsonFlag, do: listQueueJobs},
+	{name: "queue-job", usage: "[-json] ID", synopsis: "show a job's tasks, why they wait, and every decision on it", args: 1, flags: jsonFlag, do: showQueueJob},
+	{name: "queue-submit", usage: "[-wait] HOST PATH FILE", synopsis: "hand in a job of steps from a JSON file", args: 3, flags: submitQueueFlags, do: submitToQueue},
+	{name: "queue-cancel", usage: "HOST PATH", synopsis: "cancel a job of a queue", args: 2, do: cancelInQueue},
+}
+
+// readJSON reads a file, or standard input for "-".
+func readJSON(file string, v any) error {
+	var data []byte
+	var err error
+	if file == "-" {
+		data, err = io.ReadAll(os.Stdin)
+	} else {
+		data, err = os.ReadFile(file)
+	}
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, v)
+}
+
+// show prints v as JSON if that was asked for, else as a table.
+func show(v any, table func(w io.Writer)) error {
+	if queueJSON {
+		return json.NewEncoder(os.Stdout).Encode(v)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', 0)
+	table(w)
+	return w.Flush()
+}
+
+func putQueues(ctx context.Context, c *operator.Client, args []string) error {
+	var d queue.Document
+	if err := readJSON(args[0], &d); err != nil {
+		return err
+	}
+	if err := c.PutQueues(ctx, d); err != nil {
+		return err
+	}
+	fmt.Println("accepted")
+	return nil
+}
+
+func listQueues(ctx context.Context, c *operator.Client, _ []string) error {
+	qs, err := c.Queues(ctx)
+	if err != nil {
+		return err
+	}
+	return show(qs, func(w io.Writer) {
+		fmt.Fprintln(w, "QUEUE\tHOST\tPREFIX\tSERVICE\tPRIORITY\tATTEMPTS\tWAITING\tLIVE")
+		for _, q := range qs {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\n", q.Name, q.Host, q.Prefix, q.Service, q.Priority, q.MaxAttempts, q.Waiting, q.Live)
+		}
+	})
+}
+
+func listQueueVMs(ctx context.Context, c *operator.Client, _ []string) error {
+	vms, err := c.QueueVMs(ctx)
+	if err != nil {
+		return err
+	}
+	return show(vms, func(w io.Writer) {
+		fmt.Fprintln(w, "VM\tSERVICE\tDOMAIN\tRACK\tSTATE\tRUNS\tUSED\tCAPACITY")
+		for _, v := range vms {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%v\t%v\n", v.ID, v.Service, v.Domain, v.Rack, vmState(v), v.Runs, v.Used, v.Capacity)
+		}
+	})
+}
+
+func vmState(v scheduler.VMView) string {
+	switch {
+	case !v.Live:
+		return "lost"
+	case !v.Usable:
+		return "silent"
+	case v.Draining:
+		return "draining"
+	}
+	return "ready"
+}
+
+func listQueueJobs(ctx context.Context, c *operator.Client, _ []string) error {
+	js, err := c.QueueJobs(ctx)
+	if err != nil {
+		return err
+	}
+	return show(js, func(w io.Writer) {
+		fmt.Fprintln(w, "JOB\tQUEUE\tSTATUS\tSUBMITTED\tOBJECTIVE")
+		for _, j := range js {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d ms\n", j.ID, j.Queue, j.Status, time.UnixMilli(j.SubmittedAt).UTC().Format(time.TimeOnly), j.ObjectiveMS)
+		}
+	})
+}
+
+func showQueueJob(ctx context.Context, c *operator.Client, args []string) error {
+	j, err := c.QueueJob(ctx, args[0])
+	if err != nil {
+		return err
+	}
+	return show(j, func(w io.Writer) {
+		fmt.Fprintf(w, "Job %s of queue %s is %s; its objective is %d ms.\n", j.ID, j.Queue, j.Status, j.ObjectiveMS)
+		for _, t := range j.Tasks {
+			fmt.Fprintf(w, "%s\t%s\t%d starts, %d failures\n", t.Task, t.State, t.Runs, t.Failures)
+		}
+		for _, line := range j.Story {
+			fmt.Fprintln(w, line)
+		}
+	})
+}
+
+func submitToQueue(ctx context.Context, c *operator.Client, args []string) error {
+	b := scheduler.SubmitBody{Host: args[0], Path: args[1]}
+	if err := readJSON(args[2], &b.Spec); err != nil {
+		return err
+	}
+	if err := c.SubmitToQueue(ctx, b); err != nil {
+		return err
+	}
+	fmt.Println("accepted")
+	if !queueWait {
+		return nil
+	}
+	return awaitJob(ctx, c, path.Base(args[1]))
+}
+
+// awaitJob prints a job's progress until it is finished.
+func awaitJob(ctx context.Context, c *operator.Client, id string) error {
+	last := ""
+	for {
+		j, err := c.QueueJob(ctx, id)
+		if err != nil {
+			return err
+		}
+		done := 0
+		for _, t := range j.Tasks {
+			if t.State == "done" {
+				done++
+			}
+		}
+		if line := fmt.Sprintf("%s: %d of %d tasks done", j.Status, done, len(j.Tasks)); line != last {
+			fmt.Println(line)
+			last = line
+		}
+		switch {
+		case j.Status == queue.Completed:
+			return nil
+		case j.Status.Final():
+			return errors.New("the job is " + string(j.Status))
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(waitPause):
+		}
+	}
+}
+
+func cancelInQueue(ctx context.Context, c *operator.Client, args []string) error {
+	if err := c.CancelInQueue(ctx, scheduler.PlaceBody{Host: args[0], Path: args[1]}); err != nil {
+		return err
+	}
+	fmt.Println("cancelled")
+	return nil
+}
--- a/control/control.go
+++ b/control/control.go
@@ -28,6 +28,7 @@
 	"rudderfork.example/rudderfork/lease"
 	"rudderfork.example/rudderfork/placement"
 	"rudderfork.example/rudderfork/replica"
+	"rudderfork.example/rudderfork/scheduler"
 	"rudderfork.example/rudderfork/timeline"
 	"rudderfork.example/rudderfork/usage"
 )
@@ -35,6 +36,10 @@
 // timelineSize is how many events a control process keeps.
 const timelineSize = 8192
 
+// keepStatus is how long the status of a queue's finished job can be asked for:
+// long enough for an operator to come back to it.
+const keepStatus = 10 * time.Minute
+
 // headerTimeout bounds how long a client may take to send its headers.
 const headerTimeout = 5 * time.Second
 
@@ -84,6 +89,10 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /peer", peers.Accept(rep))
 	mux.HandleFunc("GET /node", hub.accept)
+	queues := scheduler.New(scheduler.Settings{Lease: cfg.LeaseTerm, KeepStatus: keepStatus}, rep, log, ring)
+	queues.Routes(mux, ring)
+	mux.HandleFunc("GET /queues", queues.Accept)
+	adm.Registry().MustRegister(queues.Collectors()...)
 	newAPI(cfg, rep, hub, learned, ring).routes(mux)
 	srv := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 
@@ -92,6 +101,7 @@
 	sup.Add(peers)
 	sup.Add(hub)
 	sup.Add(lead)
+	sup.Add(queues)
 	sup.Add(adm)
 	sup.Add(&httpService{srv, ln})
 	log.Info().Str("listen", ln.Addr().String()).Str("admin", adminLn.Addr().String()).
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -73,7 +73,7 @@
 
 // Make returns what to do now.
 func Make(s *queue.State, v View) Plan {
-	p := &planner{state: s, view: v, vms: s.VMs(), taken: map[rudderfork.VMID]rudderfork.Resources{}, placed: map[stepOnVM]int{}, shared: map[rudderfork.VMID]*colocation{}, started: map[rudderfork.JobID]int{}}
+	p := newPlanner(s, v)
 	jobs := p.ranked()
 	for _, j := range jobs {
 		p.stops(j)
@@ -99,6 +99,13 @@
 	started map[rudderfork.JobID]int // runs of this plan
 }
 
+func newPlanner(s *queue.State, v View) *planner {
+	return &planner{
+		state: s, view: v, vms: s.VMs(), taken: map[rudderfork.VMID]rudderfork.Resources{}, placed: map[stepOnVM]int{},
+		shared: map[rudderfork.VMID]*colocation{}, started: map[rudderfork.JobID]int{},
+	}
+}
+
 // stepOnVM names the tasks of a step, of one time, on a VM.
 type stepOnVM struct {
 	job        rudderfork.JobID
@@ -279,3 +286,17 @@
 	}
 	return ""
 }
+
+// Obstacles says for each VM why it cannot take a task now, or "" if it can.
+func Obstacles(s *queue.State, v View, k queue.TaskKey) map[rudderfork.VMID]string {
+	p := newPlanner(s, v)
+	j := s.Job(k.Job)
+	why := map[rudderfork.VMID]string{}
+	for _, vm := range p.vms {
+		why[vm.ID] = p.obstacle(j, k, vm)
+		if why[vm.ID] == "" && p.worthless(j, k, vm) {
+			why[vm.ID] = "the task would crawl beside the serving tasks there"
+		}
+	}
+	return why
+}
--- a/queue/document.go
+++ b/queue/document.go
@@ -11,38 +11,38 @@
 // Queue is one row of the operator's document: where jobs are handed in, which
 // service's VMs run them, and how much they matter.
 type Queue struct {
-	Name        string             `cbor:"1,keyasint"`
-	Host        string             `cbor:"2,keyasint"`
-	Prefix      string             `cbor:"3,keyasint"` // of the path
-	Service     rudderfork.Service `cbor:"4,keyasint"`
-	Priority    int                `cbor:"5,keyasint,omitempty"` // 0 goes first
-	MaxAttempts int                `cbor:"6,keyasint"`           // failures a task may have
-	Stretch     float64            `cbor:"7,keyasint,omitempty"` // objective, as a multiple of the longest chain of work
-	LatencyMS   int64              `cbor:"8,keyasint,omitempty"` // objective, added to that
-	Advice      *Advice            `cbor:"9,keyasint,omitempty"`
+	Name        string             `cbor:"1,keyasint" json:"name"`
+	Host        string             `cbor:"2,keyasint" json:"host"`
+	Prefix      string             `cbor:"3,keyasint" json:"prefix"` // of the path
+	Service     rudderfork.Service `cbor:"4,keyasint" json:"service"`
+	Priority    int                `cbor:"5,keyasint,omitempty" json:"priority"`   // 0 goes first
+	MaxAttempts int                `cbor:"6,keyasint" json:"attempts"`             // failures a task may have
+	Stretch     float64            `cbor:"7,keyasint,omitempty" json:"stretch"`    // objective, as a multiple of the longest chain of work
+	LatencyMS   int64              `cbor:"8,keyasint,omitempty" json:"latency_ms"` // objective, added to that
+	Advice      *Advice            `cbor:"9,keyasint,omitempty" json:"advice,omitempty"`
 }
 
 // Advice says that an adviser decides which VMs may run a step, and its speed.
 type Advice struct {
-	DecideMS int64 `cbor:"1,keyasint,omitempty"`
-	EachMS   int64 `cbor:"2,keyasint,omitempty"`
-	ValidMS  int64 `cbor:"3,keyasint,omitempty"`
+	DecideMS int64 `cbor:"1,keyasint,omitempty" json:"decide_ms"`
+	EachMS   int64 `cbor:"2,keyasint,omitempty" json:"each_ms"`
+	ValidMS  int64 `cbor:"3,keyasint,omitempty" json:"valid_ms"`
 }
 
 // Pool is what the document says of a service's VMs.
 type Pool struct {
-	Service rudderfork.Service `cbor:"1,keyasint"`
-	Guarded bool               `cbor:"2,keyasint,omitempty"` // its VMs refuse what does not fit
-	Spare   bool               `cbor:"3,keyasint,omitempty"` // its VMs are off
+	Service rudderfork.Service `cbor:"1,keyasint" json:"service"`
+	Guarded bool               `cbor:"2,keyasint,omitempty" json:"guarded"` // its VMs refuse what does not fit
+	Spare   bool               `cbor:"3,keyasint,omitempty" json:"spare"`   // its VMs are off
 }
 
 // Document is the operator's whole document. A newer version replaces an older
 // one as a whole. Text is what the operator sent, to be read back unchanged.
 type Document struct {
-	Version uint64  `cbor:"1,keyasint"`
-	Text    []byte  `cbor:"2,keyasint"`
-	Queues  []Queue `cbor:"3,keyasint"`
-	Pools   []Pool  `cbor:"4,keyasint"`
+	Version uint64  `cbor:"1,keyasint" json:"version"`
+	Text    []byte  `cbor:"2,keyasint" json:"-"`
+	Queues  []Queue `cbor:"3,keyasint" json:"queues"`
+	Pools   []Pool  `cbor:"4,keyasint" json:"pools"`
 }
 
 // maxQueues bounds a document; letter 1's largest table has 1,100 rows.
--- a/queue/model.go
+++ b/queue/model.go
@@ -27,38 +27,38 @@
 
 // Step is one step of a job: Count equal tasks.
 type Step struct {
-	Count int                  `cbor:"1,keyasint"`
-	Size  rudderfork.Resources `cbor:"2,keyasint"`
+	Count int                  `cbor:"1,keyasint" json:"count,omitempty"`
+	Size  rudderfork.Resources `cbor:"2,keyasint" json:"size,omitempty"`
 
 	// ExpectedMS is the submitter's rough guess of one task's run time.
-	ExpectedMS  int64  `cbor:"3,keyasint,omitempty"`
-	DependsOn   []int  `cbor:"4,keyasint,omitempty"` // earlier steps, all of whose tasks must be done
-	Checkpoints bool   `cbor:"5,keyasint,omitempty"` // progress survives a stop
-	Gang        bool   `cbor:"6,keyasint,omitempty"` // all tasks run together or not at all
-	SameRack    bool   `cbor:"7,keyasint,omitempty"` // a gang that is slow over several racks
-	Label       string `cbor:"8,keyasint,omitempty"` // that the VM must carry
-	DataRack    string `cbor:"9,keyasint,omitempty"` // where the data is near
-	MaxPerVM    int    `cbor:"10,keyasint,omitempty"`
-	Speculative bool   `cbor:"11,keyasint,omitempty"` // two copies of a task may run
-	Lasting     bool   `cbor:"12,keyasint,omitempty"` // runs until the job is cancelled
-	Image       string `cbor:"13,keyasint,omitempty"` // tasks of one image behave alike
-	TailMS      int64  `cbor:"14,keyasint,omitempty"` // objective of a lasting task's own answers
-	Filler      bool   `cbor:"15,keyasint,omitempty"` // takes no counted processors, only what is idle
-	MaxAway     int    `cbor:"16,keyasint,omitempty"` // disruption budget of a lasting step
+	ExpectedMS  int64  `cbor:"3,keyasint,omitempty" json:"expected_ms,omitempty"`
+	DependsOn   []int  `cbor:"4,keyasint,omitempty" json:"after,omitempty"`       // earlier steps, all of whose tasks must be done
+	Checkpoints bool   `cbor:"5,keyasint,omitempty" json:"checkpoints,omitempty"` // progress survives a stop
+	Gang        bool   `cbor:"6,keyasint,omitempty" json:"gang,omitempty"`        // all tasks run together or not at all
+	SameRack    bool   `cbor:"7,keyasint,omitempty" json:"one_rack,omitempty"`    // a gang that is slow over several racks
+	Label       string `cbor:"8,keyasint,omitempty" json:"label,omitempty"`       // that the VM must carry
+	DataRack    string `cbor:"9,keyasint,omitempty" json:"data_rack,omitempty"`   // where the data is near
+	MaxPerVM    int    `cbor:"10,keyasint,omitempty" json:"max_per_vm,omitempty"`
+	Speculative bool   `cbor:"11,keyasint,omitempty" json:"copies,omitempty"`   // two copies of a task may run
+	Lasting     bool   `cbor:"12,keyasint,omitempty" json:"lasting,omitempty"`  // runs until the job is cancelled
+	Image       string `cbor:"13,keyasint,omitempty" json:"image,omitempty"`    // tasks of one image behave alike
+	TailMS      int64  `cbor:"14,keyasint,omitempty" json:"tail_ms,omitempty"`  // objective of a lasting task's own answers
+	Filler      bool   `cbor:"15,keyasint,omitempty" json:"filler,omitempty"`   // takes no counted processors, only what is idle
+	MaxAway     int    `cbor:"16,keyasint,omitempty" json:"max_away,omitempty"` // disruption budget of a lasting step
 }
 
 // Repeat starts a job's steps again and again, at given times.
 type Repeat struct {
-	Count   int   `cbor:"1,keyasint"`
-	FirstMS int64 `cbor:"2,keyasint"` // Unix ms
-	EveryMS int64 `cbor:"3,keyasint"`
+	Count   int   `cbor:"1,keyasint" json:"count,omitempty"`
+	FirstMS int64 `cbor:"2,keyasint" json:"first_ms,omitempty"` // Unix ms
+	EveryMS int64 `cbor:"3,keyasint" json:"every_ms,omitempty"`
 }
 
 // Spec is what a client hands in.
 type Spec struct {
-	Payload string  `cbor:"1,keyasint,omitempty"` // given to every task as it is
-	Steps   []Step  `cbor:"2,keyasint"`
-	Repeat  *Repeat `cbor:"3,keyasint,omitempty"`
+	Payload string  `cbor:"1,keyasint,omitempty" json:"payload,omitempty"` // given to every task as it is
+	Steps   []Step  `cbor:"2,keyasint" json:"steps,omitempty"`
+	Repeat  *Repeat `cbor:"3,keyasint,omitempty" json:"repeat,omitempty"`
 }
 
 // Bounds of a spec, far above what users send; they keep the state small.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -212,7 +212,7 @@
 		a.takeEffects(m.Grant.Effects)
 		if m.Grant.LeaseMS > 0 {
 			sent := time.Unix(0, m.Grant.Sent)
-			a.keeper.Grant(m.Grant.Epoch, sent.Add(time.Duration(m.Grant.LeaseMS)*time.Millisecond))
+			a.keeper.Grant(m.Grant.Life, m.Grant.Epoch, sent.Add(time.Duration(m.Grant.LeaseMS)*time.Millisecond))
 		}
 	case m.Orders != nil:
 		a.takeEffects(m.Orders.Effects)
--- a/runs/keeper.go
+++ b/runs/keeper.go
@@ -13,6 +13,9 @@
 package runs
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"rudderfork.example/rudderfork"
@@ -93,10 +96,10 @@
 // SetTerm notes the term of the leader that the session is with.
 func (k *Keeper) SetTerm(term uint64) { k.term = max(k.term, term) }
 
-// Grant takes a lease that ends at the given time. It counts only for the epoch
-// whose orders are here.
-func (k *Keeper) Grant(epoch uint64, until time.Time) {
-	if k.synced && epoch == k.epoch && until.After(k.grant) {
+// Grant takes a lease that ends at the given time. It counts only for the life
+// of the executor that it was given to, and for the epoch whose orders are here.
+func (k *Keeper) Grant(life string, epoch uint64, until time.Time) {
+	if life == k.life && k.synced && epoch == k.epoch && until.After(k.grant) {
 		k.grant = until
 	}
 }
@@ -117,8 +120,12 @@
 	return k.clockMS + int64(float64(left.Milliseconds())*(1-clockSlow)), true
 }
 
-// Order takes orders of control.
+// Order takes orders of control. Those that were under way while the executor
+// got a new life are for runs that are over.
 func (k *Keeper) Order(o wire.Orders) {
+	if o.Life != k.life {
+		return
+	}
 	if o.Full {
 		k.takeAll(o)
 	}
@@ -169,12 +176,13 @@
 // Due returns the calls to make now, each to be followed by Started or Stopped,
 // and the ends of runs that will not begin because the executor is draining.
 func (k *Keeper) Due(now time.Time) (calls []Call, ends []queue.End) {
-	for _, o := range k.strays {
-		if c := k.due(o, now); c != nil {
+	for _, ref := range slices.SortedFunc(maps.Keys(k.strays), compareRefs) {
+		if c := k.due(k.strays[ref], now); c != nil {
 			calls = append(calls, *c)
 		}
 	}
-	for _, o := range k.orders {
+	for _, id := range slices.Sorted(maps.Keys(k.orders)) {
+		o := k.orders[id]
 		if e := k.turnAway(o); e != nil {
 			ends = append(ends, *e)
 		}
@@ -185,6 +193,10 @@
 	return calls, ends
 }
 
+func compareRefs(a, b rudderfork.RunRef) int {
+	return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Run, b.Run))
+}
+
 // turnAway refuses a run that would have to begin on a draining executor.
 func (k *Keeper) turnAway(o *order) *queue.End {
 	if !k.leave || o.stop || o.ended || o.inFlight || !o.confirmed.IsZero() {
--- a/runs/keeper_test.go
+++ b/runs/keeper_test.go
@@ -27,12 +27,12 @@
 	k.Reset("life-1")
 	k.SetTerm(3)
 	k.SetClock(10_000, t0)
-	o := wire.Orders{Epoch: 1, Full: true}
+	o := wire.Orders{Life: "life-1", Epoch: 1, Full: true}
 	for _, run := range starts {
 		o.Start = append(o.Start, wire.RunOrder{RunRef: ref(run), Payload: "p"})
 	}
 	k.Order(o)
-	k.Grant(1, t0.Add(5*time.Second))
+	k.Grant("life-1", 1, t0.Add(5*time.Second))
 	return k
 }
 
@@ -67,11 +67,15 @@
 	assert.Assert(t, until <= 10_000+4_900, "the executor's end is %d", until)
 	assert.Assert(t, until > 10_000+4_800, "the executor's end is %d", until)
 	t.Run("a grant of another epoch does not count", func(t *testing.T) {
-		k.Grant(2, t0.Add(time.Hour))
+		k.Grant("life-1", 2, t0.Add(time.Hour))
+		assert.Equal(t, k.Granted(), t0.Add(5*time.Second))
+	})
+	t.Run("nor one to another life", func(t *testing.T) {
+		k.Grant("life-0", 1, t0.Add(time.Hour))
 		assert.Equal(t, k.Granted(), t0.Add(5*time.Second))
 	})
 	t.Run("a grant never shortens", func(t *testing.T) {
-		k.Grant(1, t0.Add(time.Second))
+		k.Grant("life-1", 1, t0.Add(time.Second))
 		assert.Equal(t, k.Granted(), t0.Add(5*time.Second))
 	})
 	t.Run("nothing starts without a lease", func(t *testing.T) {
@@ -81,8 +85,8 @@
 	t.Run("nothing starts without the executor's clock", func(t *testing.T) {
 		k := New()
 		k.Reset("life-1")
-		k.Order(wire.Orders{Epoch: 1, Full: true, Start: []wire.RunOrder{{RunRef: ref(1)}}})
-		k.Grant(1, t0.Add(5*time.Second))
+		k.Order(wire.Orders{Life: "life-1", Epoch: 1, Full: true, Start: []wire.RunOrder{{RunRef: ref(1)}}})
+		k.Grant("life-1", 1, t0.Add(5*time.Second))
 		checkNothingDue(t, k, t0)
 	})
 }
@@ -168,7 +172,7 @@
 		k.SetClock(1, t0)
 		k.Looked(running(7), t0)
 		checkNothingDue(t, k, t0)
-		k.Order(wire.Orders{Epoch: 1, Full: true})
+		k.Order(wire.Orders{Life: "life-1", Epoch: 1, Full: true})
 		k.Looked(running(7), t0)
 		c := onlyCall(t, k, t0)
 		assert.Equal(t, c.Ref, ref(7))
@@ -191,7 +195,7 @@
 	k := ready(1)
 	onlyCall(t, k, t0)
 	k.Started(ref(1), rudderfork.Started, nil, t0)
-	k.Order(wire.Orders{Epoch: 2, Full: true})
+	k.Order(wire.Orders{Life: "life-1", Epoch: 2, Full: true})
 	t.Run("the lease of the old epoch is void", func(t *testing.T) {
 		_, ok := k.Until(t0)
 		assert.Assert(t, !ok)
@@ -202,15 +206,23 @@
 		k.Stopped(ref(1), nil, t0)
 		checkEnds(t, k.Looked(rudderfork.Look{}, t0.Add(time.Second)))
 	})
+	t.Run("orders for another life are not taken", func(t *testing.T) {
+		// They once were, when an executor crashed while they were under way: its
+		// runs, counted as over, began again (TestModel/162).
+		k := ready()
+		k.Reset("life-2")
+		k.Order(wire.Orders{Life: "life-1", Epoch: 1, Full: true, Start: []wire.RunOrder{{RunRef: ref(1)}}})
+		assert.Equal(t, len(k.Wanted()), 0)
+	})
 	t.Run("orders of the old one are not taken", func(t *testing.T) {
-		k.Order(wire.Orders{Epoch: 1, Start: []wire.RunOrder{{RunRef: ref(2)}}})
+		k.Order(wire.Orders{Life: "life-1", Epoch: 1, Start: []wire.RunOrder{{RunRef: ref(2)}}})
 		assert.Equal(t, len(k.Wanted()), 0)
 	})
 }
 
 func TestStopBeforeStart(t *testing.T) {
 	k := ready(1)
-	k.Order(wire.Orders{Epoch: 1, Stop: []rudderfork.RunRef{ref(1)}})
+	k.Order(wire.Orders{Life: "life-1", Epoch: 1, Stop: []rudderfork.RunRef{ref(1)}})
 	c := onlyCall(t, k, t0)
 	assert.Assert(t, c.Start == nil, "a run that was never sent is barred there")
 	k.Stopped(ref(1), nil, t0)
--- a/runs/model_test.go
+++ b/runs/model_test.go
@@ -1,10 +1,12 @@
 package runs_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -294,7 +296,7 @@
 	}
 	if left := g.Grant(s.contact, s.now, lease); left > 0 {
 		epoch := known.Epoch
-		v.post(&v.toAgent, func() { v.keeper.Grant(epoch, sent.Add(left)) })
+		v.post(&v.toAgent, func() { v.keeper.Grant(life, epoch, sent.Add(left)) })
 	}
 }
 
@@ -307,7 +309,7 @@
 }
 
 func (v *vm) sendOrders(full bool) {
-	o := wire.Orders{Epoch: v.epoch, Full: full}
+	o := wire.Orders{Life: v.s.state.VM(v.id).Life, Epoch: v.epoch, Full: full}
 	active := map[rudderfork.RunRef]bool{}
 	for k, run := range v.s.state.VM(v.id).Runs() {
 		ref := rudderfork.RunRef{Task: rudderfork.TaskID(k.String()), Run: run}
@@ -323,6 +325,11 @@
 			o.Stop = append(o.Stop, ref)
 		}
 	}
+	byTask := func(a, b rudderfork.RunRef) int {
+		return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Run, b.Run))
+	}
+	slices.SortFunc(o.Start, func(a, b wire.RunOrder) int { return byTask(a.RunRef, b.RunRef) })
+	slices.SortFunc(o.Stop, byTask)
 	if full || len(o.Start)+len(o.Stop) > 0 {
 		v.post(&v.toAgent, func() { v.keeper.Order(o) })
 	}
--- a/scheduler/ask.go
+++ b/scheduler/ask.go
@@ -78,6 +78,7 @@
 func (s *Scheduler) logAsk(kind, path string, ans wire.AskAnswer) {
 	s.log.Info().Str("ask", kind).Str("path", path).Str("result", string(ans.Code)).Str("detail", ans.Text).
 		Bool("unsure", ans.Unsure).Bool("not_taken", ans.NotTaken).Msg("ask_answered")
+	s.record("job_"+kind, path, string(ans.Code)+" "+ans.Text)
 }
 
 // commit carries out an order.
--- a/scheduler/session.go
+++ b/scheduler/session.go
@@ -39,6 +39,7 @@
 
 	// Guarded by the scheduler's mu.
 	vm    rudderfork.VMID // of an agent, once its first heartbeat came
+	life  string          // of its executor
 	epoch uint64          // of the VM; 0 until registered
 	full  bool            // the full list was sent in this epoch
 	sent  map[rudderfork.RunRef]bool
@@ -214,7 +215,7 @@
 
 // newOrders compares what was sent with what is to run. The caller holds mu.
 func (ses *session) newOrders(qs *queue.State) *wire.Orders {
-	o := &wire.Orders{Epoch: ses.epoch}
+	o := &wire.Orders{Epoch: ses.epoch, Life: ses.life}
 	vm := qs.VM(ses.vm)
 	if ses.epoch == 0 || vm == nil || vm.Epoch != ses.epoch || !vm.Live {
 		return o
@@ -278,7 +279,7 @@
 	if !st.Leads() || st.Term != ses.term {
 		return errNotLeading
 	}
-	grant := wire.VMGrant{Sent: b.Sent, Epoch: ses.epoch}
+	grant := wire.VMGrant{Sent: b.Sent, Life: b.VM.Life, Epoch: ses.epoch}
 	s.mu.Lock()
 	v := s.fleet.vm(b.VM.ID)
 	fresh := v.session != ses
@@ -364,7 +365,7 @@
 			return
 		}
 		if ses.epoch != known.Epoch {
-			ses.vm, ses.epoch, ses.full = vm.ID, known.Epoch, false
+			ses.vm, ses.life, ses.epoch, ses.full = vm.ID, known.Life, known.Epoch, false
 			clear(ses.sent)
 			clear(ses.stops)
 			ses.wake()
@@ -393,6 +394,7 @@
 		ses.s.mu.Unlock()
 		ses.s.log.Info().Str("task", e.Task.String()).Uint32("run", e.Run).Str("on", string(r.Ends.VM)).
 			Str("how", string(e.How)).Str("reason", e.Reason).Msg("task_ended")
+		ses.s.record("task_ended", e.Task.String(), "on "+string(r.Ends.VM)+": "+string(e.How)+" "+e.Reason)
 	}
 	return nil
 }
--- /dev/null
+++ b/scheduler/views.go
@@ -0,0 +1,148 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/dispatch"
+	"rudderfork.example/rudderfork/queue"
+)
+
+// QueueView is one queue as operators see it.
+type QueueView struct {
+	queue.Queue
+	Waiting int `json:"waiting"` // jobs of which no task has begun
+	Live    int `json:"live"`    // jobs that are not finished
+}
+
+// VMView is one VM as operators see it.
+type VMView struct {
+	ID       rudderfork.VMID      `json:"vm"`
+	Service  rudderfork.Service   `json:"service"`
+	Domain   rudderfork.Domain    `json:"domain"`
+	Rack     string               `json:"rack,omitempty"`
+	Life     string               `json:"life"`
+	Live     bool                 `json:"live"`
+	Usable   bool                 `json:"usable"`
+	Draining bool                 `json:"draining"`
+	Doubt    float64              `json:"doubt"`
+	Capacity rudderfork.Resources `json:"capacity"`
+	Used     rudderfork.Resources `json:"used"`
+	Runs     int                  `json:"runs"`
+}
+
+// JobView is one job as operators see it, with its story: every decision on it
+// that the leader remembers, and why what waits does so.
+type JobView struct {
+	ID          rudderfork.JobID `json:"job"`
+	Queue       string           `json:"queue"`
+	Status      queue.Status     `json:"status"`
+	SubmittedAt int64            `json:"submitted_at"` // Unix ms
+	ObjectiveMS int64            `json:"objective_ms"`
+	EndedAt     int64            `json:"ended_at,omitempty"`
+	Tasks       []TaskView       `json:"tasks"`
+	Story       []string         `json:"story"`
+}
+
+// TaskView is one task of a job.
+type TaskView struct {
+	Task     string `json:"task"`
+	State    string `json:"state"` // done, running on VM, or why it waits
+	Failures int    `json:"failures"`
+	Runs     uint32 `json:"runs"` // starts so far
+}
+
+// queueViews returns the document's queues.
+func queueViews(s *queue.State) (views []QueueView) {
+	if s.Document() == nil {
+		return nil
+	}
+	for _, q := range s.Document().Queues {
+		v := QueueView{Queue: q, Waiting: s.Waiting(q.Name)}
+		for _, j := range s.Live() {
+			if j.Queue.Name == q.Name && !j.Status.Final() {
+				v.Live++
+			}
+		}
+		views = append(views, v)
+	}
+	return views
+}
+
+func vmViews(s *queue.State, view dispatch.View) (views []VMView) {
+	for _, vm := range s.VMs() {
+		now := view.VMs[vm.ID]
+		views = append(views, VMView{
+			ID: vm.ID, Service: vm.Service, Domain: vm.Domain, Rack: vm.Rack, Life: vm.Life, Live: vm.Live,
+			Usable: now.Usable, Draining: now.Draining, Doubt: now.Doubt,
+			Capacity: vm.Capacity, Used: vm.Used(), Runs: len(vm.Runs()),
+		})
+	}
+	return views
+}
+
+// jobView returns a job with the reasons for what waits; its story is added by
+// the caller.
+func jobView(s *queue.State, view dispatch.View, j *queue.Job) JobView {
+	v := JobView{
+		ID: j.ID, Queue: j.Queue.Name, Status: j.Status, SubmittedAt: j.SubmittedAt,
+		ObjectiveMS: dispatch.ObjectiveMS(s.Row(j), j), EndedAt: j.EndedAt,
+	}
+	for time, o := range j.Times {
+		for step, tasks := range o.Steps {
+			for index := range tasks {
+				k := queue.TaskKey{Job: j.ID, Time: time, Step: step, Index: index}
+				t := &tasks[index]
+				v.Tasks = append(v.Tasks, TaskView{k.String(), taskState(s, view, j, k), t.Failures, t.LastRun})
+			}
+		}
+	}
+	return v
+}
+
+func taskState(s *queue.State, view dispatch.View, j *queue.Job, k queue.TaskKey) string {
+	t := j.Task(k)
+	var on []string
+	for _, r := range t.Runs {
+		on = append(on, string(r.VM))
+	}
+	switch {
+	case t.Done:
+		return "done"
+	case len(on) > 0:
+		return "running on " + strings.Join(on, " and ")
+	case j.Status.Final():
+		return "the job is " + string(j.Status)
+	}
+	return "waiting: " + whyWaiting(s, view, j, k)
+}
+
+// whyWaiting gives the reason, and of VMs that cannot take the task the reasons
+// with their number.
+func whyWaiting(s *queue.State, view dispatch.View, j *queue.Job, k queue.TaskKey) string {
+	o := j.Times[k.Time]
+	switch {
+	case o.DueMS > view.Now:
+		return fmt.Sprintf("it is due in %d ms", o.DueMS-view.Now)
+	case !o.StepReady(j.Spec.Steps[k.Step]):
+		return "an earlier step is not done"
+	}
+	counts := map[string]int{}
+	for _, why := range dispatch.Obstacles(s, view, k) {
+		counts[why]++
+	}
+	if len(counts) == 0 {
+		return "no VM is known"
+	}
+	var reasons []string
+	for why, n := range counts {
+		if why == "" {
+			why = "it could take the task"
+		}
+		reasons = append(reasons, fmt.Sprintf("%d VMs: %s", n, why))
+	}
+	slices.Sort(reasons)
+	return strings.Join(reasons, "; ")
+}
--- a/standin/executor/executor.go
+++ b/standin/executor/executor.go
@@ -11,6 +11,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -162,7 +164,8 @@
 // advance ends what is due. The caller holds mu.
 func (e *Executor) advance() {
 	now := e.clock()
-	for _, r := range e.running {
+	for _, id := range slices.Sorted(maps.Keys(e.running)) {
+		r := e.running[id]
 		r.pacedMS += float64(now-r.pacedAt) * float64(r.percent) / 100
 		r.pacedAt = now
 		switch {
--- a/wire/queue.go
+++ b/wire/queue.go
@@ -99,6 +99,7 @@
 	Sent    int64  `cbor:"1,keyasint"`
 	LeaseMS int64  `cbor:"2,keyasint"`
 	Epoch   uint64 `cbor:"3,keyasint"`
+	Life    string `cbor:"5,keyasint"` // of the executor that it is for
 
 	Effects []PairEffect `cbor:"4,keyasint,omitempty"` // that are new or have changed
 }
@@ -127,6 +128,7 @@
 // listed is to be stopped.
 type Orders struct {
 	Epoch uint64              `cbor:"1,keyasint"`
+	Life  string              `cbor:"6,keyasint"` // of the executor that they are for
 	Full  bool                `cbor:"2,keyasint,omitempty"`
 	Start []RunOrder          `cbor:"3,keyasint,omitempty"`
 	Stop  []rudderfork.RunRef `cbor:"4,keyasint,omitempty"`
