Ask advisers, and carry out waves of upkeep

Queues with an adviser: a step runs where the adviser gave a ticket, which is committed with the start and brought to the executor; asked in the order of the jobs, one call at a time, about 30 VMs at most. Waves: a command of the log; the leader empties the machine with the fewest runs, checks the disruption budgets of lasting steps and orders its upkeep, with the term as fencing token and after the time that an earlier leader's orders may take; completed once all have begun.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -23,6 +23,7 @@
 type VMView struct {
 	Usable   bool    // in session, with a lease and an executor that answers
 	Draining bool    // about to leave
+	Closed   bool    // gets no new work, since its upkeep is next
 	Doubt    float64 // 0 for a sound VM; rises with failures and stand-stills
 }
 
@@ -46,6 +47,9 @@
 	Failed map[queue.TaskKey][]rudderfork.VMID
 	// PutOff holds tasks back until a time, after a refusal.
 	PutOff map[queue.TaskKey]int64
+	// Tickets holds, for steps of queues with an adviser, the VMs that may run
+	// them, with the adviser's tickets.
+	Tickets map[queue.StepKey]map[rudderfork.VMID]string
 	// Effect is what fillers of one image do to serving tasks of another, as
 	// package interference gives it.
 	Effect func(serving, filler string) float64
@@ -69,6 +73,13 @@
 type Plan struct {
 	Starts []Start
 	Stops  []Stop
+	Asks   []Ask
+}
+
+// Ask wants an adviser's leave for a step on some VMs.
+type Ask struct {
+	Step queue.StepKey
+	VMs  []rudderfork.VMID
 }
 
 // Make returns what to do now.
@@ -162,9 +173,13 @@
 			continue
 		}
 		vm, reason := p.place(j, k)
-		if vm == nil || p.worthless(j, k, vm) {
+		if vm == nil {
+			p.askFor(j, k)
 			return // the others of the step are alike
 		}
+		if p.worthless(j, k, vm) {
+			return
+		}
 		p.add(j, k, vm, reason, 0)
 	}
 }
@@ -176,7 +191,9 @@
 
 func (p *planner) add(j *queue.Job, k queue.TaskKey, vm *queue.VM, reason string, group int) {
 	st := j.Spec.Steps[k.Step]
-	p.plan.Starts = append(p.plan.Starts, Start{queue.Start{Task: k, VM: vm.ID, Life: vm.Life, Group: group}, reason})
+	p.plan.Starts = append(p.plan.Starts, Start{queue.Start{
+		Task: k, VM: vm.ID, Life: vm.Life, Group: group, Ticket: p.view.Tickets[k.StepKey()][vm.ID],
+	}, reason})
 	p.taken[vm.ID] = p.taken[vm.ID].Add(st.Need())
 	p.placed[stepOnVM{k.Job, k.Time, k.Step, vm.ID}]++
 	p.colocationOn(vm).add(st, RunView{}, true)
@@ -224,6 +241,7 @@
 		k := queue.TaskKey{Job: j.ID, Time: time, Step: step, Index: i}
 		vm, reason := p.placeOn(j, k, rack)
 		if vm == nil {
+			p.askFor(j, k)
 			p.drop(j, mark)
 			return false
 		}
@@ -267,12 +285,47 @@
 
 // obstacle says why a VM cannot take a task in this plan, or "" if it can.
 func (p *planner) obstacle(j *queue.Job, k queue.TaskKey, vm *queue.VM) string {
+	if p.state.Row(j).Advice != nil && p.view.Tickets[k.StepKey()][vm.ID] == "" {
+		return "the adviser has given no leave for it"
+	}
+	return p.ownObstacle(j, k, vm)
+}
+
+// maxAsked is how many VMs an adviser is asked about at once: what the users'
+// objectives allow time for.
+const maxAsked = 30
+
+// askFor wants an adviser's leave for a step that has no place, on the VMs that
+// could take it otherwise.
+func (p *planner) askFor(j *queue.Job, k queue.TaskKey) {
+	if p.state.Row(j).Advice == nil {
+		return
+	}
+	ask := Ask{Step: k.StepKey()}
+	for _, vm := range p.vms {
+		if p.ownObstacle(j, k, vm) == "" && p.view.Tickets[ask.Step][vm.ID] == "" {
+			ask.VMs = append(ask.VMs, vm.ID)
+		}
+	}
+	slices.SortStableFunc(ask.VMs, func(a, b rudderfork.VMID) int {
+		return cmp.Compare(p.cost(j, k, p.state.VM(a)), p.cost(j, k, p.state.VM(b)))
+	})
+	if len(ask.VMs) > 0 {
+		ask.VMs = ask.VMs[:min(len(ask.VMs), maxAsked)]
+		p.plan.Asks = append(p.plan.Asks, ask)
+	}
+}
+
+// ownObstacle is what keeps a VM from taking a task, but for an adviser.
+func (p *planner) ownObstacle(j *queue.Job, k queue.TaskKey, vm *queue.VM) string {
 	st := j.Spec.Steps[k.Step]
 	switch view := p.view.VMs[vm.ID]; {
 	case !view.Usable:
 		return "it does not answer"
 	case view.Draining:
 		return "it is about to leave"
+	case view.Closed:
+		return "its upkeep is next"
 	}
 	if why := p.state.Obstacle(j, k, vm); why != "" {
 		return why
--- a/executor.go
+++ b/executor.go
@@ -92,3 +92,10 @@
 	// Pace sets the share of its full speed, in percent, at which a run works.
 	Pace(ctx context.Context, life string, r RunRef, percent int, fence uint64) error
 }
+
+// Adviser knows which VMs may run a step.
+type Adviser interface {
+	// Advise asks about some executors' lives. It returns tickets by life, for
+	// those that may run the step.
+	Advise(ctx context.Context, step string, lives []string) (tickets map[string]string, err error)
+}
--- a/queue/apply.go
+++ b/queue/apply.go
@@ -28,6 +28,10 @@
 		return s.register(*c.Register, at)
 	case c.Lost != nil:
 		return s.lose(*c.Lost, at)
+	case c.Wave != nil:
+		return s.takeWave(*c.Wave)
+	case c.Upkeep != nil:
+		return s.noteUpkeep(*c.Upkeep)
 	}
 	return Result{Code: Invalid, Text: "the command is empty"}
 }
@@ -164,7 +168,7 @@
 			return
 		}
 		j := s.jobs[st.Task.Job]
-		s.addRun(j, st.Task, j.Task(st.Task), Run{number, st.VM, at})
+		s.addRun(j, st.Task, j.Task(st.Task), Run{number, st.VM, at, st.Ticket})
 	}
 	for i, st := range list {
 		j := s.jobs[st.Task.Job]
--- a/queue/command.go
+++ b/queue/command.go
@@ -11,6 +11,9 @@
 	Ends     *Ends     `cbor:"5,keyasint,omitempty"`
 	Register *VM       `cbor:"6,keyasint,omitempty"`
 	Lost     *Lost     `cbor:"7,keyasint,omitempty"`
+
+	Wave   *Wave       `cbor:"8,keyasint,omitempty"`
+	Upkeep *UpkeepNote `cbor:"9,keyasint,omitempty"`
 }
 
 // Submit hands in a job at a host and path, whose last part is the job's ID.
@@ -38,6 +41,9 @@
 	Life  string          `cbor:"3,keyasint"`
 	Copy  bool            `cbor:"4,keyasint,omitempty"`
 	Group int             `cbor:"5,keyasint,omitempty"` // 0 means none
+
+	// Ticket is the adviser's leave, where the queue has an adviser.
+	Ticket string `cbor:"6,keyasint,omitempty"`
 }
 
 // End tells how a run on the VM of the Ends ended.
--- a/queue/image.go
+++ b/queue/image.go
@@ -15,11 +15,12 @@
 	Jobs     []*Job             `cbor:"2,keyasint,omitempty"`
 	Ended    []rudderfork.JobID `cbor:"3,keyasint,omitempty"`
 	VMs      []*VM              `cbor:"4,keyasint,omitempty"`
+	Waves    []*Wave            `cbor:"5,keyasint,omitempty"`
 }
 
 // Image returns the state for a snapshot. It shares memory with the state.
 func (s *State) Image() Image {
-	im := Image{Document: s.doc, Ended: s.ended, VMs: s.VMs()}
+	im := Image{Document: s.doc, Ended: s.ended, VMs: s.VMs(), Waves: s.waves}
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
 		im.Jobs = append(im.Jobs, s.jobs[id])
 	}
@@ -32,7 +33,7 @@
 	if im.Document != nil {
 		s.setDocument(im.Document)
 	}
-	s.ended = im.Ended
+	s.ended, s.waves = im.Ended, im.Waves
 	for _, v := range im.VMs {
 		s.vms[v.ID] = v
 	}
--- a/queue/model.go
+++ b/queue/model.go
@@ -127,6 +127,9 @@
 	return string(k.Job) + "." + strconv.Itoa(k.Time) + "." + strconv.Itoa(k.Step) + "." + strconv.Itoa(k.Index)
 }
 
+// StepKey returns the key of the task's step.
+func (k TaskKey) StepKey() StepKey { return StepKey{k.Job, k.Time, k.Step} }
+
 // ParseTaskKey is the inverse of String.
 func ParseTaskKey(s string) (k TaskKey, err error) {
 	parts := strings.Split(s, ".")
@@ -177,6 +180,19 @@
 	Number    uint32          `cbor:"1,keyasint"`
 	VM        rudderfork.VMID `cbor:"2,keyasint"`
 	StartedAt int64           `cbor:"3,keyasint"` // leader's clock, Unix ms
+	Ticket    string          `cbor:"4,keyasint,omitempty"`
+}
+
+// StepKey names a step of a job, of one time.
+type StepKey struct {
+	Job  rudderfork.JobID
+	Time int
+	Step int
+}
+
+// String gives the key as job.time.step.
+func (k StepKey) String() string {
+	return string(k.Job) + "." + strconv.Itoa(k.Time) + "." + strconv.Itoa(k.Step)
 }
 
 // Task is one task with its active runs.
--- a/queue/state.go
+++ b/queue/state.go
@@ -16,6 +16,7 @@
 	ended []rudderfork.JobID // oldest first
 	live  map[rudderfork.JobID]*Job
 	vms   map[rudderfork.VMID]*VM
+	waves []*Wave // oldest first
 }
 
 // New returns an empty state.
--- /dev/null
+++ b/queue/wave.go
@@ -0,0 +1,86 @@
+package queue
+
+import "slices"
+
+// Wave is an operator's order that each of some machines has its upkeep, at most
+// MaxDown of them at once. Upkeep ends all that runs on a machine.
+type Wave struct {
+	ID       uint64   `cbor:"1,keyasint" json:"wave"`
+	Machines []string `cbor:"2,keyasint" json:"machines"` // by the provider's names
+	DueMS    int64    `cbor:"3,keyasint" json:"due"`      // Unix ms
+	MaxDown  int      `cbor:"4,keyasint" json:"max_down"`
+
+	// Begun are the machines whose upkeep has surely begun, and Gone those that
+	// the provider does not know any more.
+	Begun []string `cbor:"5,keyasint,omitempty" json:"begun,omitempty"`
+	Gone  []string `cbor:"6,keyasint,omitempty" json:"gone,omitempty"`
+}
+
+// maxWaves bounds the waves that are remembered.
+const maxWaves = 1000
+
+// UpkeepNote notes that a machine's upkeep in a wave has begun, or that the
+// machine is gone.
+type UpkeepNote struct {
+	Wave    uint64 `cbor:"1,keyasint"`
+	Machine string `cbor:"2,keyasint"`
+	Gone    bool   `cbor:"3,keyasint,omitempty"`
+}
+
+// Left returns the machines whose upkeep is still to begin.
+func (w *Wave) Left() (left []string) {
+	for _, m := range w.Machines {
+		if !slices.Contains(w.Begun, m) && !slices.Contains(w.Gone, m) {
+			left = append(left, m)
+		}
+	}
+	return left
+}
+
+// Wave returns a wave, or nil.
+func (s *State) Wave(id uint64) *Wave {
+	for _, w := range s.waves {
+		if w.ID == id {
+			return w
+		}
+	}
+	return nil
+}
+
+// Waves returns the waves that have machines left, in the order they came.
+func (s *State) Waves() (open []*Wave) {
+	for _, w := range s.waves {
+		if len(w.Left()) > 0 {
+			open = append(open, w)
+		}
+	}
+	return open
+}
+
+func (s *State) takeWave(w Wave) Result {
+	if w.MaxDown < 1 || len(w.Machines) == 0 {
+		return Result{Code: Invalid, Text: "a wave needs machines, and room for one of them to be down"}
+	}
+	if s.Wave(w.ID) != nil {
+		return Result{Code: OK, Text: "taken before"}
+	}
+	if len(s.waves) >= maxWaves {
+		s.waves = s.waves[1:]
+	}
+	w.Begun, w.Gone = nil, nil
+	s.waves = append(s.waves, &w)
+	return Result{Code: OK}
+}
+
+func (s *State) noteUpkeep(n UpkeepNote) Result {
+	w := s.Wave(n.Wave)
+	if w == nil || !slices.Contains(w.Left(), n.Machine) {
+		return Result{Code: Stale}
+	}
+	if n.Gone {
+		w.Gone = append(w.Gone, n.Machine)
+	} else {
+		w.Begun = append(w.Begun, n.Machine)
+	}
+	return Result{Code: OK}
+}
--- /dev/null
+++ b/scheduler/advice.go
@@ -0,0 +1,138 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/dispatch"
+	"rudderfork.example/rudderfork/internal/steady"
+	"rudderfork.example/rudderfork/queue"
+	"rudderfork.example/rudderfork/state"
+)
+
+const (
+	// adviceTimeout bounds one call, which takes a time for each VM asked about.
+	adviceTimeout = 5 * time.Second
+	// adviceAgain is how long a step rests after an answer that did not help it.
+	adviceAgain = 300 * time.Millisecond
+	// usualValidity is how long a ticket holds where the document does not say.
+	usualValidity = time.Second
+)
+
+// advice is the tickets that advisers gave. It is guarded by the scheduler's mu.
+type advice struct {
+	steps map[queue.StepKey]*leave
+	busy  bool // an adviser works on one call of a process at a time
+}
+
+// leave is what an adviser said of a step.
+type leave struct {
+	tickets map[rudderfork.VMID]ticket
+	askAt   time.Time // not before
+}
+
+// ticket is valid for one life of a VM, until a time.
+type ticket struct {
+	text  string
+	life  string
+	until time.Time
+}
+
+func newAdvice() *advice { return &advice{steps: map[queue.StepKey]*leave{}} }
+
+// view returns the tickets that are valid, and drops those of steps that are
+// over.
+func (a *advice) view(s *queue.State, now time.Time) map[queue.StepKey]map[rudderfork.VMID]string {
+	all := map[queue.StepKey]map[rudderfork.VMID]string{}
+	for k, l := range a.steps {
+		if s.Live()[k.Job] == nil {
+			delete(a.steps, k)
+			continue
+		}
+		valid := map[rudderfork.VMID]string{}
+		for id, t := range l.tickets {
+			if vm := s.VM(id); vm != nil && vm.Life == t.life && now.Before(t.until) {
+				valid[id] = t.text
+			}
+		}
+		all[k] = valid
+	}
+	return all
+}
+
+// refuse forgets a ticket that an executor did not accept.
+func (a *advice) refuse(k queue.StepKey, vm rudderfork.VMID) {
+	if l := a.steps[k]; l != nil {
+		delete(l.tickets, vm)
+	}
+}
+
+// askAdviser sends the first of the asks that is due, unless a call is under way.
+func (s *Scheduler) askAdviser(asks []dispatch.Ask) {
+	if s.adviser == nil {
+		return
+	}
+	now := steady.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.fleet.advice
+	for _, ask := range asks {
+		l := a.steps[ask.Step]
+		if a.busy || l != nil && now.Before(l.askAt) {
+			continue
+		}
+		if l == nil {
+			a.steps[ask.Step] = &leave{tickets: map[rudderfork.VMID]ticket{}}
+		}
+		a.busy = true
+		go s.advise(a, ask)
+	}
+}
+
+// advise makes one call and notes its answer.
+func (s *Scheduler) advise(a *advice, ask dispatch.Ask) {
+	ctx, cancel := context.WithTimeout(context.Background(), adviceTimeout)
+	defer cancel()
+	lives, names, validity := s.livesOf(ask)
+	began := steady.Now()
+	tickets, err := s.adviser.Advise(ctx, ask.Step.String(), names)
+	now := steady.Now()
+	s.log.Info().Str("step", ask.Step.String()).Int("asked", len(names)).Int("good", len(tickets)).
+		Dur("took", now.Sub(began)).AnErr("error", err).Msg("adviser_asked")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a.busy = false
+	l := a.steps[ask.Step]
+	if l == nil {
+		return // the job is over
+	}
+	l.askAt = now.Add(adviceAgain)
+	for life, text := range tickets {
+		// It holds from the answer on; the call's begin is surely before that.
+		l.tickets[lives[life]] = ticket{text, life, began.Add(validity)}
+	}
+	s.kick()
+}
+
+// livesOf returns the lives of the VMs asked about, and how long tickets of the
+// step's queue hold.
+func (s *Scheduler) livesOf(ask dispatch.Ask) (vms map[string]rudderfork.VMID, names []string, validity time.Duration) {
+	vms, validity = map[string]rudderfork.VMID{}, usualValidity
+	s.rep.View(func(st *state.State) {
+		for _, id := range ask.VMs {
+			if vm := st.Queues().VM(id); vm != nil {
+				vms[vm.Life] = id
+				names = append(names, vm.Life)
+			}
+		}
+		j := st.Queues().Job(ask.Step.Job)
+		if j == nil {
+			return
+		}
+		if adv := st.Queues().Row(j).Advice; adv != nil && adv.ValidMS > 0 {
+			validity = time.Duration(adv.ValidMS) * time.Millisecond
+		}
+	})
+	return vms, names, validity
+}
--- a/scheduler/ask.go
+++ b/scheduler/ask.go
@@ -42,6 +42,12 @@
 			Bool("unsure", ans.Unsure).Msg("document_put")
 	case a.Status != nil:
 		ans = s.read(ctx, func(st *queue.State) wire.AskAnswer { return statusOf(st, *a.Status) })
+	case a.Wave != nil:
+		ans = s.commit(ctx, queue.Command{Wave: a.Wave})
+		s.log.Info().Uint64("wave", a.Wave.ID).Int("machines", len(a.Wave.Machines)).Int("max_down", a.Wave.MaxDown).
+			Str("result", string(ans.Code)).Msg("wave_taken")
+	case a.Upkeep != 0:
+		ans = s.read(ctx, func(st *queue.State) wire.AskAnswer { return waveOf(st, a.Upkeep) })
 	case a.Get:
 		ans = s.read(ctx, documentOf)
 	default:
@@ -60,6 +66,10 @@
 		return "put_document"
 	case a.Status != nil:
 		return "status"
+	case a.Wave != nil:
+		return "wave"
+	case a.Upkeep != 0:
+		return "wave_status"
 	}
 	return "get_document"
 }
@@ -121,6 +131,14 @@
 	return wire.AskAnswer{Code: queue.OK, Status: j.Status}
 }
 
+func waveOf(st *queue.State, id uint64) wire.AskAnswer {
+	w := st.Wave(id)
+	if w == nil {
+		return wire.AskAnswer{Code: queue.NoJob, Text: "there is no such wave"}
+	}
+	return wire.AskAnswer{Code: queue.OK, Left: len(w.Left())}
+}
+
 func documentOf(st *queue.State) wire.AskAnswer {
 	doc := st.Document()
 	if doc == nil {
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -38,6 +38,10 @@
 	putOff  map[queue.TaskKey]time.Time
 	pruneAt time.Time
 	effects *effects
+	advice  *advice
+
+	// emptying is the VM whose upkeep is next; it gets no new work.
+	emptying rudderfork.VMID
 }
 
 // vmInfo is one VM at the moment.
@@ -63,7 +67,7 @@
 	return &fleet{
 		vms: map[rudderfork.VMID]*vmInfo{}, stops: map[rudderfork.RunRef]string{}, noted: map[rudderfork.RunRef]bool{},
 		failed: map[queue.TaskKey][]rudderfork.VMID{}, putOff: map[queue.TaskKey]time.Time{},
-		effects: newEffects(),
+		effects: newEffects(), advice: newAdvice(),
 	}
 }
 
@@ -142,11 +146,12 @@
 	view := dispatch.View{
 		Now: rudderfork.Millis(now), VMs: map[rudderfork.VMID]dispatch.VMView{}, Runs: map[queue.TaskKey]dispatch.RunView{},
 		Failed: f.failed, PutOff: map[queue.TaskKey]int64{},
-		Effect: func(serving, filler string) float64 { return f.effects.of(serving, filler, now) },
+		Tickets: f.advice.view(s, now),
+		Effect:  func(serving, filler string) float64 { return f.effects.of(serving, filler, now) },
 	}
 	for _, vm := range s.VMs() {
 		v := f.vm(vm.ID)
-		view.VMs[vm.ID] = dispatch.VMView{Usable: v.usable(now), Draining: v.beat.Draining, Doubt: v.doubtNow(now)}
+		view.VMs[vm.ID] = dispatch.VMView{Usable: v.usable(now), Draining: v.beat.Draining, Closed: vm.ID == f.emptying, Doubt: v.doubtNow(now)}
 		for k, r := range v.rows {
 			if vm.Runs()[k] != r.row.Run {
 				delete(v.rows, k)
@@ -221,6 +226,9 @@
 		v.addDoubt(doubtStep, now)
 		f.failedOn(e.Task, vm)
 	}
+	if e.How == queue.EndRefused && e.Reason == rudderfork.StartTicket.String() {
+		f.advice.refuse(e.Task.StepKey(), vm)
+	}
 	if e.How == queue.EndRefused {
 		f.putOff[e.Task] = now.Add(refusalPause)
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -48,6 +48,8 @@
 	rec rudderfork.Recorder
 	met *metrics
 
+	adviser rudderfork.Adviser
+
 	kicked chan struct{}
 
 	mu       sync.Mutex
@@ -57,9 +59,10 @@
 }
 
 // New returns a scheduler over a replica.
-func New(cfg Settings, rep *replica.Replica, log zerolog.Logger, rec rudderfork.Recorder) *Scheduler {
+// adviser may be nil: then nothing of a queue with an adviser runs.
+func New(cfg Settings, rep *replica.Replica, adviser rudderfork.Adviser, log zerolog.Logger, rec rudderfork.Recorder) *Scheduler {
 	return &Scheduler{
-		cfg: cfg, rep: rep, log: log, rec: rec, met: newMetrics(),
+		cfg: cfg, rep: rep, adviser: adviser, log: log, rec: rec, met: newMetrics(),
 		kicked: make(chan struct{}, 1), fleet: newFleet(), sessions: map[*session]bool{},
 	}
 }
@@ -211,6 +214,7 @@
 	})
 	s.met.plan.Observe(steady.Now().Sub(began).Seconds())
 	s.logStops(plan.Stops)
+	s.askAdviser(plan.Asks)
 	if len(plan.Starts) == 0 {
 		return
 	}
--- /dev/null
+++ b/scheduler/scheduler_test.go
@@ -0,0 +1,355 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/disk"
+	"rudderfork.example/rudderfork/front"
+	"rudderfork.example/rudderfork/internal/steady"
+	"rudderfork.example/rudderfork/queue"
+	"rudderfork.example/rudderfork/quorum"
+	"rudderfork.example/rudderfork/replica"
+	"rudderfork.example/rudderfork/runner"
+	"rudderfork.example/rudderfork/standin/executor"
+	"rudderfork.example/rudderfork/state"
+	"rudderfork.example/rudderfork/wire"
+)
+
+const (
+	// waitLimit ends a wait for a condition that does not come true.
+	waitLimit = 20 * time.Second
+	host      = "desk.example"
+	lease     = 2 * time.Second
+)
+
+// alone is the sender and the recorder of a replica that has no peers.
+type alone struct{}
+
+func (alone) Send(quorum.Message)            {}
+func (alone) SetGroup([]quorum.Member, bool) {}
+func (alone) Record(rudderfork.Event)        {}
+
+// site is a scheduler on a group of one, with agents and a front.
+type site struct {
+	t     *testing.T
+	ctx   context.Context //nolint:containedctx // that of the test
+	addr  string
+	sched *Scheduler
+	front *front.Client
+	execs []*executor.Executor
+}
+
+func newSite(t *testing.T, adviser rudderfork.Adviser) *site {
+	s := &site{t: t, ctx: t.Context()}
+	dir := filepath.Join(t.TempDir(), "data")
+	self := quorum.Member{ID: "c#1", Name: "c", Voter: true}
+	assert.NilError(t, disk.Format(dir, disk.Identity{ID: self.ID, Members: []quorum.Member{self}}))
+	store, err := disk.Open(dir)
+	assert.NilError(t, err)
+	rep, err := replica.New(replica.Config{ElectionTimeout: 50 * time.Millisecond, Heartbeat: 10 * time.Millisecond, SnapshotEvery: 1000},
+		store, alone{}, zerolog.Nop(), alone{}, steady.Now)
+	assert.NilError(t, err)
+	s.sched = New(Settings{Lease: lease, KeepStatus: time.Minute}, rep, adviser, zerolog.Nop(), alone{})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s.addr = ln.Addr().String()
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /queues", s.sched.Accept)
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	go func() { _ = srv.Serve(ln) }()
+	t.Cleanup(func() { _ = srv.Close() })
+	s.front = front.New("front", s.seeds, zerolog.Nop())
+	s.serve(rep, s.sched, s.front)
+	return s
+}
+
+func (s *site) seeds() []string { return []string{s.addr} }
+
+// service is what a supervisor runs.
+type service interface {
+	Serve(ctx context.Context) error
+}
+
+func (s *site) serve(list ...service) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for _, svc := range list {
+		wg.Go(func() { _ = svc.Serve(ctx) })
+	}
+	s.t.Cleanup(func() { cancel(); wg.Wait() })
+}
+
+// addVM adds a VM whose executor is the stand-in.
+func (s *site) addVM(cfg executor.Config) *executor.Executor {
+	name := fmt.Sprintf("vm%d", len(s.execs)+1)
+	cfg.Now, cfg.Room = steady.Now, rudderfork.Resources{CPUMilli: 4000, MemoryMB: 1000}
+	e := executor.New(name+"-life-1", cfg)
+	a := runner.New(name, s.seeds, e, zerolog.Nop())
+	list := []service{}
+	for _, svc := range a.Services() {
+		list = append(list, svc)
+	}
+	s.serve(list...)
+	s.execs = append(s.execs, e)
+	go func() {
+		for s.ctx.Err() == nil {
+			a.Describe(queue.VM{ID: rudderfork.VMID(name), Life: e.Life(), Service: "desk", Capacity: cfg.Room}, false, 0)
+			steady.Pause(s.ctx, 50*time.Millisecond)
+		}
+	}()
+	return e
+}
+
+func (s *site) ask(a wire.Ask) wire.AskAnswer {
+	ctx, cancel := context.WithTimeout(s.ctx, waitLimit)
+	defer cancel()
+	return s.front.Ask(ctx, a, waitLimit)
+}
+
+func (s *site) put(advice *queue.Advice) {
+	s.t.Helper()
+	ans := s.ask(wire.Ask{Put: &queue.Document{
+		Version: 1, Queues: []queue.Queue{{Name: "q", Host: host, Prefix: "/q/", Service: "desk", MaxAttempts: 2, Advice: advice}},
+		Pools: []queue.Pool{{Service: "desk"}},
+	}})
+	assert.Equal(s.t, ans.Code, queue.OK, "%+v", ans)
+}
+
+func (s *site) submit(id string, payload string, list ...queue.Step) {
+	s.t.Helper()
+	ans := s.ask(wire.Ask{Submit: &queue.Submit{Host: host, Path: "/q/" + id, Spec: queue.Spec{Payload: payload, Steps: list}}})
+	assert.Equal(s.t, ans.Code, queue.OK, "%+v", ans)
+}
+
+func (s *site) until(what string, ok func() bool) {
+	s.t.Helper()
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		if ok() {
+			return poll.Success()
+		}
+		return poll.Continue("waiting until %s", what)
+	}, poll.WithTimeout(waitLimit), poll.WithDelay(10*time.Millisecond))
+}
+
+func (s *site) untilStatus(id string, want queue.Status) {
+	s.t.Helper()
+	s.until(id+" is "+string(want), func() bool {
+		return s.ask(wire.Ask{Status: &wire.Place{Host: host, Path: "/q/" + id}}).Status == want
+	})
+}
+
+var small = queue.Step{Count: 1, Size: rudderfork.Resources{CPUMilli: 500}}
+
+// adviser allows some lives.
+type adviser struct {
+	mu    sync.Mutex
+	allow func(life string) bool
+	calls int
+	lives int
+}
+
+func (a *adviser) Advise(_ context.Context, step string, lives []string) (map[string]string, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.calls++
+	a.lives = max(a.lives, len(lives))
+	if a.calls == 1 {
+		return nil, errors.New("busy")
+	}
+	tickets := map[string]string{}
+	for _, l := range lives {
+		if a.allow(l) {
+			tickets[l] = "ticket for " + step + " on " + l
+		}
+	}
+	return tickets, nil
+}
+
+// TestAdvice runs steps only where the adviser allows it, with its ticket.
+func TestAdvice(t *testing.T) {
+	adv := &adviser{allow: func(life string) bool { return life == "vm2-life-1" }}
+	s := newSite(t, adv)
+	var mu sync.Mutex
+	var began []string
+	for i := range 3 {
+		s.addVM(executor.Config{OnStart: func(r rudderfork.RunRef) {
+			mu.Lock()
+			defer mu.Unlock()
+			began = append(began, fmt.Sprintf("vm%d %s", i+1, r.Task))
+		}})
+	}
+	s.put(&queue.Advice{ValidMS: 5000})
+	s.submit("j", "work=20ms", queue.Step{Count: 2, Size: small.Size}, queue.Step{Count: 1, DependsOn: []int{0}})
+	s.untilStatus("j", queue.Completed)
+	mu.Lock()
+	defer mu.Unlock()
+	slices.Sort(began)
+	assert.DeepEqual(t, began, []string{"vm2 j.0.0.0", "vm2 j.0.0.1", "vm2 j.0.1.0"})
+	assert.Assert(t, adv.lives <= 3)
+}
+
+// provider is a cloud whose upkeep restarts executors.
+type provider struct {
+	s       *site
+	mu      sync.Mutex
+	done    map[string]bool
+	downNow map[string]time.Time
+	most    int
+	duties  []rudderfork.Duty
+	refuse  int
+	check   func(machine string)
+}
+
+const upkeepTakes = 300 * time.Millisecond
+
+func (p *provider) Machines(context.Context) (list []rudderfork.Machine, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, e := range p.s.execs {
+		name := fmt.Sprintf("m%d", i+1)
+		list = append(list, rudderfork.Machine{Name: name, Up: time.Since(p.downNow[name]) > upkeepTakes, Life: e.Life()})
+	}
+	return list, nil
+}
+
+func (p *provider) Upkeep(_ context.Context, d rudderfork.Duty, machine string, _ uint64) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.duties = append(p.duties, d)
+	if machine == "m9" {
+		return rudderfork.ErrNoMachine
+	}
+	if p.refuse > 0 {
+		p.refuse--
+		return rudderfork.ErrRefused
+	}
+	if p.done[machine] {
+		return nil
+	}
+	if p.check != nil {
+		p.check(machine)
+	}
+	p.done[machine] = true
+	p.downNow[machine] = time.Now()
+	down := 0
+	for _, at := range p.downNow {
+		if time.Since(at) < upkeepTakes {
+			down++
+		}
+	}
+	p.most = max(p.most, down)
+	i := int(machine[1] - '1')
+	p.s.execs[i].Restart(fmt.Sprintf("vm%d-life-2", i+1))
+	if len(p.done) == 1 {
+		return errors.New("no answer") // it was carried out all the same
+	}
+	return nil
+}
+
+// TestWave carries out a wave within its bounds: one machine at a time, none
+// whose upkeep would take more of a lasting step away than it allows, and it is
+// completed only once each has begun.
+func TestWave(t *testing.T) {
+	s := newSite(t, nil)
+	for range 3 {
+		s.addVM(executor.Config{})
+	}
+	s.put(nil)
+	s.submit("feed", "", queue.Step{Count: 3, Size: small.Size, Lasting: true, MaxAway: 1, MaxPerVM: 1})
+	atWork := func() (n int) {
+		for _, e := range s.execs {
+			n += len(e.Running())
+		}
+		return n
+	}
+	s.until("the feed is at work", func() bool { return atWork() == 3 })
+	p := &provider{s: s, done: map[string]bool{}, downNow: map[string]time.Time{}, refuse: 1}
+	p.check = func(machine string) {
+		if n := atWork(); n < 3 {
+			t.Errorf("the upkeep of %s begins with %d of 3 tasks at work", machine, n)
+		}
+	}
+	s.serve(s.sched.Upkeep(p, "c", 0))
+	wave := queue.Wave{ID: 7, Machines: []string{"m1", "m2", "m3", "m9"}, DueMS: rudderfork.Millis(steady.Now().Add(waitLimit)), MaxDown: 1}
+	for range 2 { // the operator sends it again
+		assert.Equal(t, s.ask(wire.Ask{Wave: &wave}).Code, queue.OK)
+	}
+	s.until("the wave is completed", func() bool {
+		ans := s.ask(wire.Ask{Upkeep: 7})
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		assert.Assert(t, ans.Left > 0 || len(p.done) == 3, "completed with %v done", p.done)
+		return ans.Code == queue.OK && ans.Left == 0
+	})
+	assert.Equal(t, p.most, 1)
+	for _, d := range p.duties {
+		assert.Equal(t, d.Holder, "c")
+		assert.Assert(t, d.Fence > 0)
+	}
+	assert.Equal(t, s.ask(wire.Ask{Upkeep: 8}).Code, queue.NoJob)
+}
+
+// TestLostVM takes a VM's agent away: its work begins elsewhere only once its
+// lease has run out, and none of it runs twice at once.
+func TestLostVM(t *testing.T) {
+	s := newSite(t, nil)
+	var mu sync.Mutex
+	active := map[rudderfork.TaskID]int{}
+	cfg := func() executor.Config {
+		return executor.Config{
+			OnStart: func(r rudderfork.RunRef) {
+				mu.Lock()
+				defer mu.Unlock()
+				active[r.Task]++
+				if active[r.Task] > 1 {
+					t.Errorf("%s runs twice at once", r.Task)
+				}
+			},
+			OnFinish: func(r rudderfork.RunRef, _ string) {
+				mu.Lock()
+				defer mu.Unlock()
+				active[r.Task]--
+			},
+		}
+	}
+	first := s.addVM(cfg())
+	s.put(nil)
+	s.submit("feed", "", queue.Step{Count: 1, Size: small.Size, Lasting: true})
+	s.until("the feed is at work", func() bool { return len(first.Running()) == 1 })
+	first.SetFate(func(string) executor.Fate { return executor.Unheard })
+	second := s.addVM(cfg())
+	s.until("it is at work elsewhere", func() bool {
+		first.Running()
+		return len(second.Running()) == 1
+	})
+	assert.Equal(t, len(first.Running()), 0)
+}
+
+// TestReadsAreCurrent asks for what was just changed.
+func TestReadsAreCurrent(t *testing.T) {
+	s := newSite(t, nil)
+	s.put(nil)
+	for i := range 20 {
+		id := fmt.Sprintf("j%d", i)
+		s.submit(id, "", small)
+		assert.Equal(t, s.ask(wire.Ask{Status: &wire.Place{Host: host, Path: "/q/" + id}}).Status, queue.Queued)
+	}
+	assert.Equal(t, s.ask(wire.Ask{Status: &wire.Place{Host: host, Path: "/q/"}}).Waiting, 20)
+	var views []QueueView
+	s.sched.rep.View(func(st *state.State) { views = queueViews(st.Queues()) })
+	assert.Equal(t, views[0].Live, 20)
+}
--- a/scheduler/session.go
+++ b/scheduler/session.go
@@ -261,11 +261,21 @@
 func orderOf(j *queue.Job, k queue.TaskKey, ref rudderfork.RunRef) wire.RunOrder {
 	st := j.Spec.Steps[k.Step]
 	return wire.RunOrder{
-		RunRef: ref, Payload: j.Spec.Payload, Checkpoint: j.Task(k).Checkpoint,
+		RunRef: ref, Payload: j.Spec.Payload, Checkpoint: j.Task(k).Checkpoint, Ticket: ticketOf(j.Task(k), ref.Run),
 		TailMS: st.TailMS, Filler: st.Filler, Image: st.Image, CPUMilli: st.Size.CPUMilli,
 	}
 }
 
+// ticketOf returns the ticket that a run was started with.
+func ticketOf(t *queue.Task, number uint32) string {
+	for _, r := range t.Runs {
+		if r.Number == number {
+			return r.Ticket
+		}
+	}
+	return ""
+}
+
 // beat takes a VM's heartbeat, registers the VM where that is needed, and
 // grants it a lease.
 func (ses *session) beat(ctx context.Context, b wire.VMBeat) error {
--- /dev/null
+++ b/scheduler/upkeep.go
@@ -0,0 +1,274 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/internal/steady"
+	"rudderfork.example/rudderfork/queue"
+	"rudderfork.example/rudderfork/state"
+)
+
+const (
+	// upkeepPause is between two looks at the waves while there are any, and at
+	// the provider's list.
+	upkeepPause = 500 * time.Millisecond
+	// idlePause is the same while there are none.
+	idlePause = time.Second
+	// providerTimeout bounds one call to the provider.
+	providerTimeout = 2 * time.Second
+	// settleTime is how long a machine whose upkeep has begun counts as down
+	// even if the list, which lags, still calls it up.
+	settleTime = 3 * time.Second
+	// refusalRest is how long a machine rests after an order that was refused, so
+	// that the others of its wave go on.
+	refusalRest = 2 * time.Second
+	// emptyTime is how long a machine is kept from new work before its upkeep, so
+	// that short tasks end by themselves.
+	emptyTime = 2 * time.Second
+	// atWork is the percentage of a lasting task at work.
+	atWork = 100
+)
+
+// upkeep carries out the waves: a loop of the leader.
+type upkeep struct {
+	s        *Scheduler
+	provider rudderfork.Provider
+	holder   string
+	wait     time.Duration // after an election, until orders are given
+
+	term     uint64
+	ordersAt time.Time            // no orders before
+	begunAt  map[string]time.Time // by machine: when an order may have been carried out
+	refused  map[string]time.Time // by machine: when an order was refused last
+	next     string               // the machine kept from new work, since nextAt
+	nextAt   time.Time
+}
+
+// Upkeep returns the service that carries out waves. holder names this process to
+// the provider; wait is how long an earlier leader's orders may still be under
+// way.
+func (s *Scheduler) Upkeep(p rudderfork.Provider, holder string, wait time.Duration) suture.Service {
+	return &upkeep{s: s, provider: p, holder: holder, wait: wait, begunAt: map[string]time.Time{}, refused: map[string]time.Time{}}
+}
+
+// String names the service in the supervisor's log.
+func (u *upkeep) String() string { return "upkeep" }
+
+// Serve implements suture.Service.
+func (u *upkeep) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause := idlePause
+		if u.round(ctx) {
+			pause = upkeepPause
+		}
+		steady.Pause(ctx, pause)
+	}
+	return ctx.Err()
+}
+
+// round moves the waves on; false means that there are none.
+func (u *upkeep) round(ctx context.Context) bool {
+	term := u.s.currentTerm()
+	if term == 0 {
+		u.term = 0
+		u.keepFree("", "")
+		return false
+	}
+	now := steady.Now()
+	if term != u.term {
+		u.term, u.ordersAt = term, now.Add(u.wait)
+		clear(u.begunAt)
+	}
+	waves := u.s.openWaves()
+	if len(waves) == 0 {
+		u.keepFree("", "")
+		return false
+	}
+	if now.Before(u.ordersAt) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, providerTimeout)
+	defer cancel()
+	machines, err := u.provider.Machines(ctx)
+	if err != nil {
+		u.s.log.Warn().Err(err).Msg("machines_not_listed")
+		return true
+	}
+	for _, w := range waves {
+		u.move(ctx, w, machines, now)
+	}
+	return true
+}
+
+// openWaves returns copies of the waves that are not completed.
+func (s *Scheduler) openWaves() (waves []queue.Wave) {
+	s.rep.View(func(st *state.State) {
+		for _, w := range st.Queues().Waves() {
+			c := *w
+			c.Begun, c.Gone = slices.Clone(w.Begun), slices.Clone(w.Gone)
+			waves = append(waves, c)
+		}
+	})
+	return waves
+}
+
+// move begins the next upkeep of a wave if its bounds allow it.
+func (u *upkeep) move(ctx context.Context, w queue.Wave, machines []rudderfork.Machine, now time.Time) {
+	byName := map[string]rudderfork.Machine{}
+	for _, m := range machines {
+		byName[m.Name] = m
+	}
+	down := 0
+	for _, name := range w.Machines {
+		if m, known := byName[name]; known && (!m.Up || now.Sub(u.begunAt[name]) < settleTime) {
+			down++
+		}
+	}
+	// An order without an answer may have been carried out: it goes first, since
+	// asking again is harmless, and the machine counts as down already.
+	for _, name := range w.Left() {
+		if at, asked := u.begunAt[name]; asked && now.Sub(at) < settleTime {
+			u.order(ctx, w, name, now)
+			return
+		}
+	}
+	if down >= w.MaxDown {
+		return
+	}
+	c, ok := u.choose(w, byName, now)
+	if !ok {
+		return
+	}
+	if u.next != c.machine {
+		u.keepFree(c.machine, c.vm)
+		u.nextAt = now
+	}
+	if now.Sub(u.nextAt) >= emptyTime || rudderfork.Millis(now.Add(emptyTime)) > w.DueMS {
+		u.order(ctx, w, c.machine, now)
+	}
+}
+
+// candidate is a machine whose upkeep may begin.
+type candidate struct {
+	machine string
+	vm      rudderfork.VMID // "" if none of ours is on it
+	runs    int
+}
+
+// choose returns the machine whose upkeep costs least and breaks no disruption
+// budget; one that is being emptied stays chosen.
+func (u *upkeep) choose(w queue.Wave, byName map[string]rudderfork.Machine, now time.Time) (best candidate, ok bool) {
+	for _, c := range u.candidates(w, byName, now) {
+		if c.machine == u.next {
+			return c, true
+		}
+		if !ok || c.runs < best.runs {
+			best, ok = c, true
+		}
+	}
+	return best, ok
+}
+
+// candidates returns the machines of a wave whose upkeep may begin now.
+func (u *upkeep) candidates(w queue.Wave, byName map[string]rudderfork.Machine, now time.Time) (list []candidate) {
+	u.s.rep.View(func(st *state.State) {
+		u.s.mu.Lock()
+		defer u.s.mu.Unlock()
+		for _, name := range w.Left() {
+			m, known := byName[name]
+			if known && !m.Up || now.Sub(u.refused[name]) < refusalRest {
+				continue
+			}
+			vm := vmOfLife(st.Queues(), m.Life)
+			switch {
+			case vm == nil:
+				list = append(list, candidate{machine: name})
+			case !u.s.breaksBudget(st.Queues(), vm):
+				list = append(list, candidate{name, vm.ID, len(vm.Runs())})
+			}
+		}
+	})
+	return list
+}
+
+func vmOfLife(s *queue.State, life string) *queue.VM {
+	if life == "" {
+		return nil
+	}
+	for _, vm := range s.VMs() {
+		if vm.Life == life {
+			return vm
+		}
+	}
+	return nil
+}
+
+// breaksBudget reports whether ending all on a VM would leave more tasks of a
+// lasting step away than it allows. The caller holds mu.
+func (s *Scheduler) breaksBudget(qs *queue.State, vm *queue.VM) bool {
+	ending := map[queue.StepKey]int{}
+	for k := range vm.Runs() {
+		ending[k.StepKey()]++
+	}
+	for step, n := range ending {
+		j := qs.Job(step.Job)
+		if st := j.Spec.Steps[step.Step]; st.Lasting && st.MaxAway > 0 && !j.Status.Final() && s.away(j, step, vm)+n > st.MaxAway {
+			return true
+		}
+	}
+	return false
+}
+
+// away counts the tasks of a step that are not at work on other VMs than the
+// given one. The caller holds mu.
+func (s *Scheduler) away(j *queue.Job, step queue.StepKey, but *queue.VM) (n int) {
+	tasks := j.Times[step.Time].Steps[step.Step]
+	for i := range tasks {
+		k := queue.TaskKey{Job: step.Job, Time: step.Time, Step: step.Step, Index: i}
+		if len(tasks[i].Runs) == 0 {
+			n++
+			continue
+		}
+		on := tasks[i].Runs[0]
+		if on.VM == but.ID {
+			continue
+		}
+		if r := s.fleet.vm(on.VM).rows[k]; r == nil || r.row.Run != on.Number || r.row.Percent < atWork {
+			n++
+		}
+	}
+	return n
+}
+
+// order asks the provider for a machine's upkeep and notes what is sure.
+func (u *upkeep) order(ctx context.Context, w queue.Wave, name string, now time.Time) {
+	u.begunAt[name] = now
+	err := u.provider.Upkeep(ctx, rudderfork.Duty{Holder: u.holder, Fence: u.term}, name, w.ID)
+	u.s.log.Info().Uint64("wave", w.ID).Str("machine", name).Int("left", len(w.Left())).AnErr("error", err).Msg("upkeep_ordered")
+	switch {
+	case err == nil, errors.Is(err, rudderfork.ErrNoMachine):
+		note := queue.UpkeepNote{Wave: w.ID, Machine: name, Gone: err != nil}
+		if _, err := u.s.do(ctx, queue.Command{Upkeep: &note}); err != nil {
+			u.s.log.Warn().Err(err).Msg("upkeep_not_committed") // it is ordered again, which changes nothing
+		}
+		u.keepFree("", "")
+	case errors.Is(err, rudderfork.ErrRefused):
+		delete(u.begunAt, name)
+		u.refused[name] = now
+		u.keepFree("", "")
+	}
+}
+
+// keepFree names the machine that gets no new work, and its VM; or none.
+func (u *upkeep) keepFree(name string, vm rudderfork.VMID) {
+	u.next = name
+	u.s.mu.Lock()
+	defer u.s.mu.Unlock()
+	u.s.fleet.emptying = vm
+}
--- a/wire/queue.go
+++ b/wire/queue.go
@@ -59,6 +59,8 @@
 	Status *Place          `cbor:"4,keyasint,omitempty"` // of a job, or a queue's count
 	Put    *queue.Document `cbor:"5,keyasint,omitempty"`
 	Get    bool            `cbor:"6,keyasint,omitempty"` // the document
+	Wave   *queue.Wave     `cbor:"7,keyasint,omitempty"`
+	Upkeep uint64          `cbor:"8,keyasint,omitempty"` // a wave's ID: is it completed?
 }
 
 // AskAnswer answers an Ask.
@@ -75,6 +77,7 @@
 	Waiting  int          `cbor:"7,keyasint,omitempty"`
 	IsQueue  bool         `cbor:"8,keyasint,omitempty"` // Waiting was asked for
 	Document []byte       `cbor:"9,keyasint,omitempty"`
+	Left     int          `cbor:"10,keyasint,omitempty"` // machines of a wave that have not begun their upkeep
 }
 
 // VMBeat is the heartbeat of a VM's agent, and its account.
