Test the dispatcher, and count runs that were not seen yet as fresh

The tests cover order, places, gangs, advice, colocation and stops. One fault seen while writing them: a filler of which no account had come yet counted as shown by the tails.

--- a/dispatch/colocate.go
+++ b/dispatch/colocate.go
@@ -60,7 +60,7 @@
 	c := &colocation{whole: whole, idle: whole * pace.MostUsed}
 	for k := range vm.Runs() {
 		run := p.view.Runs[k]
-		c.add(p.stepOf(k), run, p.view.Now-run.SeenAt < freshMS)
+		c.add(p.stepOf(k), run, run.Number == 0 || p.view.Now-run.SeenAt < freshMS)
 	}
 	p.shared[vm.ID] = c
 	return c
--- /dev/null
+++ b/dispatch/dispatch_test.go
@@ -0,0 +1,303 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/queue"
+)
+
+const host = "desk.example"
+
+// world is a state with usable VMs of 4 cores, in racks of two.
+type world struct {
+	t    *testing.T
+	s    *queue.State
+	view View
+	pair map[[2]string]float64 // effects by serving image and filler image
+}
+
+func newWorld(t *testing.T, vms int) *world {
+	w := &world{t: t, s: queue.New(), pair: map[[2]string]float64{}, view: View{
+		Now: 1000, VMs: map[rudderfork.VMID]VMView{}, Runs: map[queue.TaskKey]RunView{}, Failed: map[queue.TaskKey][]rudderfork.VMID{},
+	}}
+	w.view.Effect = func(serving, filler string) float64 { return w.pair[[2]string{serving, filler}] }
+	w.s.Apply(queue.Command{Document: &queue.Document{
+		Version: 1,
+		Queues: []queue.Queue{
+			{Name: "urgent", Host: host, Prefix: "/urgent/", Service: "desk", MaxAttempts: 2, Stretch: 1.5, LatencyMS: 250},
+			{Name: "later", Host: host, Prefix: "/later/", Service: "desk", Priority: 2, MaxAttempts: 2},
+			{Name: "advised", Host: host, Prefix: "/advised/", Service: "desk", MaxAttempts: 2, Advice: &queue.Advice{}},
+		},
+		Pools: []queue.Pool{{Service: "desk"}},
+	}}, 1)
+	for i := range vms {
+		id := rudderfork.VMID(fmt.Sprintf("vm%d", i+1))
+		w.s.Apply(queue.Command{Register: &queue.VM{
+			ID: id, Life: "life", Service: "desk", Rack: fmt.Sprintf("rack%d", i/2+1),
+			Capacity: rudderfork.Resources{CPUMilli: 4000, MemoryMB: 4000}, Labels: []string{"a"},
+		}}, 1)
+		w.view.VMs[id] = VMView{Usable: true}
+	}
+	return w
+}
+
+// submit hands in a job and returns the key of its first task.
+func (w *world) submit(queueName, id string, at int64, steps ...queue.Step) queue.TaskKey {
+	w.t.Helper()
+	res := w.s.Apply(queue.Command{Submit: &queue.Submit{Host: host, Path: "/" + queueName + "/" + id, Spec: queue.Spec{Steps: steps}, KeepMS: 1 << 40}}, at)
+	assert.Equal(w.t, res.Code, queue.OK)
+	return queue.TaskKey{Job: rudderfork.JobID(id)}
+}
+
+// run makes a plan and applies its starts. It returns the places by task.
+func (w *world) run() map[string]rudderfork.VMID {
+	w.t.Helper()
+	plan := Make(w.s, w.view)
+	places := map[string]rudderfork.VMID{}
+	var c queue.Command
+	for _, st := range plan.Starts {
+		c.Starts = append(c.Starts, st.Start)
+		places[st.Task.String()] = st.VM
+		assert.Assert(w.t, st.Reason != "")
+	}
+	if len(c.Starts) == 0 {
+		return places
+	}
+	for i, n := range w.s.Apply(c, w.view.Now).Numbers {
+		assert.Assert(w.t, n > 0, "%v was planned and refused", c.Starts[i])
+	}
+	return places
+}
+
+func cpu(milli int64) queue.Step {
+	return queue.Step{Count: 1, Size: rudderfork.Resources{CPUMilli: milli}, ExpectedMS: 1000}
+}
+
+func servingStep(image string, milli int64) queue.Step {
+	st := cpu(milli)
+	st.Image, st.TailMS, st.Lasting = image, 18, true
+	return st
+}
+
+func fillerStep(image string, milli int64) queue.Step {
+	st := cpu(milli)
+	st.Image, st.Filler = image, true
+	return st
+}
+
+func TestOrder(t *testing.T) {
+	t.Run("by priority, then by the end of the objective", func(t *testing.T) {
+		w := newWorld(t, 1)
+		w.submit("later", "a", 1, cpu(3000))
+		w.submit("urgent", "c", 500, cpu(3000))
+		w.submit("urgent", "b", 400, cpu(3000))
+		assert.DeepEqual(t, w.run(), map[string]rudderfork.VMID{"b.0.0.0": "vm1"})
+	})
+	t.Run("past all hope goes last", func(t *testing.T) {
+		w := newWorld(t, 1)
+		w.submit("urgent", "old", 1, cpu(3000))
+		w.view.Now = 100_000
+		w.submit("later", "new", 99_000, cpu(3000))
+		assert.DeepEqual(t, w.run(), map[string]rudderfork.VMID{"new.0.0.0": "vm1"})
+	})
+	t.Run("steps in their order", func(t *testing.T) {
+		w := newWorld(t, 1)
+		second := cpu(100)
+		second.DependsOn = []int{0}
+		w.submit("urgent", "j", 1, cpu(100), second)
+		assert.DeepEqual(t, w.run(), map[string]rudderfork.VMID{"j.0.0.0": "vm1"})
+	})
+}
+
+func TestObjective(t *testing.T) {
+	a, b, c := cpu(1), cpu(1), cpu(1)
+	b.DependsOn, c.DependsOn, c.ExpectedMS = []int{0}, []int{0}, 3000
+	j := &queue.Job{Spec: queue.Spec{Steps: []queue.Step{a, b, c}}}
+	assert.Equal(t, ObjectiveMS(queue.Queue{Stretch: 1.5, LatencyMS: 250}, j), int64(6250))
+}
+
+func TestPlaces(t *testing.T) {
+	t.Run("spread over VMs that are alike", func(t *testing.T) {
+		w := newWorld(t, 2)
+		two := cpu(1000)
+		two.Count = 2
+		w.submit("urgent", "j", 1, two)
+		assert.DeepEqual(t, w.run(), map[string]rudderfork.VMID{"j.0.0.0": "vm1", "j.0.0.1": "vm2"})
+	})
+	t.Run("near the data", func(t *testing.T) {
+		w := newWorld(t, 4)
+		st := cpu(1000)
+		st.DataRack = "rack2"
+		w.submit("urgent", "j", 1, st)
+		assert.Equal(t, w.run()["j.0.0.0"], rudderfork.VMID("vm3"))
+	})
+	t.Run("never where a VM is unfit for work", func(t *testing.T) {
+		w := newWorld(t, 4)
+		w.view.VMs["vm1"] = VMView{}
+		w.view.VMs["vm2"] = VMView{Usable: true, Draining: true}
+		w.view.VMs["vm3"] = VMView{Usable: true, Closed: true}
+		two := cpu(1000)
+		two.Count, two.MaxPerVM = 2, 1
+		w.submit("urgent", "j", 1, two)
+		assert.DeepEqual(t, w.run(), map[string]rudderfork.VMID{"j.0.0.0": "vm4"})
+	})
+	t.Run("rather not where the task has failed, or others have", func(t *testing.T) {
+		w := newWorld(t, 3)
+		w.view.VMs["vm2"] = VMView{Usable: true, Doubt: 1}
+		k := w.submit("urgent", "j", 1, cpu(1000))
+		w.view.Failed[k] = []rudderfork.VMID{"vm1"}
+		assert.Equal(t, w.run()["j.0.0.0"], rudderfork.VMID("vm3"))
+	})
+	t.Run("not before a refused task has rested", func(t *testing.T) {
+		w := newWorld(t, 1)
+		k := w.submit("urgent", "j", 1, cpu(1000))
+		w.view.PutOff = map[queue.TaskKey]int64{k: 2000}
+		assert.Equal(t, len(w.run()), 0)
+		w.view.Now = 2000
+		assert.Equal(t, len(w.run()), 1)
+	})
+	t.Run("no more than fits, in one plan", func(t *testing.T) {
+		w := newWorld(t, 2)
+		many := cpu(1500)
+		many.Count = 9
+		w.submit("urgent", "j", 1, many)
+		assert.Equal(t, len(w.run()), 4)
+	})
+}
+
+func TestGangs(t *testing.T) {
+	gang := cpu(2000)
+	gang.Count, gang.Gang = 4, true
+	t.Run("all or none", func(t *testing.T) {
+		w := newWorld(t, 1)
+		w.submit("urgent", "g", 1, gang)
+		w.submit("later", "j", 1, cpu(4000))
+		assert.DeepEqual(t, w.run(), map[string]rudderfork.VMID{"j.0.0.0": "vm1"})
+	})
+	t.Run("in one rack where that is asked for and possible", func(t *testing.T) {
+		w := newWorld(t, 4)
+		tight := gang
+		tight.SameRack = true
+		w.submit("urgent", "first", 1, cpu(1000))
+		w.run()
+		w.submit("urgent", "g", 1, tight)
+		for task, vm := range w.run() {
+			assert.Assert(t, vm == "vm3" || vm == "vm4", "%s is on %s", task, vm)
+		}
+	})
+}
+
+func TestAdvised(t *testing.T) {
+	w := newWorld(t, 3)
+	k := w.submit("advised", "j", 1, cpu(1000))
+	plan := Make(w.s, w.view)
+	assert.Equal(t, len(plan.Starts), 0)
+	assert.Equal(t, len(plan.Asks), 1)
+	assert.Equal(t, len(plan.Asks[0].VMs), 3)
+	w.view.Tickets = map[queue.StepKey]map[rudderfork.VMID]string{k.StepKey(): {"vm2": "leave"}}
+	plan = Make(w.s, w.view)
+	assert.Equal(t, plan.Starts[0].VM, rudderfork.VMID("vm2"))
+	assert.Equal(t, plan.Starts[0].Ticket, "leave")
+}
+
+func TestColocation(t *testing.T) {
+	t.Run("serving tasks of one image are kept together", func(t *testing.T) {
+		w := newWorld(t, 3)
+		for i, image := range []string{"audio", "video", "audio", "video"} {
+			w.submit("urgent", fmt.Sprintf("s%d", i), int64(i+1), servingStep(image, 1000))
+		}
+		p := w.run()
+		assert.Equal(t, p["s0.0.0.0"], p["s2.0.0.0"])
+		assert.Equal(t, p["s1.0.0.0"], p["s3.0.0.0"])
+		assert.Assert(t, p["s0.0.0.0"] != p["s1.0.0.0"])
+	})
+	t.Run("a filler goes where it disturbs nobody", func(t *testing.T) {
+		w := newWorld(t, 2)
+		w.submit("urgent", "s0", 1, servingStep("audio", 3000))
+		w.submit("urgent", "s1", 2, servingStep("video", 3000))
+		places := w.run()
+		w.pair[[2]string{"audio", "loud"}] = 30
+		w.submit("later", "f", 3, fillerStep("loud", 500))
+		assert.Equal(t, w.run()["f.0.0.0"], places["s1.0.0.0"])
+	})
+	t.Run("fillers that would crawl wait, as long as their job has other runs", func(t *testing.T) {
+		w := newWorld(t, 1)
+		w.submit("urgent", "s", 1, servingStep("audio", 3000))
+		w.run()
+		w.pair[[2]string{"audio", "loud"}] = 30
+		many := fillerStep("loud", 500)
+		many.Count = 3
+		w.submit("later", "f", 900, many)
+		assert.Equal(t, len(w.run()), 0)
+		w.view.Now += waitMS
+		assert.Equal(t, len(w.run()), 1, "one begins at last")
+		assert.Equal(t, len(w.run()), 0)
+	})
+}
+
+// stops returns the reasons of a plan's stops by task.
+func stops(w *world) map[string]string {
+	m := map[string]string{}
+	for _, st := range Make(w.s, w.view).Stops {
+		m[st.Task.String()] = st.Reason
+	}
+	return m
+}
+
+func TestStops(t *testing.T) {
+	t.Run("what a cancelled job runs", func(t *testing.T) {
+		w := newWorld(t, 1)
+		w.submit("urgent", "j", 1, cpu(1000))
+		w.run()
+		assert.Equal(t, len(stops(w)), 0)
+		w.s.Apply(queue.Command{Cancel: &queue.Cancel{Host: host, Path: "/urgent/j"}}, 2)
+		assert.DeepEqual(t, stops(w), map[string]string{"j.0.0.0": "the job is cancelled"})
+	})
+	t.Run("a lasting task on a VM that leaves, and no other", func(t *testing.T) {
+		w := newWorld(t, 1)
+		w.submit("urgent", "s", 1, servingStep("audio", 1000))
+		w.submit("urgent", "j", 1, cpu(1000))
+		w.run()
+		w.view.VMs["vm1"] = VMView{Usable: true, Draining: true}
+		assert.DeepEqual(t, stops(w), map[string]string{"s.0.0.0": "the VM is about to leave"})
+	})
+	t.Run("a task whose progress stands still", func(t *testing.T) {
+		w := newWorld(t, 1)
+		k := w.submit("urgent", "j", 1, cpu(1000))
+		w.run()
+		w.view.Runs[k] = RunView{Number: 1, Percent: 40, MovedAt: w.view.Now}
+		assert.Equal(t, len(stops(w)), 0)
+		w.view.Now += stillMS + 1
+		assert.DeepEqual(t, stops(w), map[string]string{"j.0.0.0": Stuck})
+	})
+	t.Run("a lasting task only if it never came to work", func(t *testing.T) {
+		w := newWorld(t, 1)
+		k := w.submit("urgent", "s", 1, servingStep("audio", 1000))
+		w.run()
+		w.view.Runs[k] = RunView{Number: 1, Percent: 100, MovedAt: 0}
+		w.view.Now += 10 * startupMS
+		assert.Equal(t, len(stops(w)), 0)
+		w.view.Runs[k] = RunView{Number: 1, Percent: 20, MovedAt: 0}
+		assert.DeepEqual(t, stops(w), map[string]string{"s.0.0.0": Stuck})
+	})
+	t.Run("a filler that is held back, if it would work elsewhere", func(t *testing.T) {
+		w := newWorld(t, 2)
+		w.submit("urgent", "s", 1, servingStep("audio", 3000))
+		w.run()
+		w.view.VMs["vm2"] = VMView{}
+		k := w.submit("later", "f", 1, fillerStep("loud", 500))
+		w.run()
+		w.pair[[2]string{"audio", "loud"}] = 30
+		w.view.Now += 10_000
+		w.view.Runs[k] = RunView{Number: 1, Percent: 5, MovedAt: w.view.Now, Held: 100, HeldAt: 1}
+		assert.Equal(t, len(stops(w)), 0, "it has nowhere to go")
+		w.view.VMs["vm2"] = VMView{Usable: true}
+		assert.DeepEqual(t, stops(w), map[string]string{"f.0.0.0": HeldBack})
+		w.view.Runs[k] = RunView{Number: 1, Percent: 60, MovedAt: w.view.Now, Held: 100, HeldAt: 1}
+		assert.Equal(t, len(stops(w)), 0, "it would lose what it has done")
+	})
+}
