--- /dev/null
+++ b/cmd/rudderctl/trace.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"rudderfork.example/rudderfork/operator"
+)
+
+// maxLine bounds a line of a log, in bytes.
+const maxLine = 1 << 20
+
+// logLine is one line of a process's log.
+type logLine struct {
+	at      time.Time
+	process string
+	event   string
+	fields  map[string]any
+}
+
+// notFields are shown elsewhere in a line, or tell nothing.
+var notFields = []string{"time", "process", "event", "level", "domain"}
+
+// trace joins the lines of several processes' logs that name a job, a task or a
+// path, in the order of time. It reads files, or standard input.
+func trace(_ context.Context, _ *operator.Client, args []string) error {
+	var lines []logLine
+	for _, file := range args[1:] {
+		f, err := os.Open(file)
+		if err != nil {
+			return err
+		}
+		lines, err = appendLines(lines, f, args[0])
+		_ = f.Close() // it was only read
+		if err != nil {
+			return fmt.Errorf("%s: %w", file, err)
+		}
+	}
+	if len(args) == 1 {
+		var err error
+		if lines, err = appendLines(nil, os.Stdin, args[0]); err != nil {
+			return err
+		}
+	}
+	if len(lines) == 0 {
+		return fmt.Errorf("no line names %s", args[0])
+	}
+	slices.SortStableFunc(lines, func(a, b logLine) int { return a.at.Compare(b.at) })
+	for _, l := range lines {
+		fmt.Println(l.text(lines[0].at))
+	}
+	return nil
+}
+
+// appendLines appends the lines of r that name id. What stands before the first
+// brace of a line is passed over, and so is a line that is none of ours.
+func appendLines(lines []logLine, r io.Reader, id string) ([]logLine, error) {
+	sc := bufio.NewScanner(r)
+	sc.Buffer(nil, maxLine)
+	for sc.Scan() {
+		text := sc.Text()
+		start := strings.IndexByte(text, '{')
+		if start < 0 || !strings.Contains(text, id) {
+			continue
+		}
+		fields := map[string]any{}
+		d := json.NewDecoder(strings.NewReader(text[start:]))
+		d.UseNumber()
+		if d.Decode(&fields) != nil {
+			continue
+		}
+		lines = append(lines, newLogLine(fields))
+	}
+	return lines, sc.Err()
+}
+
+func newLogLine(fields map[string]any) logLine {
+	l := logLine{fields: fields}
+	l.process, _ = fields["process"].(string)
+	l.event, _ = fields["event"].(string)
+	if n, ok := fields["time"].(json.Number); ok {
+		if us, err := n.Int64(); err == nil {
+			l.at = time.UnixMicro(us)
+		}
+	}
+	return l
+}
+
+// text gives the line with its time since the first.
+func (l logLine) text(first time.Time) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%9.3f s  %-20s %s", l.at.Sub(first).Seconds(), l.process, l.event)
+	for _, k := range slices.SortedFunc(maps.Keys(l.fields), cmp.Compare[string]) {
+		if v := l.fields[k]; !slices.Contains(notFields, k) && v != "" {
+			fmt.Fprintf(&b, " %s=%v", k, v)
+		}
+	}
+	return b.String()
+}
