--- a/pace/pace.go
+++ b/pace/pace.go
@@ -15,6 +15,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -45,9 +46,9 @@
 	// show it half a second later.
 	rise = 0.25
 	// patience is how long a tail may stay over its objective until all fillers
-	// of the VM stop: two figures that show a cut, and well within the 4 s that
-	// users accept.
-	patience = 1_200 * time.Millisecond
+	// of the VM stop: longer than a figure that jumped takes to fall back, and
+	// well within the 4 s that users accept.
+	patience = 2_200 * time.Millisecond
 	// relief is the tail over its objective below which they go on.
 	relief = 0.9
 )
@@ -74,6 +75,7 @@
 // Step returns the speeds of the fillers, 0 to 1, in their order. idle is the
 // part of the VM's processors that the fillers may use together.
 func Step(serving []Serving, fillers []Filler, idle float64, effect Effects) []float64 {
+	serving = Typical(serving)
 	room := make([]float64, len(serving))
 	over := make([]bool, len(serving))
 	for i, s := range serving {
@@ -94,6 +96,23 @@
 	return speeds
 }
 
+// Typical returns one serving task for each image, with the lower median of the
+// tails. The figures are rough: now and then that of a single task jumps tenfold
+// and falls back over a second, beside another of its image that stays calm under
+// the same fillers.
+func Typical(serving []Serving) (typical []Serving) {
+	byImage := map[string][]float64{}
+	for _, s := range serving {
+		byImage[s.Image] = append(byImage[s.Image], s.Tail)
+	}
+	for _, image := range slices.Sorted(maps.Keys(byImage)) {
+		tails := byImage[image]
+		slices.Sort(tails)
+		typical = append(typical, Serving{image, tails[(len(tails)-1)/2]})
+	}
+	return typical
+}
+
 // roomOf is how much fillers may add to the logarithm of a task's tail.
 func roomOf(s Serving, fillers []Filler, effect Effects) float64 {
 	explained := 0.0
