--- a/interference/interference.go
+++ b/interference/interference.go
@@ -30,6 +30,10 @@
 	Effect      float64       // of an unseen pair: on ln(latency), for all processors
 	EffectError float64       // its standard error
 	NoiseVar    float64       // variance of ln(latency) between windows
+
+	// Outlier bounds how far a window may pull the fit, as a difference of
+	// ln(latency); 0 means any.
+	Outlier float64
 }
 
 // Services is the prior for services beside batch jobs that hold processors of
@@ -44,7 +48,7 @@
 // effects of about 0, the others of 3 to 25; tails of half a second swing by a
 // third of themselves without any filler.
 func Fillers() Prior {
-	return Prior{HalfLife: 30 * time.Second, Effect: 3, EffectError: 8, NoiseVar: 0.12}
+	return Prior{HalfLife: 30 * time.Second, Effect: 3, EffectError: 8, NoiseVar: 0.12, Outlier: 1.5}
 }
 
 // Sample is one window of one service at one upstream.
@@ -103,8 +107,14 @@
 	beta  []float64
 	cov   [][]float64
 	at    time.Time
+
+	samples int
 }
 
+// settled is how many windows a fit needs before it calls any an outlier: the
+// base is far off at first.
+const settled = 5
+
 func newFit(p Prior) *fit {
 	f := &fit{prior: p, index: map[string]int{}}
 	f.grow(math.Log(0.01), 4) // 10 ms within a factor of e² or so
@@ -189,8 +199,13 @@
 	for i := range n {
 		variance += x[i] * px[i]
 	}
+	off := y - predicted
+	if o := f.prior.Outlier; o > 0 && f.samples > settled {
+		off = max(-o, min(o, off))
+	}
+	f.samples++
 	for i := range n {
-		f.beta[i] += px[i] / variance * (y - predicted)
+		f.beta[i] += px[i] / variance * off
 	}
 	for i := range n {
 		for j := range n {
--- a/scheduler/effects.go
+++ b/scheduler/effects.go
@@ -38,22 +38,16 @@
 
 // crew is the serving tasks and the fillers that run on a VM.
 type crew struct {
-	serving map[string]bool                  // images
-	images  map[string]bool                  // of fillers, also of those paced to a standstill
-	tails   map[rudderfork.RunRef]servedTail // of the tasks at work
-	used    float64                          // part of the processors that others than fillers use, about
-}
-
-// servedTail is one serving task's last figure.
-type servedTail struct {
-	image string
-	ms    int64
+	serving map[string]bool // images
+	images  map[string]bool // of fillers, also of those paced to a standstill
+	tails   []pace.Serving  // of the tasks at work, in ms
+	used    float64         // part of the processors that others than fillers use, about
 }
 
 func crewOf(s *queue.State, vm *queue.VM, v *vmInfo) crew {
 	c := crew{
 		serving: map[string]bool{},
-		images:  map[string]bool{}, tails: map[rudderfork.RunRef]servedTail{},
+		images:  map[string]bool{},
 	}
 	for k, r := range v.rows {
 		if vm.Runs()[k] != r.row.Run {
@@ -66,7 +60,7 @@
 			c.serving[st.Image] = true
 			c.used += cpu * pace.ServingUse
 			if r.row.Percent == fullPercent {
-				c.tails[r.row.RunRef] = servedTail{st.Image, r.row.Load}
+				c.tails = append(c.tails, pace.Serving{Image: st.Image, Tail: float64(r.row.Load)})
 			}
 		case st.Filler:
 			c.images[st.Image] = true
@@ -96,9 +90,9 @@
 	if b.Worked == nil || used > crowded {
 		return // tails over used-up processors tell nothing of the pairs
 	}
-	for _, t := range c.tails {
+	for _, t := range pace.Typical(c.tails) {
 		e.model.Observe(interference.Sample{
-			Service: rudderfork.Service(t.image), At: now, Latency: time.Duration(t.ms) * time.Millisecond, Shares: b.Worked,
+			Service: rudderfork.Service(t.Image), At: now, Latency: time.Duration(t.Tail * float64(time.Millisecond)), Shares: b.Worked,
 		})
 	}
 }
