Hand the leader's part on before a planned stop

Cause: a stop of the leader left the group without one for 0.5 to 1 s, and every session and call with it.

Change: quorum.Transfer: the leader takes no more commands until its heir has caught up, then asks it to campaign; votes for it are not refused for the sake of the living leader.

--- a/quorum/election.go
+++ b/quorum/election.go
@@ -15,12 +15,57 @@
 	}
 	for _, id := range n.voters() {
 		if id != n.cfg.ID {
-			n.send(Message{Type: typ, To: id, Term: term, LogIndex: n.log.last(), LogTerm: n.log.lastTerm()})
+			n.send(Message{
+				Type: typ, To: id, Term: term, LogIndex: n.log.last(), LogTerm: n.log.lastTerm(), Transfer: n.transferred,
+			})
 		}
 	}
 	n.countVotes(now)
 }
 
+// Transfer has the voter that lags least campaign as soon as it has caught up.
+// Until then, or until an election timeout has passed, nothing is proposed here;
+// this replica steps down when it hears of the new term. The claims that
+// rest on QuorumContact hold, since they follow from the order of votes and
+// acknowledgements at one replica, not from the wait before a campaign.
+func (n *Node) Transfer(now time.Time) {
+	if n.role != Leader {
+		return
+	}
+	var best MemberID
+	for _, id := range n.voters() {
+		p := n.peers[id]
+		if p != nil && !n.silent(id, now) && (best == "" || p.match > n.peers[best].match) {
+			best = id
+		}
+	}
+	if best == "" {
+		return
+	}
+	n.heir, n.heirUntil = best, now.Add(n.cfg.ElectionTimeout)
+	n.handOver()
+}
+
+// handOver asks the heir to campaign once its log is as long as this one; with a
+// shorter one it would not be elected.
+func (n *Node) handOver() {
+	if p := n.peers[n.heir]; p != nil && p.match == n.log.last() {
+		n.send(Message{Type: MsgTransfer, To: n.heir})
+	}
+}
+
+// handing reports whether this leader takes no more commands, so that its heir
+// can catch up.
+func (n *Node) handing(now time.Time) bool { return n.heir != "" && now.Before(n.heirUntil) }
+
+func (n *Node) onTransfer(m Message, now time.Time) {
+	if n.role == Follower && n.leader == m.From && n.voter() {
+		n.transferred = true
+		n.campaign(Candidate, now)
+		n.transferred = false
+	}
+}
+
 func (n *Node) onVoteRequest(m Message, now time.Time) {
 	pre := m.Type == MsgPreVote
 	reply := Message{Type: MsgVoteReply, To: m.From, Term: m.Term}
@@ -39,7 +84,7 @@
 }
 
 func (n *Node) wouldVote(m Message, pre bool, now time.Time) bool {
-	if n.leaderAlive(now) {
+	if n.leaderAlive(now) && !m.Transfer {
 		return false
 	}
 	if pre && m.Term <= n.hard.Term {
--- a/quorum/leader.go
+++ b/quorum/leader.go
@@ -8,6 +8,7 @@
 func (n *Node) becomeLeader(now time.Time) {
 	n.role = Leader
 	n.leader = n.cfg.ID
+	n.heir = ""
 	n.heardAt = now
 	n.peers = map[MemberID]*progress{}
 	n.termStart = n.log.last() + 1
@@ -67,7 +68,7 @@
 
 // Propose appends a command. ok is false unless this replica leads.
 func (n *Node) Propose(data []byte, now time.Time) (index, term uint64, ok bool) {
-	if n.role != Leader {
+	if n.role != Leader || n.handing(now) {
 		return 0, 0, false
 	}
 	index = n.appendEntry(Entry{Kind: EntryCommand, Data: data})
@@ -208,6 +209,9 @@
 	}
 	p.next = max(p.next, p.match+1)
 	n.advanceCommit(now)
+	if m.From == n.heir && n.handing(now) {
+		n.handOver()
+	}
 	if p.next <= n.log.last() {
 		n.sendAppend(m.From, p, now, false)
 	}
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -42,6 +42,12 @@
 
 	out       Ready
 	hardDirty bool
+
+	transferred bool // the campaign was asked for by the leader
+
+	// heir is whom this leader hands its part to, until heirUntil.
+	heir      MemberID
+	heirUntil time.Time
 }
 
 // progress is what a leader knows of another replica.
@@ -176,6 +182,8 @@
 		n.onVoteRequest(m, now)
 	case MsgPreVoteReply, MsgVoteReply:
 		n.onVoteReply(m, now)
+	case MsgTransfer:
+		n.onTransfer(m, now)
 	}
 }
 
@@ -192,7 +200,7 @@
 			return false
 		}
 	case MsgVote:
-		if n.leaderAlive(now) {
+		if n.leaderAlive(now) && !m.Transfer {
 			return false
 		}
 	}
@@ -217,6 +225,7 @@
 	}
 	n.role = Follower
 	n.leader = leader
+	n.heir = ""
 	n.peers = nil
 	n.votes = nil
 	n.resetElection(now)
--- a/quorum/quorum.go
+++ b/quorum/quorum.go
@@ -16,7 +16,7 @@
 // replica that was cut off does not disturb the rest; step-down of a leader
 // that a quorum no longer answers; snapshots; non-voting replicas; and changes
 // of one voter at a time, allowed only after an entry of the leader's own term
-// has committed.
+// has committed. A leader that is to stop hands its part to another (Transfer).
 //
 // Time enters in one way. Every append carries the leader's clock and its
 // acknowledgement echoes it. QuorumContact is the newest time T such that a
@@ -85,6 +85,7 @@
 	MsgVote
 	MsgVoteReply
 	MsgSnapshot
+	MsgTransfer // asks a voter to campaign at once, since its leader stops
 )
 
 // Message passes between two replicas. Lost, doubled and reordered messages
@@ -102,6 +103,7 @@
 	Reject   bool        `cbor:"10,keyasint,omitempty"`
 	Match    uint64      `cbor:"11,keyasint,omitempty"` // replies: highest index known equal, or hint
 	Sent     int64       `cbor:"12,keyasint,omitempty"` // leader's clock, Unix ns, echoed
+	Transfer bool        `cbor:"13,keyasint,omitempty"` // votes: the leader itself gave up its part
 }
 
 // Ready is the work a Node asks of its caller, in the order of the fields.
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -487,3 +487,44 @@
 		}
 	}
 }
+
+// TestTransfer has leaders hand their part on: another leads before any timeout
+// has passed, and nothing that was committed is lost.
+func TestTransfer(t *testing.T) {
+	for seed := range uint64(20) {
+		g := newGroup(t, 3, 100+seed)
+		old := g.waitLeader()
+		_, ok := g.propose("before")
+		assert.Assert(t, ok)
+		g.run(30)
+		for i := range 5 { // not replicated yet: the heir has to catch up first
+			_, ok := g.propose(fmt.Sprintf("last-%d", i))
+			assert.Assert(t, ok)
+		}
+		old.node.Transfer(g.now)
+		g.ready(old, nil)
+		g.run(15) // 75 ms; the least timeout is 100 ms
+		l := g.leader()
+		assert.Assert(t, l != nil && l.id != old.id, "seed %d: nobody took over", seed)
+		_, ok = g.propose("after")
+		assert.Assert(t, ok)
+		g.run(30)
+		assert.Assert(t, g.hasCommitted("before") && g.hasCommitted("last-4") && g.hasCommitted("after"))
+	}
+}
+
+// TestTransferToNobody keeps a leader whose followers are gone from giving up
+// its part to one of them.
+func TestTransferToNobody(t *testing.T) {
+	g := newGroup(t, 3, 5)
+	l := g.waitLeader()
+	for _, id := range g.order {
+		if id != l.id {
+			g.crash(id)
+		}
+	}
+	l.node.Transfer(g.now)
+	g.ready(l, nil)
+	g.run(5)
+	assert.Equal(t, l.node.Role(), Leader)
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -60,6 +60,7 @@
 	proposals chan proposal
 	reads     chan read
 	joins     chan quorum.Member
+	resigns   chan struct{}
 
 	// Owned by Serve.
 	node    *quorum.Node
@@ -132,7 +133,8 @@
 		log: log, rec: rec, now: now, send: send, store: store, every: cfg.SnapshotEvery, size: cfg.Voters,
 		msgs: make(chan quorum.Message, maxDrain), proposals: make(chan proposal, maxDrain),
 		reads: make(chan read, maxDrain), joins: make(chan quorum.Member, 1),
-		node: node, waiting: map[uint64]proposal{}, snapAt: snap.Index,
+		resigns: make(chan struct{}, 1),
+		node:    node, waiting: map[uint64]proposal{}, snapAt: snap.Index,
 		state: st, change: make(chan struct{}),
 	}
 	r.publish()
@@ -157,6 +159,8 @@
 			r.startRead(rd)
 		case m := <-r.joins:
 			r.join(m)
+		case <-r.resigns:
+			r.node.Transfer(r.now())
 		case <-timer.C:
 			r.node.Tick(r.now())
 			r.repair()
@@ -448,6 +452,30 @@
 	return r.change
 }
 
+// Resign hands the leader's part to another replica, if this one has it, and
+// waits until it has gone over or ctx ends.
+func (r *Replica) Resign(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := r.Changed()
+		if r.Status().Role != quorum.Leader.String() {
+			return
+		}
+		select {
+		case r.resigns <- struct{}{}:
+		default: // it is asked for already
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		case <-time.After(resignPause):
+		}
+	}
+}
+
+// resignPause is between two tries to hand the leader's part on: a few round
+// trips and syncs.
+const resignPause = 100 * time.Millisecond
+
 // Join asks that a replica be added. Nothing answers: the one that wants to
 // join asks again until it is a member.
 func (r *Replica) Join(m quorum.Member) {
