--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -543,6 +543,7 @@
 		g.crash(old.id)
 		for _, id := range g.order {
 			if id != old.id {
+				g.cut[[2]MemberID{old.id, id}] = true // a connection ends after what it carried
 				g.replicas[id].node.Suspect(old.id, g.now)
 			}
 		}
