Show the queues with real programs, without the platform

make demo-queues: three core, two side and one edge machine on loopback; a job of two steps, one whose tasks last, kill -9 of the leader, rudderctl's explanations. Part of make test.

--- a/Makefile
+++ b/Makefile
@@ -5,10 +5,10 @@
 LINT    := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 PROGRAMS := rudder-control rudder-entry rudder-agent rudderctl
 
-.PHONY: help build tools demo test lint unit race real prove bench
+.PHONY: help build tools demo demo-queues test lint unit race real prove bench
 
 help: ## list the targets
-	@grep -hE '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 10
+	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 14
 
 build: ## build the programs and the stand-ins into bin/
 	@mkdir -p $(BIN)
@@ -22,6 +22,9 @@
 demo: build ## start one of everything on loopback and show what it does
 	@$(BIN)/demo -bin $(BIN)
 
+demo-queues: build ## show the queues on the platform's interfaces, without the platform
+	@$(BIN)/demo-queues -bin $(BIN)
+
 lint: tools ## formatter, linter and vet
 	@out=$$($(BIN)/gofumpt -l $$(git ls-files '*.go')); test -z "$$out" || { echo "not formatted: $$out"; exit 1; }
 	@$(GO) vet ./...
@@ -36,7 +39,7 @@
 real: build ## tests with real processes behind a fault-injecting proxy
 	@RUDDER_BIN=$(BIN) $(GO) test -tags proof -count=1 -timeout 30m ./proof/...
 
-test: lint unit race real ## every check
+test: lint unit race real demo-queues ## every check
 
 prove: build ## print one line for each promise of the brief
 	@RUDDER_BIN=$(BIN) $(GO) test -tags proof -count=1 -timeout 40m -v -run TestProve ./proof/... | grep -E '^(PROVED|FAILED|ok|FAIL|---)' ; exit $${PIPESTATUS[0]}
--- /dev/null
+++ b/cmd/demo-queues/main.go
@@ -0,0 +1,264 @@
+// Command demo-queues shows the queues on the platform's interfaces, without the
+// platform: real programs on loopback, stand-ins for executors, operator and
+// client. It exits with 1 if anything is not as it should be.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/operator"
+	"rudderfork.example/rudderfork/platform/standin"
+)
+
+const (
+	// limit bounds the whole demo.
+	limit = 60 * time.Second
+	// pause is between two looks at a condition.
+	pause = 50 * time.Millisecond
+	cores = 3
+	sides = 2
+	host  = "desk.example"
+)
+
+func main() {
+	bin := flag.String("bin", "bin", "folder with the programs")
+	flag.Parse()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	err := run(ctx, *bin)
+	cancel()
+	if err != nil {
+		fmt.Println("DEMO FAILED:", err)
+		os.Exit(1)
+	}
+	fmt.Println("DEMO PASSED")
+}
+
+func run(ctx context.Context, bin string) (err error) {
+	bin, err = filepath.Abs(bin)
+	if err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", "rudderfork-queues-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	site, err := standin.NewSite(bin, dir, cores)
+	if err != nil {
+		return err
+	}
+	defer site.Close()
+	d := &demo{ctx: ctx, site: site, bin: bin, dir: dir}
+	for _, step := range []func() error{d.start, d.document, d.feed, d.roster, d.killLeader, d.show, d.cancel} {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// demo is one run.
+type demo struct {
+	ctx      context.Context
+	site     *standin.Site
+	bin, dir string
+}
+
+func say(format string, args ...any) { fmt.Printf("== "+format+"\n", args...) }
+
+// start starts one program a machine.
+func (d *demo) start() error {
+	say("three core machines, two side machines with executors, one edge machine")
+	for i := range cores {
+		if err := d.site.StartCore(i, true); err != nil {
+			return err
+		}
+	}
+	for i := range sides {
+		if err := d.site.StartSide(i, rudderfork.Resources{CPUMilli: 4000, MemoryMB: 8000}); err != nil {
+			return err
+		}
+		go d.site.Runners[i].Report(d.ctx, d.site.AgentAddr(i))
+	}
+	return d.site.StartEntry()
+}
+
+// until waits for a condition.
+func (d *demo) until(what string, ok func() bool) error {
+	for !ok() {
+		select {
+		case <-d.ctx.Done():
+			return errors.New("it did not come to pass that " + what)
+		case <-time.After(pause):
+		}
+	}
+	return nil
+}
+
+func (d *demo) document() error {
+	say("the operator puts the document of queues")
+	doc := map[string]any{
+		"version": 1, "services": []any{map[string]any{"name": "desk"}},
+		"routes": []any{map[string]any{
+			"name": "rosters", "host": host, "path_prefix": "/rosters/", "timeout_ms": 3000, "service": "desk",
+			"max_attempts": 3, "stretch": 2, "target_latency_ms": 1000,
+		}},
+	}
+	return d.until("the document is taken", func() bool {
+		status, _, err := standin.Call(d.ctx, http.MethodPut, "http://"+d.site.ControlAddr(0)+"/config", "", doc)
+		return err == nil && status == http.StatusOK
+	})
+}
+
+func (d *demo) call(method, id string, body any) (status int, answer []byte) {
+	status, answer, err := standin.Call(d.ctx, method, "http://"+d.site.FrontAddr()+"/rosters/"+id, host, body)
+	if err != nil {
+		return 0, nil
+	}
+	return status, answer
+}
+
+func (d *demo) submit(id, payload string, steps ...any) error {
+	return d.until(id+" is accepted", func() bool {
+		status, _ := d.call(http.MethodPost, id, map[string]any{"task_spec": payload, "steps": steps})
+		return status == http.StatusOK
+	})
+}
+
+func (d *demo) state(id string) string {
+	var b struct {
+		State string `json:"state"`
+	}
+	_, answer := d.call(http.MethodGet, id, nil)
+	_ = json.Unmarshal(answer, &b) // without a state it is asked again
+	return b.State
+}
+
+func (d *demo) atWork() (n int) {
+	for _, e := range d.site.Execs {
+		for _, r := range e.Running() {
+			if strings.HasPrefix(string(r.Task), "feed1.") {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (d *demo) feed() error {
+	say("a client hands in a job whose two tasks last")
+	if err := d.submit("feed1", "", map[string]any{"count": 2, "cpu": 1000, "long_running": true, "anti_affinity": 1}); err != nil {
+		return err
+	}
+	return d.until("the feed is at work on both machines", func() bool { return d.atWork() == 2 })
+}
+
+func (d *demo) roster() error {
+	say("and one of two steps: four tasks, then one that needs them all")
+	began := time.Now()
+	if err := d.submit("roster1", "work=300ms",
+		map[string]any{"count": 4, "cpu": 500, "est_duration_ms": 300},
+		map[string]any{"count": 1, "cpu": 500, "est_duration_ms": 300, "depends_on": []int{0}}); err != nil {
+		return err
+	}
+	if err := d.until("the roster is completed", func() bool { return d.state("roster1") == "completed" }); err != nil {
+		return err
+	}
+	say("completed after %d ms, of which 600 ms are work", time.Since(began).Milliseconds())
+	return nil
+}
+
+// killLeader kills the leader with a job on its way.
+func (d *demo) killLeader() error {
+	op := operator.New(d.site.OperatorAddrs())
+	leader := ""
+	for i, addr := range d.site.OperatorAddrs() {
+		resp, err := http.DefaultTransport.RoundTrip(mustRequest(d.ctx, "http://"+addr+"/v1/queues"))
+		if err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				leader = fmt.Sprintf("core-%d", i+1)
+			}
+		}
+	}
+	if leader == "" {
+		return errors.New("nobody leads")
+	}
+	if err := d.submit("roster2", "work=500ms", map[string]any{"count": 6, "cpu": 500, "est_duration_ms": 500}); err != nil {
+		return err
+	}
+	say("kill -9 %s, which leads, while roster2 runs", leader)
+	if err := d.site.Kill(leader); err != nil {
+		return err
+	}
+	began := time.Now()
+	if err := d.until("another leads", func() bool { _, err := op.Queues(d.ctx); return err == nil }); err != nil {
+		return err
+	}
+	say("another leads after %d ms", time.Since(began).Milliseconds())
+	if err := d.until("roster2 is completed", func() bool { return d.state("roster2") == "completed" }); err != nil {
+		return err
+	}
+	j, err := op.QueueJob(d.ctx, "roster2")
+	if err != nil {
+		return err
+	}
+	for _, t := range j.Tasks {
+		if t.Runs != 1 {
+			return fmt.Errorf("%s was started %d times", t.Task, t.Runs)
+		}
+	}
+	if n := d.atWork(); n != 2 {
+		return fmt.Errorf("%d tasks of the feed are at work; want 2", n)
+	}
+	say("each of its tasks ran once, and the feed never stopped")
+	return nil
+}
+
+func mustRequest(ctx context.Context, url string) *http.Request {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		panic(err) // the URL is made here
+	}
+	return req
+}
+
+// show lets rudderctl explain.
+func (d *demo) show() error {
+	control := strings.Join(d.site.OperatorAddrs(), ",")
+	for _, args := range [][]string{{"queues"}, {"queue-vms"}, {"queue-job", "roster2"}} {
+		say("rudderctl %s", strings.Join(args, " "))
+		cmd := exec.CommandContext(d.ctx, filepath.Join(d.bin, "rudderctl"), append([]string{"-control", control}, args...)...)
+		cmd.Stdout, cmd.Stderr = os.Stdout, os.Stderr
+		if err := cmd.Run(); err != nil {
+			return err
+		}
+	}
+	logs, err := filepath.Glob(filepath.Join(d.dir, "*.log"))
+	if err != nil {
+		return err
+	}
+	say("rudderctl trace roster1.0.1.0, from the logs of all processes")
+	cmd := exec.CommandContext(d.ctx, filepath.Join(d.bin, "rudderctl"), append([]string{"trace", "roster1.0.1.0"}, logs...)...)
+	cmd.Stdout, cmd.Stderr = os.Stdout, os.Stderr
+	return cmd.Run()
+}
+
+func (d *demo) cancel() error {
+	say("the client cancels the feed")
+	if status, _ := d.call(http.MethodDelete, "feed1", nil); status != http.StatusOK {
+		return fmt.Errorf("the cancel was answered with %d", status)
+	}
+	return d.until("nothing of it runs", func() bool { return d.atWork() == 0 })
+}
