--- a/control/session.go
+++ b/control/session.go
@@ -43,9 +43,7 @@
 }
 
 func receiveHello(ctx context.Context, c *wire.Conn[wire.ToNode, wire.ToControl]) (*wire.Hello, error) {
-	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
-	defer cancel()
-	m, err := c.Receive(ctx)
+	m, err := c.ReceiveWithin(ctx, helloTimeout)
 	switch {
 	case err != nil:
 		return nil, err
@@ -114,7 +112,7 @@
 		s.write(ctx)
 	}()
 	for {
-		m, err := s.receive(ctx)
+		m, err := s.conn.ReceiveWithin(ctx, silenceLimit)
 		if err != nil {
 			return err
 		}
@@ -122,12 +120,6 @@
 	}
 }
 
-func (s *session) receive(ctx context.Context) (wire.ToControl, error) {
-	ctx, cancel := context.WithTimeout(ctx, silenceLimit)
-	defer cancel()
-	return s.conn.Receive(ctx)
-}
-
 // write sends what is new and the answers, until the session ends.
 func (s *session) write(ctx context.Context) {
 	welcome := wire.ToNode{Welcome: &wire.Welcome{Epoch: s.epoch}}
--- a/node/client.go
+++ b/node/client.go
@@ -132,7 +132,7 @@
 
 func (c *Client) read(ctx context.Context, conn *wire.Conn[wire.ToControl, wire.ToNode], l link) error {
 	for {
-		m, err := c.receive(ctx, conn)
+		m, err := conn.ReceiveWithin(ctx, silenceBeats*c.every)
 		if err != nil {
 			return err
 		}
@@ -159,12 +159,6 @@
 	}
 }
 
-func (c *Client) receive(ctx context.Context, conn *wire.Conn[wire.ToControl, wire.ToNode]) (wire.ToNode, error) {
-	ctx, cancel := context.WithTimeout(ctx, silenceBeats*c.every)
-	defer cancel()
-	return conn.Receive(ctx)
-}
-
 // prefer tries the leader's address next, if it is one of the settings.
 func (c *Client) prefer(addr string) {
 	for i, a := range c.addrs {
--- /dev/null
+++ b/scheduler/vm.go
@@ -0,0 +1,218 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/internal/steady"
+	"rudderfork.example/rudderfork/queue"
+	"rudderfork.example/rudderfork/state"
+	"rudderfork.example/rudderfork/wire"
+)
+
+// orders returns what the VM has not been told yet.
+func (ses *session) orders() (o *wire.Orders, ok bool) {
+	ses.s.rep.View(func(st *state.State) {
+		ses.s.mu.Lock()
+		defer ses.s.mu.Unlock()
+		o = ses.newOrders(st.Queues())
+	})
+	return o, o.Full || len(o.Start)+len(o.Stop) > 0
+}
+
+// newOrders compares what was sent with what is to run. The caller holds mu.
+func (ses *session) newOrders(qs *queue.State) *wire.Orders {
+	o := &wire.Orders{Epoch: ses.epoch, Life: ses.life}
+	vm := qs.VM(ses.vm)
+	if ses.epoch == 0 || vm == nil || vm.Epoch != ses.epoch || !vm.Live {
+		return o
+	}
+	o.Full = !ses.full
+	ses.full = true
+	active := map[rudderfork.RunRef]bool{}
+	for k, run := range vm.Runs() {
+		ref := rudderfork.RunRef{Task: rudderfork.TaskID(k.String()), Run: run}
+		active[ref] = true
+		if !ses.sent[ref] {
+			ses.sent[ref] = true
+			o.Start = append(o.Start, orderOf(qs.Job(k.Job), k, ref))
+		}
+		if _, stop := ses.s.fleet.stops[ref]; stop && !ses.stops[ref] {
+			ses.stops[ref] = true
+			o.Stop = append(o.Stop, ref)
+		}
+	}
+	for ref := range ses.sent {
+		if active[ref] {
+			continue
+		}
+		// Its end is known, or was concluded from elsewhere; stopping what has
+		// ended does nothing.
+		delete(ses.sent, ref)
+		if !ses.stops[ref] {
+			o.Stop = append(o.Stop, ref)
+		}
+		delete(ses.stops, ref)
+	}
+	if len(o.Start) > 0 {
+		// A filler's pace is right from its start only if its effects are known.
+		c := crewOf(qs, vm, ses.s.fleet.vm(ses.vm))
+		for k := range vm.Runs() {
+			c.add(qs.Job(k.Job).Spec.Steps[k.Step])
+		}
+		o.Effects = ses.s.fleet.effects.news(c, ses.told, steady.Now())
+	}
+	return o
+}
+
+func orderOf(j *queue.Job, k queue.TaskKey, ref rudderfork.RunRef) wire.RunOrder {
+	st := j.Spec.Steps[k.Step]
+	return wire.RunOrder{
+		RunRef: ref, Payload: j.Spec.Payload, Checkpoint: j.Task(k).Checkpoint, Ticket: ticketOf(j.Task(k), ref.Run),
+		TailMS: st.TailMS, Filler: st.Filler, Image: st.Image, CPUMilli: st.Size.CPUMilli,
+	}
+}
+
+// ticketOf returns the ticket that a run was started with.
+func ticketOf(t *queue.Task, number uint32) string {
+	for _, r := range t.Runs {
+		if r.Number == number {
+			return r.Ticket
+		}
+	}
+	return ""
+}
+
+// beat takes a VM's heartbeat, registers the VM where that is needed, and
+// grants it a lease.
+func (ses *session) beat(ctx context.Context, b wire.VMBeat) error {
+	if !b.Mute {
+		if err := ses.register(ctx, b.VM); err != nil {
+			return err
+		}
+	}
+	s, now := ses.s, steady.Now()
+	st := s.rep.Status()
+	if !st.Leads() || st.Term != ses.term {
+		return errNotLeading
+	}
+	grant := wire.VMGrant{Sent: b.Sent, Life: b.VM.Life, Epoch: ses.epoch}
+	s.mu.Lock()
+	v := s.fleet.vm(b.VM.ID)
+	fresh := v.session != ses
+	v.session = ses
+	v.take(b, now)
+	if !b.Mute && ses.epoch != 0 {
+		grant.LeaseMS = v.lease.Grant(time.Unix(0, st.ContactNS), now, s.cfg.Lease).Milliseconds()
+	}
+	s.mu.Unlock()
+	grant.Effects = ses.learn(now)
+	ses.reply(wire.ToQueueNode{Grant: &grant})
+	if fresh {
+		ses.wake()
+		s.kick()
+	}
+	return nil
+}
+
+// learn draws on the VM's account for the effects of fillers, and returns those
+// that its agent lacks.
+func (ses *session) learn(now time.Time) (list []wire.PairEffect) {
+	ses.s.rep.View(func(st *state.State) {
+		ses.s.mu.Lock()
+		defer ses.s.mu.Unlock()
+		vm := st.Queues().VM(ses.vm)
+		if vm == nil {
+			return
+		}
+		v := ses.s.fleet.vm(ses.vm)
+		c := crewOf(st.Queues(), vm, v)
+		ses.s.fleet.effects.learn(c, v.beat, now)
+		list = ses.s.fleet.effects.news(c, ses.told, now)
+	})
+	return list
+}
+
+// register commits the VM's description if it is new.
+func (ses *session) register(ctx context.Context, vm queue.VM) error {
+	if ses.registered(vm) || !ses.mayRegister(vm.ID) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	if _, err := ses.s.do(ctx, queue.Command{Register: &vm}); err != nil {
+		return err
+	}
+	ses.s.log.Info().Str("registered_vm", string(vm.ID)).Str("life", vm.Life).Stringer("capacity", vm.Capacity).
+		Strs("labels", vm.Labels).Msg("vm_registered")
+	ses.s.mu.Lock()
+	ses.s.fleet.vm(vm.ID).lease.Renew()
+	ses.s.mu.Unlock()
+	if !ses.registered(vm) {
+		return errNotLeading
+	}
+	return nil
+}
+
+// mayRegister reports whether a VM may be registered, and gives it time to fetch
+// its first lease. While its loss is being committed it may not: a lease granted
+// after that would outlive the runs it was granted for.
+func (ses *session) mayRegister(id rudderfork.VMID) (ok bool) {
+	ses.s.rep.View(func(st *state.State) {
+		ses.s.mu.Lock()
+		defer ses.s.mu.Unlock()
+		v, known := ses.s.fleet.vm(id), st.Queues().VM(id)
+		ok = !v.lease.Expiring() || known == nil || !known.Live
+		if ok {
+			v.lease.Assume(steady.Now().Add(ses.s.cfg.Lease))
+		}
+	})
+	return ok
+}
+
+// registered reports whether the state knows the VM as it describes itself, and
+// takes over its epoch.
+func (ses *session) registered(vm queue.VM) (ok bool) {
+	ses.s.rep.View(func(st *state.State) {
+		ses.s.mu.Lock()
+		defer ses.s.mu.Unlock()
+		known := st.Queues().VM(vm.ID)
+		ok = known != nil && known.Live && known.Same(vm) && !ses.s.fleet.vm(vm.ID).lease.Expiring()
+		if !ok {
+			return
+		}
+		if ses.epoch != known.Epoch {
+			ses.vm, ses.life, ses.epoch, ses.full = vm.ID, known.Life, known.Epoch, false
+			clear(ses.sent)
+			clear(ses.stops)
+			ses.wake()
+		}
+	})
+	return ok
+}
+
+// ends commits the ends that a VM reports, then says so.
+func (ses *session) ends(ctx context.Context, r wire.EndsReport) error {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	res, err := ses.s.do(ctx, queue.Command{Ends: &r.Ends})
+	if err != nil {
+		return err
+	}
+	ses.reply(wire.ToQueueNode{Noted: &wire.Noted{Seq: r.Seq}})
+	now := steady.Now()
+	for i, e := range r.Ends.List {
+		if !res.Taken[i] {
+			continue
+		}
+		ses.s.met.ends.WithLabelValues(string(e.How)).Inc()
+		ses.s.mu.Lock()
+		ses.s.fleet.learn(r.Ends.VM, e, now)
+		ses.s.mu.Unlock()
+		ses.s.log.Info().Str("task", e.Task.String()).Uint32("run", e.Run).Str("on", string(r.Ends.VM)).
+			Str("how", string(e.How)).Str("reason", e.Reason).Msg("task_ended")
+		ses.s.record("task_ended", e.Task.String(), "on "+string(r.Ends.VM)+": "+string(e.How)+" "+e.Reason)
+	}
+	return nil
+}
--- a/session/session.go
+++ b/session/session.go
@@ -184,7 +184,7 @@
 
 func (c *Client) read(ctx context.Context, conn *wire.Conn[wire.FromNode, wire.ToQueueNode]) error {
 	for {
-		m, err := receive(ctx, conn)
+		m, err := conn.ReceiveWithin(ctx, silenceLimit)
 		if err != nil {
 			return err
 		}
@@ -198,12 +198,6 @@
 	}
 }
 
-func receive(ctx context.Context, conn *wire.Conn[wire.FromNode, wire.ToQueueNode]) (wire.ToQueueNode, error) {
-	ctx, cancel := context.WithTimeout(ctx, silenceLimit)
-	defer cancel()
-	return conn.Receive(ctx)
-}
-
 func write(ctx context.Context, conn *wire.Conn[wire.FromNode, wire.ToQueueNode], out chan wire.FromNode) {
 	tick := time.NewTicker(pingEvery)
 	defer tick.Stop()
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -94,5 +94,12 @@
 	return m, nil
 }
 
+// ReceiveWithin reads one message, and fails if none comes in time.
+func (c *Conn[Out, In]) ReceiveWithin(ctx context.Context, d time.Duration) (m In, err error) {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	return c.Receive(ctx)
+}
+
 // Close ends the connection at once.
 func (c *Conn[Out, In]) Close() { _ = c.ws.CloseNow() }
