--- a/cmd/demo-queues/main.go
+++ b/cmd/demo-queues/main.go
@@ -108,13 +108,7 @@
 
 func (d *demo) document() error {
 	say("the operator puts the document of queues")
-	doc := map[string]any{
-		"version": 1, "services": []any{map[string]any{"name": "desk"}},
-		"routes": []any{map[string]any{
-			"name": "rosters", "host": host, "path_prefix": "/rosters/", "timeout_ms": 3000, "service": "desk",
-			"max_attempts": 3, "stretch": 2, "target_latency_ms": 1000,
-		}},
-	}
+	doc := standin.Document(1, "rosters", host, "/rosters/", "desk")
 	return d.until("the document is taken", func() bool {
 		status, _, err := standin.Call(d.ctx, http.MethodPut, "http://"+d.site.ControlAddr(0)+"/config", "", doc)
 		return err == nil && status == http.StatusOK
@@ -129,9 +123,9 @@
 	return status, answer
 }
 
-func (d *demo) submit(id, payload string, steps ...any) error {
+func (d *demo) submit(id, payload string, steps ...standin.JobStep) error {
 	return d.until(id+" is accepted", func() bool {
-		status, _ := d.call(http.MethodPost, id, map[string]any{"task_spec": payload, "steps": steps})
+		status, _ := d.call(http.MethodPost, id, standin.Job(payload, steps...))
 		return status == http.StatusOK
 	})
 }
@@ -158,7 +152,7 @@
 
 func (d *demo) feed() error {
 	say("a client hands in a job whose two tasks last")
-	if err := d.submit("feed1", "", map[string]any{"count": 2, "cpu": 1000, "long_running": true, "anti_affinity": 1}); err != nil {
+	if err := d.submit("feed1", "", standin.JobStep{Count: 2, CPUMilli: 1000, Lasting: true, MaxPerVM: 1}); err != nil {
 		return err
 	}
 	return d.until("the feed is at work on both machines", func() bool { return d.atWork() == 2 })
@@ -168,8 +162,8 @@
 	say("and one of two steps: four tasks, then one that needs them all")
 	began := time.Now()
 	if err := d.submit("roster1", "work=300ms",
-		map[string]any{"count": 4, "cpu": 500, "est_duration_ms": 300},
-		map[string]any{"count": 1, "cpu": 500, "est_duration_ms": 300, "depends_on": []int{0}}); err != nil {
+		standin.JobStep{Count: 4, CPUMilli: 500, ExpectedMS: 300},
+		standin.JobStep{Count: 1, CPUMilli: 500, ExpectedMS: 300, After: []int{0}}); err != nil {
 		return err
 	}
 	if err := d.until("the roster is completed", func() bool { return d.state("roster1") == "completed" }); err != nil {
@@ -195,7 +189,7 @@
 	if leader == "" {
 		return errors.New("nobody leads")
 	}
-	if err := d.submit("roster2", "work=500ms", map[string]any{"count": 6, "cpu": 500, "est_duration_ms": 500}); err != nil {
+	if err := d.submit("roster2", "work=500ms", standin.JobStep{Count: 6, CPUMilli: 500, ExpectedMS: 500}); err != nil {
 		return err
 	}
 	say("kill -9 %s, which leads, while roster2 runs", leader)
