--- a/quorum/log.go
+++ b/quorum/log.go
@@ -97,10 +97,7 @@
 		return
 	}
 	s.Members = l.membersAt(s.Index)
-	cut := l.base
-	if s.Index > keep && s.Index-keep > l.base {
-		cut = s.Index - keep
-	}
+	cut := l.keepFrom(s.Index, keep)
 	t, _ := l.term(cut)
 	l.entries = append([]Entry(nil), l.entries[cut-l.base:]...)
 	l.base, l.baseT = cut, t
@@ -114,5 +111,18 @@
 	l.configs = append([]config(nil), l.configs[keepFrom:]...)
 }
 
+// keepFrom returns the index before the first entry to keep behind index: at most
+// keep entries, of at most keepBytes.
+func (l *log) keepFrom(index, keep uint64) uint64 {
+	size := 0
+	for i := index; i > l.base; i-- {
+		size += len(l.entries[i-l.base-1].Data)
+		if index-i >= keep || size > keepBytes {
+			return i
+		}
+	}
+	return l.base
+}
+
 // reset replaces everything by a snapshot.
 func (l *log) reset(s Snapshot) { *l = *newLog(s, nil) }
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -10,6 +10,9 @@
 	// keepEntries is how many entries stay behind a snapshot, so that a replica
 	// that lags a little is brought up by entries.
 	keepEntries = 2000
+	// keepBytes bounds the payload of these, since an entry may hold a document of
+	// hundreds of kilobytes.
+	keepBytes = 8 << 20
 	// maxUnacked bounds entries sent ahead of a replica's acknowledgement.
 	maxUnacked = 4096
 )
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -570,3 +570,17 @@
 		assert.Equal(t, old.node.Term(), term)
 	})
 }
+
+// TestCompactByBytes keeps little behind a snapshot if entries are large.
+func TestCompactByBytes(t *testing.T) {
+	l := newLog(Snapshot{}, nil)
+	const size, count = 1 << 20, 40
+	for i := range uint64(count) {
+		l.push(Entry{Index: i + 1, Term: 1, Data: make([]byte, size)})
+	}
+	l.compact(Snapshot{Index: count}, keepEntries)
+	assert.Equal(t, len(l.entries), keepBytes/size)
+	assert.Equal(t, l.last(), uint64(count))
+	term, ok := l.term(count - 3)
+	assert.Assert(t, ok && term == 1)
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -37,6 +37,10 @@
 // share one.
 const maxDrain = 512
 
+// maxLogBytes is the size of the log on disk after which a snapshot is taken
+// whatever the number of entries: an eighth of the users' smallest disk.
+const maxLogBytes = 16 << 20
+
 // Sender sends messages to other replicas; it may lose them.
 type Sender interface {
 	Send(m quorum.Message)
@@ -364,7 +368,8 @@
 // maybeSnapshot takes a snapshot when enough was applied since the last.
 func (r *Replica) maybeSnapshot() error {
 	applied := uint64(r.state.Applied())
-	if applied < r.snapAt+r.every {
+	due := applied >= r.snapAt+r.every || applied > r.snapAt && r.store.Size() > maxLogBytes
+	if !due {
 		return nil
 	}
 	data, err := r.state.Encode()
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -12,6 +12,7 @@
 	"rudderfork.example/rudderfork"
 	"rudderfork.example/rudderfork/disk"
 	"rudderfork.example/rudderfork/internal/steady"
+	"rudderfork.example/rudderfork/queue"
 	"rudderfork.example/rudderfork/quorum"
 	"rudderfork.example/rudderfork/state"
 )
@@ -73,3 +74,26 @@
 	cancel()
 	<-flooded
 }
+
+// TestLogBoundedByBytes commits large commands, fewer than the entries between
+// two snapshots: the log on disk must stay small all the same. (Hundreds of large
+// documents would have filled a disk of 128 MB.)
+func TestLogBoundedByBytes(t *testing.T) {
+	r := newReplica(t)
+	r.every = 1 << 40
+	serve(t, r)
+	const each, count = 1 << 20, 48
+	for i := range count {
+		d := queue.Document{Version: uint64(i + 1), Text: make([]byte, each)}
+		for {
+			_, err := r.Do(t.Context(), state.Command{Queue: &queue.Command{Document: &d}})
+			if err == nil {
+				break
+			}
+			assert.ErrorIs(t, err, ErrNotLeader)
+			time.Sleep(time.Millisecond)
+		}
+		assert.Assert(t, r.Status().LogBytes < maxLogBytes+2*each, "the log has %d bytes", r.Status().LogBytes)
+	}
+	assert.Assert(t, r.Status().Snapshot > 0)
+}
