--- a/dispatch/rank.go
+++ b/dispatch/rank.go
@@ -11,40 +11,24 @@
 // late).
 const hopeFactor = 3
 
-// rank orders jobs. Of one priority, those that can still make their objective go
-// before those that are late: by their deadlines alone, a burst makes every job
-// late in its turn.
+// rank orders jobs.
 type rank struct {
 	hopeless bool
 	priority int
-	late     bool
 	deadline int64 // of the objective, leader's clock, Unix ms
 }
 
 func rankOf(row queue.Queue, j *queue.Job, now int64) rank {
 	span := ObjectiveMS(row, j)
-	deadline := j.SubmittedAt + span
 	return rank{
 		hopeless: now > j.SubmittedAt+hopeFactor*span && !lasting(j),
 		priority: row.Priority,
-		late:     !lasting(j) && now+leftMS(j) > deadline,
-		deadline: deadline,
+		deadline: j.SubmittedAt + span,
 	}
 }
 
 func (r rank) compare(o rank) int {
-	return cmp.Or(
-		compareBool(r.hopeless, o.hopeless), cmp.Compare(r.priority, o.priority),
-		compareBool(r.late, o.late), cmp.Compare(r.deadline, o.deadline),
-	)
-}
-
-// leftMS is the expected length of the longest chain of steps that are not done.
-func leftMS(j *queue.Job) (longest int64) {
-	for _, o := range j.Times {
-		longest = max(longest, chainMS(j.Spec, func(step int) bool { return o.Left[step] > 0 }))
-	}
-	return longest
+	return cmp.Or(compareBool(r.hopeless, o.hopeless), cmp.Compare(r.priority, o.priority), cmp.Compare(r.deadline, o.deadline))
 }
 
 func compareBool(a, b bool) int {
@@ -74,21 +58,13 @@
 
 // ChainMS is the expected length of a job's longest chain of dependent steps.
 func ChainMS(spec queue.Spec) (longest int64) {
-	return chainMS(spec, func(int) bool { return true })
-}
-
-// chainMS is the expected length of the longest chain of the steps that count.
-func chainMS(spec queue.Spec, counts func(step int) bool) (longest int64) {
 	ends := make([]int64, len(spec.Steps))
 	for i, st := range spec.Steps {
 		begin := int64(0)
 		for _, d := range st.DependsOn {
 			begin = max(begin, ends[d])
 		}
-		ends[i] = begin
-		if counts(i) {
-			ends[i] += st.ExpectedMS
-		}
+		ends[i] = begin + st.ExpectedMS
 		longest = max(longest, ends[i])
 	}
 	return longest
