End sessions as soon as their leader's part ends

Agents left with their next heartbeat; fronts stayed and refused.

Change: each message of a session asks whether the process still leads in its term.

TestLeads holds the condition, not the cut.

--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -353,3 +353,15 @@
 	s.sched.rep.View(func(st *state.State) { views = queueViews(st.Queues()) })
 	assert.Equal(t, views[0].Live, 20)
 }
+
+// TestLeads holds what ends a session: the process leads no more in its term. (It
+// was asked only with a VM's heartbeat; fronts stayed with a leader that had lost
+// its quorum for 3 s, while its duties waited for a commit.)
+func TestLeads(t *testing.T) {
+	s := newSite(t, nil)
+	s.put(nil)
+	term := s.sched.currentTerm()
+	assert.Assert(t, s.sched.leads(term))
+	assert.Assert(t, !s.sched.leads(term-1))
+	assert.Assert(t, !s.sched.leads(term+1))
+}
--- a/scheduler/session.go
+++ b/scheduler/session.go
@@ -100,6 +100,13 @@
 	return true
 }
 
+// leads reports whether this process still leads in a term. Its duties may be
+// waiting for a commit that will not come, so they are not asked.
+func (s *Scheduler) leads(term uint64) bool {
+	st := s.rep.Status()
+	return st.Leads() && st.Term == term
+}
+
 func (s *Scheduler) close(ses *session) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -147,6 +154,9 @@
 		if err != nil {
 			return err
 		}
+		if !ses.s.leads(ses.term) {
+			return errNotLeading // the node finds the one that does
+		}
 		switch {
 		case m.Ask != nil:
 			go ses.ask(ctx, *m.Ask)
--- a/scheduler/vm.go
+++ b/scheduler/vm.go
@@ -94,7 +94,7 @@
 	}
 	s, now := ses.s, steady.Now()
 	st := s.rep.Status()
-	if !st.Leads() || st.Term != ses.term {
+	if !s.leads(ses.term) {
 		return errNotLeading
 	}
 	grant := wire.VMGrant{Sent: b.Sent, Life: b.VM.Life, Epoch: ses.epoch}
