Keep one copy of the marks of pacing

dispatch had the aim, the least tail and the harmless effect of package pace once more, and its record of a serving task.

--- a/dispatch/colocate.go
+++ b/dispatch/colocate.go
@@ -9,16 +9,9 @@
 )
 
 const (
-	// tailAim is the tail over its objective that fillers are paced to.
-	tailAim = 0.80
-	// usualTail is assumed of a serving task that was not seen yet, and leastTail
-	// is the least that is believed: in a trial, tails without fillers were 0.42
-	// of their objective in the mean.
+	// usualTail is assumed of a serving task that was not seen yet: in a trial,
+	// tails without fillers were 0.42 of their objective in the mean.
 	usualTail = 0.45
-	leastTail = 0.30
-	// harmless is the effect on the logarithm of a tail below which a filler is
-	// not paced.
-	harmless = 0.03
 	// startSpeed is the least speed at which a filler begins while others of its
 	// job run; waitMS is how long a job may have nothing running for that reason
 	// (the users look after 3 s).
@@ -30,17 +23,12 @@
 
 // colocation is what shares a VM's processors.
 type colocation struct {
-	serving []servingTask
+	serving []pace.Serving
 	fillers []filler
 	whole   float64 // thousandths of a core of the VM
 	idle    float64 // of these, what fillers may use together
 }
 
-type servingTask struct {
-	image string
-	tail  float64 // over its objective
-}
-
 // freshMS is how long a filler runs until the tails show it.
 const freshMS = 1_000
 
@@ -77,9 +65,9 @@
 	case st.TailMS > 0:
 		tail := usualTail
 		if run.Load > 0 {
-			tail = max(leastTail, float64(run.Load)/float64(st.TailMS))
+			tail = max(pace.LeastTail, float64(run.Load)/float64(st.TailMS))
 		}
-		c.serving = append(c.serving, servingTask{st.Image, tail})
+		c.serving = append(c.serving, pace.Serving{Image: st.Image, Tail: tail})
 		c.idle -= cpu * pace.ServingUse
 	default:
 		c.idle -= cpu
@@ -92,14 +80,14 @@
 	cpu := float64(max(1, st.Size.CPUMilli))
 	speed := min(1, max(0, c.idle)/cpu)
 	for _, s := range c.serving {
-		harm := effect(s.image, st.Image) * cpu / c.whole
-		if harm < harmless {
+		harm := effect(s.Image, st.Image) * cpu / c.whole
+		if harm < pace.Harmless {
 			continue
 		}
-		room := math.Log(tailAim / s.tail)
+		room := math.Log(pace.Aim / s.Tail)
 		for _, f := range c.fillers {
 			if f.fresh {
-				room -= max(0, effect(s.image, f.image)) * f.cpu * f.speed / c.whole
+				room -= max(0, effect(s.Image, f.image)) * f.cpu * f.speed / c.whole
 			}
 		}
 		speed = min(speed, max(0, room)/harm)
@@ -145,7 +133,7 @@
 	if len(c.serving) > 0 {
 		others := 0
 		for _, s := range c.serving {
-			if s.image != st.Image {
+			if s.Image != st.Image {
 				others++
 			}
 		}
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -31,15 +31,15 @@
 	// ServingUse is the part of its processors that a serving task uses, in the
 	// mean (the mean load of the users' sheets).
 	ServingUse = 0.42
-	// aim is the tail over its objective that is aimed at. The room above is for
+	// Aim is the tail over its objective that is aimed at. The room above is for
 	// load that swings faster than half a second, the age of the figures.
-	aim = 0.80
-	// leastBase is the least tail over its objective that is believed without
+	Aim = 0.80
+	// LeastTail is the least tail over its objective that is believed without
 	// fillers: the figure is in whole milliseconds and noisy.
-	leastBase = 0.30
-	// harmless is the effect on the logarithm of a tail, at full speed, below
+	LeastTail = 0.30
+	// Harmless is the effect on the logarithm of a tail, at full speed, below
 	// which a pair is not paced at all: 3%.
-	harmless = 0.03
+	Harmless = 0.03
 	// cut is what is left of the speed of a filler that may harm a tail that is
 	// over its objective.
 	cut = 0.3
@@ -120,8 +120,8 @@
 	for _, f := range fillers {
 		explained += max(0, effect(s.Image, f.Image)) * f.Share * f.Seen
 	}
-	base := math.Log(max(s.Tail, leastBase)) - explained
-	return math.Log(aim) - max(base, math.Log(leastBase))
+	base := math.Log(max(s.Tail, LeastTail)) - explained
+	return math.Log(Aim) - max(base, math.Log(LeastTail))
 }
 
 // byHarm returns the indexes of the fillers, the least harmful first.
@@ -142,7 +142,7 @@
 	speed := min(1, f.Speed+rise)
 	for i, s := range serving {
 		harm := effect(s.Image, f.Image) * f.Share
-		if harm < harmless {
+		if harm < Harmless {
 			continue
 		}
 		speed = min(speed, max(0, room[i])/harm)
