--- a/control/session.go
+++ b/control/session.go
@@ -49,10 +49,8 @@
 		return nil, err
 	case m.Hello == nil:
 		return nil, errors.New("the first message is no hello")
-	case m.Hello.Version != wire.Version:
-		return nil, fmt.Errorf("%s speaks version %d; want %d", m.Hello.Process, m.Hello.Version, wire.Version)
 	}
-	return m.Hello, nil
+	return m.Hello, wire.CheckVersion(m.Hello.Process, m.Hello.Version)
 }
 
 func newSession(h *hub, c *wire.Conn[wire.ToNode, wire.ToControl], hello wire.Hello) *session {
--- a/queue/model.go
+++ b/queue/model.go
@@ -130,6 +130,11 @@
 // StepKey returns the key of the task's step.
 func (k TaskKey) StepKey() StepKey { return StepKey{k.Job, k.Time, k.Step} }
 
+// Ref names a run of the task, as executors know it.
+func (k TaskKey) Ref(run uint32) rudderfork.RunRef {
+	return rudderfork.RunRef{Task: rudderfork.TaskID(k.String()), Run: run}
+}
+
 // ParseTaskKey is the inverse of String.
 func ParseTaskKey(s string) (k TaskKey, err error) {
 	parts := strings.Split(s, ".")
--- a/runs/keeper.go
+++ b/runs/keeper.go
@@ -355,9 +355,9 @@
 // Noted forgets runs whose ends are committed.
 func (k *Keeper) Noted(ends []queue.End) {
 	for _, e := range ends {
-		id := rudderfork.TaskID(e.Task.String())
-		if o := k.orders[id]; o != nil && o.Run == e.Run {
-			delete(k.orders, id)
+		ref := e.Task.Ref(e.Run)
+		if o := k.orders[ref.Task]; o != nil && o.Run == ref.Run {
+			delete(k.orders, ref.Task)
 		}
 	}
 }
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -201,13 +201,13 @@
 func (f *fleet) setStops(stops []dispatch.Stop) {
 	clear(f.stops)
 	for _, st := range stops {
-		f.stops[rudderfork.RunRef{Task: rudderfork.TaskID(st.Task.String()), Run: st.Run}] = st.Reason
+		f.stops[st.Task.Ref(st.Run)] = st.Reason
 	}
 }
 
 // noteStop reports whether a stop is new.
 func (f *fleet) noteStop(st dispatch.Stop) bool {
-	ref := rudderfork.RunRef{Task: rudderfork.TaskID(st.Task.String()), Run: st.Run}
+	ref := st.Task.Ref(st.Run)
 	if f.noted[ref] {
 		return false
 	}
@@ -218,7 +218,7 @@
 // learn draws conclusions from the end of a run.
 func (f *fleet) learn(vm rudderfork.VMID, e queue.End, now time.Time) {
 	v := f.vm(vm)
-	ref := rudderfork.RunRef{Task: rudderfork.TaskID(e.Task.String()), Run: e.Run}
+	ref := e.Task.Ref(e.Run)
 	switch {
 	case e.How == queue.EndDone:
 		v.addDoubt(-doubtStep, now)
--- a/scheduler/session.go
+++ b/scheduler/session.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"time"
 
@@ -81,10 +80,8 @@
 		return nil, err
 	case m.Hello == nil:
 		return nil, errors.New("the first message is no hello")
-	case m.Hello.Version != wire.Version:
-		return nil, fmt.Errorf("%s speaks version %d; want %d", m.Hello.Process, m.Hello.Version, wire.Version)
 	}
-	return m.Hello, nil
+	return m.Hello, wire.CheckVersion(m.Hello.Process, m.Hello.Version)
 }
 
 // open takes a session in, if this process leads and its duties have begun.
--- a/scheduler/upkeep.go
+++ b/scheduler/upkeep.go
@@ -31,8 +31,6 @@
 	// emptyTime is how long a machine is kept from new work before its upkeep, so
 	// that short tasks end by themselves.
 	emptyTime = 2 * time.Second
-	// atWork is the percentage of a lasting task at work.
-	atWork = 100
 )
 
 // upkeep carries out the waves: a loop of the leader.
@@ -239,7 +237,7 @@
 		if on.VM == but.ID {
 			continue
 		}
-		if r := s.fleet.vm(on.VM).rows[k]; r == nil || r.row.Run != on.Number || r.row.Percent < atWork {
+		if r := s.fleet.vm(on.VM).rows[k]; r == nil || r.row.Run != on.Number || r.row.Percent < fullPercent {
 			n++
 		}
 	}
--- a/scheduler/vm.go
+++ b/scheduler/vm.go
@@ -32,7 +32,7 @@
 	ses.full = true
 	active := map[rudderfork.RunRef]bool{}
 	for k, run := range vm.Runs() {
-		ref := rudderfork.RunRef{Task: rudderfork.TaskID(k.String()), Run: run}
+		ref := k.Ref(run)
 		active[ref] = true
 		if !ses.sent[ref] {
 			ses.sent[ref] = true
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -1,6 +1,8 @@
 package wire
 
 import (
+	"fmt"
+
 	"rudderfork.example/rudderfork"
 	"rudderfork.example/rudderfork/quorum"
 	"rudderfork.example/rudderfork/state"
@@ -9,6 +11,14 @@
 // Version is the version of the messages. A process refuses another.
 const Version = 1
 
+// CheckVersion refuses a process that speaks another version.
+func CheckVersion(process string, version int) error {
+	if version != Version {
+		return fmt.Errorf("%s speaks version %d; want %d", process, version, Version)
+	}
+	return nil
+}
+
 // Peer passes between control processes, from the one that dialled.
 type Peer struct {
 	Quorum *quorum.Message `cbor:"1,keyasint,omitempty"`
