Use steady.Pause where a timer was written out

Cause: steady.Pause came with the queue sessions, but the sessions of nodes and the entries' links to agents still waited with a timer of their own; and the upkeep loop built its map of machines anew for each wave.

Ruled out for now: one receiveHello and one outgoing queue for both kinds of session. Waits with a second reason to wake (dutyPause, roundPause, await) are not this pause.

Change: both call steady.Pause; round builds the map once. No behaviour changes.

--- a/entry/link.go
+++ b/entry/link.go
@@ -50,12 +50,7 @@
 		if err := l.session(ctx); err != nil && ctx.Err() == nil {
 			l.report(rudderfork.Load{Down: true})
 		}
-		t := time.NewTimer(redialPause)
-		select {
-		case <-ctx.Done():
-		case <-t.C:
-		}
-		t.Stop()
+		steady.Pause(ctx, redialPause)
 	}
 }
 
--- a/node/client.go
+++ b/node/client.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"rudderfork.example/rudderfork/internal/steady"
 	"rudderfork.example/rudderfork/state"
 	"rudderfork.example/rudderfork/wire"
 )
@@ -75,12 +76,7 @@
 		err := c.session(ctx, addr)
 		c.log.Debug().Str("addr", addr).AnErr("error", err).Msg("control_session_ended")
 		c.next++
-		t := time.NewTimer(redialPause)
-		select {
-		case <-ctx.Done():
-		case <-t.C:
-		}
-		t.Stop()
+		steady.Pause(ctx, redialPause)
 	}
 	return ctx.Err()
 }
--- a/scheduler/upkeep.go
+++ b/scheduler/upkeep.go
@@ -98,8 +98,12 @@
 		u.s.log.Warn().Err(err).Msg("machines_not_listed")
 		return true
 	}
+	byName := map[string]rudderfork.Machine{}
+	for _, m := range machines {
+		byName[m.Name] = m
+	}
 	for _, w := range waves {
-		u.move(ctx, w, machines, now)
+		u.move(ctx, w, byName, now)
 	}
 	return true
 }
@@ -117,11 +121,7 @@
 }
 
 // move begins the next upkeep of a wave if its bounds allow it.
-func (u *upkeep) move(ctx context.Context, w queue.Wave, machines []rudderfork.Machine, now time.Time) {
-	byName := map[string]rudderfork.Machine{}
-	for _, m := range machines {
-		byName[m.Name] = m
-	}
+func (u *upkeep) move(ctx context.Context, w queue.Wave, byName map[string]rudderfork.Machine, now time.Time) {
 	down := 0
 	for _, name := range w.Machines {
 		if m, known := byName[name]; known && (!m.Up || now.Sub(u.begunAt[name]) < settleTime) {
