Hear executors out before they leave, and start their work elsewhere at once

An executor listed a task's end 3 ms before its farewell; the agent forgot the life at the farewell and dropped the answer it had not read yet. The leader ended the run with the lease, and the task began again. Ruled out: a lost commit (no member of the core was away between), a second life (there was none). Reports of ends outlive the life and go before the first heartbeat of a session.

--- a/runner/look.go
+++ b/runner/look.go
@@ -7,6 +7,7 @@
 
 	"rudderfork.example/rudderfork"
 	"rudderfork.example/rudderfork/internal/steady"
+	"rudderfork.example/rudderfork/runs"
 )
 
 // lookLoop asks the executor for its account again and again. Each look extends
@@ -75,8 +76,11 @@
 		return
 	}
 	if errors.Is(err, rudderfork.ErrOtherLife) {
-		a.log.Info().Str("life", life).Msg("executor_replaced")
-		a.lost()
+		a.replaced()
+		return
+	}
+	if a.leaving {
+		a.depart()
 		return
 	}
 	a.met.calls.WithLabelValues("look", "unanswered").Inc()
@@ -89,6 +93,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.keeper.Life() != life {
+		a.reportOf(life, runs.Ends(look.Ended), 0) // what an earlier life listed stands
 		return nil, false
 	}
 	now := steady.Now()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -9,6 +9,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -60,7 +62,9 @@
 	mu       sync.Mutex
 	keeper   *runs.Keeper
 	vm       queue.VM
-	known    bool // vm describes a life of the executor
+	known    bool   // vm describes a life of the executor
+	leaving  bool   // the executor has said farewell, and ends
+	left     string // life that has left, and never comes back
 	draining bool
 	leaveAt  time.Time
 	seenAt   time.Time // when the executor last answered a look
@@ -83,21 +87,27 @@
 // report is ends on their way to the leader.
 type report struct {
 	ends queue.Ends
+	left bool   // the life has left: whatever else ran there is over
 	upTo uint64 // row of the executor's list that they reach
 }
 
+func (r report) message(id uint64) wire.FromNode {
+	return wire.FromNode{Ends: &wire.EndsReport{Seq: id, Ends: r.ends, Left: r.left}}
+}
+
 // New returns an agent that drives exec.
 func New(process string, seeds func() []string, exec rudderfork.Executor, log zerolog.Logger) *Agent {
 	a := &Agent{
 		exec: exec, log: log, met: newMetrics(), kicked: make(chan struct{}, 1), beatUp: make(chan struct{}, 1),
-		keeper: runs.New(), effects: map[pair]float64{},
+		keeper: runs.New(), effects: map[pair]float64{}, reports: map[uint64]report{},
 	}
 	a.session = session.New(process, seeds, a, log)
 	a.forget()
 	return a
 }
 
-// forget drops what concerned a life of the executor. The caller holds mu.
+// forget drops what concerned a life of the executor, but for reports of its
+// ends, which stay true. The caller holds mu.
 func (a *Agent) forget() {
 	a.rows = map[rudderfork.RunRef]rudderfork.RunRow{}
 	a.told = map[rudderfork.RunRef]rudderfork.RunRow{}
@@ -106,8 +116,8 @@
 	a.begun = map[rudderfork.RunRef]time.Time{}
 	a.worked = nil
 	a.guard = pace.Guard{}
-	a.reports = map[uint64]report{}
 	a.acked = 0
+	a.leaving = false
 	a.noted = make(chan struct{})
 	a.seenAt = steady.Now()
 }
@@ -134,6 +144,9 @@
 func (a *Agent) Describe(vm queue.VM, draining bool, leave time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if vm.Life == a.left {
+		return // it was under way while that life left
+	}
 	changed := !a.known || !a.vm.Same(vm) || a.draining != draining
 	if a.keeper.Life() != vm.Life {
 		a.log.Info().Str("life", vm.Life).Str("before", a.keeper.Life()).Stringer("capacity", vm.Capacity).
@@ -159,14 +172,35 @@
 	return a.keeper.Life()
 }
 
-// Gone notes that the executor has left; what it ran is over.
+// Gone notes the executor's farewell. It ends now, but has perhaps ends to list
+// that nobody has seen: they are looked for until it answers no more.
 func (a *Agent) Gone(life string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.keeper.Life() != life {
+	if a.keeper.Life() != life || a.leaving {
+		return
+	}
+	a.log.Info().Str("life", life).Msg("executor_leaving")
+	a.leaving = true
+}
+
+// depart tells the leader that the life has left, so that its work begins
+// elsewhere without waiting for the lease. The caller holds mu.
+func (a *Agent) depart() {
+	a.left = a.keeper.Life()
+	a.log.Info().Str("life", a.left).Msg("executor_gone")
+	a.send(report{ends: queue.Ends{VM: a.vm.ID, Life: a.left}, left: true})
+	a.lost()
+}
+
+// replaced notes that the life is over and another has begun. The caller holds
+// mu.
+func (a *Agent) replaced() {
+	a.log.Info().Str("life", a.keeper.Life()).Msg("executor_replaced")
+	if a.leaving {
+		a.depart()
 		return
 	}
-	a.log.Info().Str("life", life).Msg("executor_gone")
 	a.lost()
 }
 
@@ -184,20 +218,17 @@
 	}
 }
 
-// Opened implements session.Handler.
+// Opened implements session.Handler. Ends go before the first heartbeat: with a
+// new life, the leader counts what the old one ran as lost.
 func (a *Agent) Opened(w wire.QueueWelcome) {
 	a.mu.Lock()
 	a.keeper.SetTerm(w.Term)
 	a.told = map[rudderfork.RunRef]rudderfork.RunRow{}
-	var again []wire.FromNode
-	for id, r := range a.reports {
-		again = append(again, wire.FromNode{Ends: &wire.EndsReport{Seq: id, Ends: r.ends}})
+	for _, id := range slices.Sorted(maps.Keys(a.reports)) {
+		a.session.Send(a.reports[id].message(id)) // if it fails, the next session sends it again
 	}
 	a.mu.Unlock()
 	wake(a.beatUp)
-	for _, m := range again {
-		a.session.Send(m) // if it fails, the next session sends it again
-	}
 }
 
 // Closed implements session.Handler.
@@ -234,24 +265,36 @@
 		return
 	}
 	delete(a.reports, id)
+	if r.ends.Life != a.keeper.Life() {
+		return
+	}
 	a.keeper.Noted(r.ends.List)
 	a.acked = max(a.acked, r.upTo)
 	close(a.noted)
 	a.noted = make(chan struct{})
 }
 
-// report sends ends to the leader. The caller holds mu.
+// report sends ends of the present life to the leader. The caller holds mu.
 func (a *Agent) report(ends []queue.End, upTo uint64) {
+	a.reportOf(a.keeper.Life(), ends, upTo)
+}
+
+// reportOf sends ends of a life to the leader. The caller holds mu.
+func (a *Agent) reportOf(life string, ends []queue.End, upTo uint64) {
 	if len(ends) == 0 {
 		return
 	}
-	a.reportID++
-	r := report{queue.Ends{VM: a.vm.ID, Life: a.vm.Life, List: ends}, upTo}
-	a.reports[a.reportID] = r
 	for _, e := range ends {
 		a.met.ends.WithLabelValues(string(e.How)).Inc()
 	}
-	a.session.Send(wire.FromNode{Ends: &wire.EndsReport{Seq: a.reportID, Ends: r.ends}})
+	a.send(report{ends: queue.Ends{VM: a.vm.ID, Life: life, List: ends}, upTo: upTo})
+}
+
+// send sends a report, and keeps it until it is noted. The caller holds mu.
+func (a *Agent) send(r report) {
+	a.reportID++
+	a.reports[a.reportID] = r
+	a.session.Send(r.message(a.reportID))
 }
 
 // beatLoop sends heartbeats.
@@ -352,7 +395,7 @@
 		return // it concerned a life that is over
 	}
 	if errors.Is(err, rudderfork.ErrOtherLife) {
-		a.lost()
+		a.replaced()
 		return
 	}
 	if c.Start == nil {
--- a/runs/keeper.go
+++ b/runs/keeper.go
@@ -317,13 +317,9 @@
 		there[r.RunRef] = true
 		k.checkStray(r.RunRef)
 	}
+	ends = Ends(look.Ended)
 	for _, e := range look.Ended {
 		there[e.RunRef] = true
-		key, err := queue.ParseTaskKey(string(e.Task))
-		if err != nil {
-			continue // nothing of ours; it is acknowledged with the others
-		}
-		ends = append(ends, queue.End{Task: key, Run: e.Run, How: queue.Ending(e.How), Checkpoint: e.Checkpoint})
 		if o := k.orders[e.Task]; o != nil && o.Run == e.Run {
 			o.ended = true
 		}
@@ -342,6 +338,17 @@
 	return ends
 }
 
+// Ends returns the ends that an executor lists. What is not a run of ours is left
+// out; it is acknowledged with the others.
+func Ends(rows []rudderfork.EndRow) (ends []queue.End) {
+	for _, e := range rows {
+		if key, err := queue.ParseTaskKey(string(e.Task)); err == nil {
+			ends = append(ends, queue.End{Task: key, Run: e.Run, How: queue.Ending(e.How), Checkpoint: e.Checkpoint})
+		}
+	}
+	return ends
+}
+
 // checkStray stops a run that control does not want here.
 func (k *Keeper) checkStray(ref rudderfork.RunRef) {
 	if !k.synced || k.strays[ref] != nil {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -50,10 +51,13 @@
 	addr  string
 	sched *Scheduler
 	front *front.Client
-	execs []*executor.Executor
+	vms   int
+	execs []*executor.Executor // of addVM
 }
 
-func newSite(t *testing.T, adviser rudderfork.Adviser) *site {
+func newSite(t *testing.T, adviser rudderfork.Adviser) *site { return newSiteWith(t, adviser, lease) }
+
+func newSiteWith(t *testing.T, adviser rudderfork.Adviser, lease time.Duration) *site {
 	s := &site{t: t, ctx: t.Context()}
 	dir := filepath.Join(t.TempDir(), "data")
 	self := quorum.Member{ID: "c#1", Name: "c", Voter: true}
@@ -95,23 +99,33 @@
 
 // addVM adds a VM whose executor is the stand-in.
 func (s *site) addVM(cfg executor.Config) *executor.Executor {
-	name := fmt.Sprintf("vm%d", len(s.execs)+1)
+	name := fmt.Sprintf("vm%d", s.vms+1)
 	cfg.Now, cfg.Room = steady.Now, rudderfork.Resources{CPUMilli: 4000, MemoryMB: 1000}
 	e := executor.New(name+"-life-1", cfg)
-	a := runner.New(name, s.seeds, e, zerolog.Nop())
+	s.execs = append(s.execs, e)
+	s.addAgent(name, e, e.Life, cfg.Room)
+	return e
+}
+
+// addAgent adds a VM's agent, and describes the executor to it while that has a
+// life.
+func (s *site) addAgent(name string, exec rudderfork.Executor, life func() string, room rudderfork.Resources) *runner.Agent {
+	s.vms++
+	a := runner.New(name, s.seeds, exec, zerolog.Nop())
 	list := []service{}
 	for _, svc := range a.Services() {
 		list = append(list, svc)
 	}
 	s.serve(list...)
-	s.execs = append(s.execs, e)
 	go func() {
 		for s.ctx.Err() == nil {
-			a.Describe(queue.VM{ID: rudderfork.VMID(name), Life: e.Life(), Service: "desk", Capacity: cfg.Room}, false, 0)
+			if l := life(); l != "" {
+				a.Describe(queue.VM{ID: rudderfork.VMID(name), Life: l, Service: "desk", Capacity: room}, false, 0)
+			}
 			steady.Pause(s.ctx, 50*time.Millisecond)
 		}
 	}()
-	return e
+	return a
 }
 
 func (s *site) ask(a wire.Ask) wire.AskAnswer {
@@ -339,6 +353,63 @@
 	assert.Equal(t, len(first.Running()), 0)
 }
 
+// heldExecutor holds the answer back that lists an end.
+type heldExecutor struct {
+	*executor.Executor
+	listed  chan struct{} // closed once an end was listed
+	release chan struct{}
+	once    sync.Once
+}
+
+// Look implements rudderfork.Executor.
+func (e *heldExecutor) Look(ctx context.Context, life string, req rudderfork.LookRequest) (rudderfork.Look, error) {
+	look, err := e.Executor.Look(ctx, life, req)
+	if len(look.Ended) > 0 {
+		e.once.Do(func() { close(e.listed) })
+		<-e.release
+	}
+	return look, err
+}
+
+// TestExecutorLeft lets executors say farewell. No lease runs out meanwhile.
+func TestExecutorLeft(t *testing.T) {
+	room := rudderfork.Resources{CPUMilli: 4000, MemoryMB: 1000}
+	begun := func(n *atomic.Int32) executor.Config {
+		return executor.Config{Now: steady.Now, Room: room, OnStart: func(rudderfork.RunRef) { n.Add(1) }}
+	}
+	// On a hunted day of prhta-rudder (hunt-f868-3) a task that was done began
+	// again: its end was listed 3 ms before the farewell, and read after it.
+	t.Run("an end that is read after the farewell stands", func(t *testing.T) {
+		s := newSite(t, nil)
+		var starts atomic.Int32
+		cfg := begun(&starts)
+		e := &heldExecutor{Executor: executor.New("vm1-life-1", cfg), listed: make(chan struct{}), release: make(chan struct{})}
+		a := s.addAgent("vm1", e, e.Life, room)
+		s.put(nil)
+		s.submit("roster", "work=50ms", small)
+		<-e.listed
+		a.Gone("vm1-life-1")
+		e.Restart("")
+		close(e.release)
+		s.addVM(begun(&starts))
+		s.untilStatus("roster", queue.Completed)
+		assert.Equal(t, starts.Load(), int32(1))
+	})
+	t.Run("its work begins elsewhere without waiting for the lease", func(t *testing.T) {
+		s := newSiteWith(t, nil, time.Hour)
+		var starts atomic.Int32
+		e := executor.New("vm1-life-1", begun(&starts))
+		a := s.addAgent("vm1", e, e.Life, room)
+		s.put(nil)
+		s.submit("feed", "", queue.Step{Count: 1, Size: small.Size, Lasting: true})
+		s.until("the feed is at work", func() bool { return len(e.Running()) == 1 })
+		second := s.addVM(begun(&starts))
+		e.Restart("")
+		a.Gone("vm1-life-1")
+		s.until("it is at work elsewhere", func() bool { return len(second.Running()) == 1 })
+	})
+}
+
 // TestReadsAreCurrent asks for what was just changed.
 func TestReadsAreCurrent(t *testing.T) {
 	s := newSite(t, nil)
--- a/scheduler/vm.go
+++ b/scheduler/vm.go
@@ -200,6 +200,11 @@
 	if err != nil {
 		return err
 	}
+	if r.Left {
+		if err := ses.left(ctx, r.Ends.VM, r.Ends.Life); err != nil {
+			return err
+		}
+	}
 	ses.reply(wire.ToQueueNode{Noted: &wire.Noted{Seq: r.Seq}})
 	now := steady.Now()
 	for i, e := range r.Ends.List {
@@ -216,3 +221,18 @@
 	}
 	return nil
 }
+
+// left ends the runs of a life that has left, without waiting for its lease.
+func (ses *session) left(ctx context.Context, vm rudderfork.VMID, life string) error {
+	ses.s.mu.Lock()
+	lost := queue.Lost{VM: vm, Life: life, Checkpoints: ses.s.fleet.vm(vm).checkpoints()}
+	ses.s.mu.Unlock()
+	res, err := ses.s.do(ctx, queue.Command{Lost: &lost})
+	if err != nil {
+		return err
+	}
+	ses.s.met.lost.Inc()
+	ses.s.log.Info().Str("left_vm", string(vm)).Str("life", life).Str("result", string(res.Code)).Msg("vm_left")
+	ses.s.record("vm_left", string(vm), "its executor has left")
+	return nil
+}
--- a/wire/queue.go
+++ b/wire/queue.go
@@ -144,6 +144,9 @@
 type EndsReport struct {
 	Seq  uint64     `cbor:"1,keyasint"`
 	Ends queue.Ends `cbor:"2,keyasint"`
+
+	// Left says that the life has left: whatever else ran there is over.
+	Left bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Noted answers an EndsReport.
