Set the fillers' paces by headroom, which falls in a line with them

Trials without fillers show a task's tail as smooth as its load, about s/(1-load); trials at random paces show that 1/tail falls in a straight line with the fillers' shares (13% of the variance left over; logarithm 21%, tail 50%; docs say so). The old model took logarithms and called the rest noise, so it took the lower median of an image's tails. Ruled out: used-up processors (no residual from 0.1 to 1.1 of them), rough figures (without fillers they move by 5%). Change: package interference learns pressures from differences between two figures of one task; pace, dispatch and runner reckon in headroom; looks beside fillers come every 250 ms, as often as figures are renewed.

--- a/dispatch/colocate.go
+++ b/dispatch/colocate.go
@@ -1,17 +1,16 @@
 package dispatch
 
 import (
-	"math"
-
 	"rudderfork.example/rudderfork"
 	"rudderfork.example/rudderfork/pace"
 	"rudderfork.example/rudderfork/queue"
 )
 
 const (
-	// usualTail is assumed of a serving task that was not seen yet: in a trial,
-	// tails without fillers were 0.42 of their objective in the mean.
-	usualTail = 0.45
+	// usualHeadroom is assumed of a serving task that was not seen yet: in a
+	// trial, tails without fillers were 0.42 of their objective in the mean, and
+	// a little is taken off.
+	usualHeadroom = 2.2
 	// startSpeed is the least speed at which a filler begins while others of its
 	// job run; waitMS is how long a job may have nothing running for that reason
 	// (the users look after 3 s).
@@ -29,14 +28,14 @@
 	idle    float64 // of these, what fillers may use together
 }
 
-// freshMS is how long a filler runs until the tails show it.
+// freshMS is how long a filler runs until the headrooms show it.
 const freshMS = 1_000
 
 type filler struct {
 	image string
 	cpu   float64 // thousandths of a core at full speed
 	speed float64 // 0 to 1
-	fresh bool    // the tails do not show it yet
+	fresh bool    // the headrooms do not show it yet
 }
 
 // colocationOn returns what shares a VM, with the starts of this plan.
@@ -63,11 +62,11 @@
 		c.fillers = append(c.fillers, filler{st.Image, cpu, speed, fresh})
 		c.idle -= cpu * speed
 	case st.TailMS > 0:
-		tail := usualTail
+		headroom := usualHeadroom
 		if run.Load > 0 {
-			tail = max(pace.LeastTail, float64(run.Load)/float64(st.TailMS))
+			headroom = min(pace.Headroom(st.TailMS, run.Load), pace.MostHeadroom)
 		}
-		c.serving = append(c.serving, pace.Serving{Image: st.Image, Tail: tail})
+		c.serving = append(c.serving, pace.Serving{Image: st.Image, Headroom: headroom})
 		c.idle -= cpu * pace.ServingUse
 	default:
 		c.idle -= cpu
@@ -75,19 +74,19 @@
 }
 
 // speed is what a filler can expect on the VM, 0 to 1: what is idle and what the
-// serving tasks' tails leave room for. Package pace has the limits.
-func (c *colocation) speed(st queue.Step, effect func(serving, filler string) float64) float64 {
+// serving tasks' headrooms leave. Package pace has the limits.
+func (c *colocation) speed(st queue.Step, pressure pace.Pressures) float64 {
 	cpu := float64(max(1, st.Size.CPUMilli))
 	speed := min(1, max(0, c.idle)/cpu)
 	for _, s := range c.serving {
-		harm := effect(s.Image, st.Image) * cpu / c.whole
+		harm := pressure(s.Image, st.Image) * cpu / c.whole
 		if harm < pace.Harmless {
 			continue
 		}
-		room := math.Log(pace.Aim / s.Tail)
+		room := s.Headroom - pace.Wanted
 		for _, f := range c.fillers {
 			if f.fresh {
-				room -= max(0, effect(s.Image, f.image)) * f.cpu * f.speed / c.whole
+				room -= pressure(s.Image, f.image) * f.cpu * f.speed / c.whole
 			}
 		}
 		speed = min(speed, max(0, room)/harm)
@@ -97,7 +96,7 @@
 
 // fillerCost weighs a VM for a filler: how many times as long it takes there.
 func (p *planner) fillerCost(st queue.Step, vm *queue.VM) float64 {
-	return 1/max(leastSpeed, p.colocationOn(vm).speed(st, p.view.Effect)) - 1
+	return 1/max(leastSpeed, p.colocationOn(vm).speed(st, p.view.Pressure)) - 1
 }
 
 // worthless reports whether a filler had better wait than begin on the best VM
@@ -105,7 +104,7 @@
 // of which nothing runs is not kept waiting for long.
 func (p *planner) worthless(j *queue.Job, k queue.TaskKey, vm *queue.VM) bool {
 	st := j.Spec.Steps[k.Step]
-	if !st.Filler || p.colocationOn(vm).speed(st, p.view.Effect) >= startSpeed {
+	if !st.Filler || p.colocationOn(vm).speed(st, p.view.Pressure) >= startSpeed {
 		return false
 	}
 	idleSince := max(j.SubmittedAt, p.lastEnd(j))
@@ -140,7 +139,7 @@
 		cost = costOthers * float64(others) / float64(len(c.serving))
 	}
 	for _, f := range c.fillers {
-		cost += max(0, p.view.Effect(st.Image, f.image)) * f.cpu * f.speed / c.whole
+		cost += p.view.Pressure(st.Image, f.image) * f.cpu * f.speed / c.whole
 	}
 	return cost - packing*p.fullness(vm)
 }
@@ -152,7 +151,7 @@
 		if vm.ID == at || p.obstacle(j, k, vm) != "" {
 			continue
 		}
-		if p.colocationOn(vm).speed(j.Spec.Steps[k.Step], p.view.Effect) >= moveSpeed {
+		if p.colocationOn(vm).speed(j.Spec.Steps[k.Step], p.view.Pressure) >= moveSpeed {
 			return true
 		}
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 	"slices"
 
 	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/pace"
 	"rudderfork.example/rudderfork/queue"
 )
 
@@ -50,9 +51,9 @@
 	// Tickets holds, for steps of queues with an adviser, the VMs that may run
 	// them, with the adviser's tickets.
 	Tickets map[queue.StepKey]map[rudderfork.VMID]string
-	// Effect is what fillers of one image do to serving tasks of another, as
-	// package interference gives it.
-	Effect func(serving, filler string) float64
+	// Pressure is what fillers of one image take from the headroom of serving
+	// tasks of another, as package interference gives it.
+	Pressure pace.Pressures
 }
 
 // Stop asks for the end of a run.
--- a/interference/interference.go
+++ b/interference/interference.go
@@ -30,10 +30,6 @@
 	Effect      float64       // of an unseen pair: on ln(latency), for all processors
 	EffectError float64       // its standard error
 	NoiseVar    float64       // variance of ln(latency) between windows
-
-	// Outlier bounds how far a window may pull the fit, as a difference of
-	// ln(latency); 0 means any.
-	Outlier float64
 }
 
 // Services is the prior for services beside batch jobs that hold processors of
@@ -43,14 +39,6 @@
 	return Prior{HalfLife: 30 * time.Minute, Effect: 0.18, EffectError: 0.35, NoiseVar: 0.02}
 }
 
-// Fillers is the prior for serving tasks beside fillers. In trials with random
-// paces on calm days of the users' platform, two pairs of images in three had
-// effects of about 0, the others of 3 to 25; tails of half a second swing by a
-// third of themselves without any filler.
-func Fillers() Prior {
-	return Prior{HalfLife: 30 * time.Second, Effect: 3, EffectError: 8, NoiseVar: 0.12, Outlier: 1.5}
-}
-
 // Sample is one window of one service at one upstream.
 type Sample struct {
 	Service rudderfork.Service
@@ -104,40 +92,25 @@
 type fit struct {
 	prior Prior
 	index map[string]int
-	beta  []float64
-	cov   [][]float64
+	reg   regression
 	at    time.Time
-
-	samples int
 }
 
-// settled is how many windows a fit needs before it calls any an outlier: the
-// base is far off at first.
-const settled = 5
+// baseVar is the variance of the base and of the load's part at first: 10 ms
+// within a factor of e² or so.
+const baseVar = 4
 
 func newFit(p Prior) *fit {
 	f := &fit{prior: p, index: map[string]int{}}
-	f.grow(math.Log(0.01), 4) // 10 ms within a factor of e² or so
-	f.grow(0.5, 1)
+	f.reg.grow(math.Log(0.01), baseVar)
+	f.reg.grow(0.5, 1)
 	return f
 }
 
-// grow adds a coefficient with its prior mean and variance.
-func (f *fit) grow(mean, variance float64) int {
-	n := len(f.beta)
-	f.beta = append(f.beta, mean)
-	for i := range f.cov {
-		f.cov[i] = append(f.cov[i], 0)
-	}
-	f.cov = append(f.cov, make([]float64, n+1))
-	f.cov[n][n] = variance
-	return n
-}
-
 func (f *fit) kind(k string) int {
 	i, ok := f.index[k]
 	if !ok {
-		i = f.grow(f.prior.Effect, f.prior.EffectError*f.prior.EffectError)
+		i = f.reg.grow(f.prior.Effect, f.prior.EffectError*f.prior.EffectError)
 		f.index[k] = i
 	}
 	return i
@@ -147,71 +120,31 @@
 	for k := range s.Shares {
 		f.kind(k)
 	}
-	x := make([]float64, len(f.beta))
+	x := make([]float64, f.reg.size())
 	x[0], x[1] = 1, s.Busy
 	for k, share := range s.Shares {
 		x[f.index[k]] = share
 	}
 	f.forget(s.At)
-	f.update(x, math.Log(s.Latency.Seconds()))
+	f.reg.update(x, math.Log(s.Latency.Seconds()), f.prior.NoiseVar)
 }
 
-// forget widens the errors by the time since the newest sample.
+// forget widens the errors by the time since the newest sample. No effect is
+// known worse than the prior.
 func (f *fit) forget(at time.Time) {
-	if f.at.IsZero() || !at.After(f.at) {
-		if f.at.IsZero() {
-			f.at = at
-		}
+	if f.at.IsZero() {
+		f.at = at
+	}
+	if !at.After(f.at) {
 		return
 	}
-	grow := math.Exp2(float64(at.Sub(f.at)) / float64(f.prior.HalfLife))
-	f.at = at
-	for i := range f.cov {
-		for j := range f.cov[i] {
-			f.cov[i][j] *= grow
-		}
-		// No effect is known worse than the prior.
-		limit := f.prior.EffectError * f.prior.EffectError
+	f.reg.widen(growth(at.Sub(f.at), f.prior.HalfLife), func(i int) float64 {
 		if i < 2 {
-			limit = 4
-		}
-		if f.cov[i][i] > limit {
-			shrink := math.Sqrt(limit / f.cov[i][i])
-			for j := range f.cov {
-				f.cov[i][j] *= shrink
-				f.cov[j][i] *= shrink
-			}
+			return baseVar
 		}
-	}
-}
-
-// update is one step of recursive least squares.
-func (f *fit) update(x []float64, y float64) {
-	n := len(x)
-	px := make([]float64, n)
-	predicted, variance := 0.0, f.prior.NoiseVar
-	for i := range n {
-		for j := range n {
-			px[i] += f.cov[i][j] * x[j]
-		}
-		predicted += f.beta[i] * x[i]
-	}
-	for i := range n {
-		variance += x[i] * px[i]
-	}
-	off := y - predicted
-	if o := f.prior.Outlier; o > 0 && f.samples > settled {
-		off = max(-o, min(o, off))
-	}
-	f.samples++
-	for i := range n {
-		f.beta[i] += px[i] / variance * off
-	}
-	for i := range n {
-		for j := range n {
-			f.cov[i][j] -= px[i] * px[j] / variance
-		}
-	}
+		return f.prior.EffectError * f.prior.EffectError
+	})
+	f.at = at
 }
 
 // effect returns a kind's coefficient and its standard error at now.
@@ -220,9 +153,9 @@
 	if !ok {
 		return f.prior.Effect, f.prior.EffectError
 	}
-	v := f.cov[i][i]
+	v := f.reg.variance(i)
 	if now.After(f.at) {
-		v *= math.Exp2(float64(now.Sub(f.at)) / float64(f.prior.HalfLife))
+		v *= growth(now.Sub(f.at), f.prior.HalfLife)
 	}
-	return f.beta[i], math.Sqrt(min(max(v, 0), f.prior.EffectError*f.prior.EffectError))
+	return f.reg.beta[i], math.Sqrt(min(v, f.prior.EffectError*f.prior.EffectError))
 }
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -1,22 +1,20 @@
 // Package pace decides how fast each filler of one VM works beside the VM's
 // serving tasks.
 //
-// Fillers disturb serving tasks by amounts that differ widely by the pair of
-// images: most pairs hardly at all, some tenfold. The model is that of package
-// interference: the logarithm of a serving task's tail is a base plus, for each
-// filler, the effect of the pair times the share of the VM's processors at which
-// the filler works. A step reads the tails, takes from each what the fillers
-// explain, and deals what is left under the objective to the fillers, the least
-// harmful first. A tail over its objective cuts what may harm it, whatever the
-// model says, and one that stays over it stops all of them (Guard). And all tails
-// explode once the VM's processors are used up, so the fillers together get only
-// what the others leave idle.
+// Fillers press on serving tasks by amounts that differ widely by the pair of
+// images: most pairs hardly at all, some so much that one filler takes all that
+// a task has left. The model is that of package interference: a serving task's
+// headroom, its objective over its tail, falls in a straight line with the share
+// of the VM's processors at which fillers work. A step reads the headrooms, adds
+// to each what the fillers took from it, and deals what lies above the wanted
+// headroom to the fillers, the least harmful first. A task without any headroom
+// cuts what may harm it, whatever the model says, and one that stays so stops all
+// of them (Guard). And fillers get only the processors that the others leave
+// idle, so they are not given more than that together.
 package pace
 
 import (
 	"cmp"
-	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -25,39 +23,51 @@
 
 const (
 	// MostUsed is the part of a VM's processors that may be in use beside serving
-	// tasks. In trials of 0.88, 0.97 and 1.1 over five seeds a day the middle one earned most;
-	// the median tail is flat up to 0.9 and doubles at 1.1.
+	// tasks. In trials of 0.88, 0.97 and 1.1 over five seeds a day the middle one
+	// earned most: beyond it fillers only slow each other.
 	MostUsed = 0.97
 	// ServingUse is the part of its processors that a serving task uses, in the
 	// mean (the mean load of the users' sheets).
 	ServingUse = 0.42
-	// Aim is the tail over its objective that is aimed at. The room above is for
-	// load that swings faster than half a second, the age of the figures.
-	Aim = 0.80
-	// LeastTail is the least tail over its objective that is believed without
-	// fillers: the figure is in whole milliseconds and noisy.
-	LeastTail = 0.30
-	// Harmless is the effect on the logarithm of a tail, at full speed, below
-	// which a pair is not paced at all: 3%.
-	Harmless = 0.03
-	// cut is what is left of the speed of a filler that may harm a tail that is
-	// over its objective.
-	cut = 0.3
+	// Wanted is the headroom that fillers leave a serving task. What is above 1 is
+	// for load that swings within half a second, the age of the figures: without
+	// fillers the headroom was seen to move by 0.3 in that time.
+	Wanted = 1.1
+	// MostHeadroom is the most that is believed of a task without fillers: the
+	// tails are in whole milliseconds, and 0 before the first answers.
+	MostHeadroom = 3.3
+	// Harmless is what a filler at full speed takes from a headroom if the pair is
+	// not paced at all: a fiftieth of what tasks have in the mean.
+	Harmless = 0.05
+	// cut is what is left of the speed of a filler that may harm a task without
+	// headroom, and seenSlack how far the speed that the figures show may lie above
+	// the present one for that: else the last cut is not seen yet.
+	cut       = 0.3
+	seenSlack = 0.1
 	// rise bounds the gain of one step: the model may be wrong, and the figures
 	// show it half a second later.
 	rise = 0.25
-	// patience is how long a tail may stay over its objective until all fillers
+	// patience is how long a task may be without headroom until all fillers
 	// of the VM stop: longer than a figure that jumped takes to fall back, and
 	// well within the 4 s that users accept.
 	patience = 2_200 * time.Millisecond
-	// relief is the tail over its objective below which they go on.
-	relief = 0.9
+	// relief is the headroom above which they go on.
+	relief = 1.1
 )
 
 // Serving is a serving task as it was last seen.
 type Serving struct {
-	Image string
-	Tail  float64 // over its objective
+	Image    string
+	Headroom float64 // the objective over the tail
+}
+
+// Headroom returns the objective over a tail, and MostHeadroom while there is no
+// figure.
+func Headroom(objectiveMS, tailMS int64) float64 {
+	if tailMS <= 0 {
+		return MostHeadroom
+	}
+	return float64(objectiveMS) / float64(tailMS)
 }
 
 // Filler is a filler and its present speed.
@@ -66,111 +76,90 @@
 	Image string
 	Share float64 // of the VM's processors, at full speed
 	Speed float64 // 0 to 1, as last asked for
-	Seen  float64 // 0 to 1, in the mean while the tails were measured
+	Seen  float64 // 0 to 1, in the mean while the headrooms were measured
 }
 
-// Effects tells the effect of a pair of images: what a filler on all processors
-// adds to the logarithm of a tail.
-type Effects func(serving, filler string) float64
+// Pressures tells what a filler on all processors takes from the headroom of a
+// serving task.
+type Pressures func(serving, filler string) float64
 
 // Step returns the speeds of the fillers, 0 to 1, in their order. idle is the
 // part of the VM's processors that the fillers may use together.
-func Step(serving []Serving, fillers []Filler, idle float64, effect Effects) []float64 {
-	serving = Typical(serving)
+func Step(serving []Serving, fillers []Filler, idle float64, pressure Pressures) []float64 {
 	room := make([]float64, len(serving))
-	over := make([]bool, len(serving))
 	for i, s := range serving {
-		room[i] = roomOf(s, fillers, effect)
-		over[i] = s.Tail >= 1
+		room[i] = roomOf(s, fillers, pressure)
 	}
 	speeds := make([]float64, len(fillers))
-	for _, f := range byHarm(serving, fillers, effect) {
-		speeds[f] = speedOf(fillers[f], serving, room, over, effect)
+	for _, f := range byHarm(serving, fillers, pressure) {
+		speeds[f] = speedOf(fillers[f], serving, room, pressure)
 		if len(serving) > 0 {
 			speeds[f] = min(speeds[f], max(0, idle)/fillers[f].Share)
 		}
 		idle -= fillers[f].Share * speeds[f]
 		for i, s := range serving {
-			room[i] -= max(0, effect(s.Image, fillers[f].Image)) * fillers[f].Share * speeds[f]
+			room[i] -= pressure(s.Image, fillers[f].Image) * fillers[f].Share * speeds[f]
 		}
 	}
 	return speeds
 }
 
-// Typical returns one serving task for each image, with the lower median of the
-// tails. The figures are rough: now and then that of a single task jumps tenfold
-// and falls back over a second, beside another of its image that stays calm under
-// the same fillers.
-func Typical(serving []Serving) (typical []Serving) {
-	byImage := map[string][]float64{}
-	for _, s := range serving {
-		byImage[s.Image] = append(byImage[s.Image], s.Tail)
-	}
-	for _, image := range slices.Sorted(maps.Keys(byImage)) {
-		tails := byImage[image]
-		slices.Sort(tails)
-		typical = append(typical, Serving{image, tails[(len(tails)-1)/2]})
-	}
-	return typical
-}
-
-// roomOf is how much fillers may add to the logarithm of a task's tail.
-func roomOf(s Serving, fillers []Filler, effect Effects) float64 {
-	explained := 0.0
+// roomOf is how much fillers may take from a task's headroom, if none did.
+func roomOf(s Serving, fillers []Filler, pressure Pressures) float64 {
+	own := s.Headroom
 	for _, f := range fillers {
-		explained += max(0, effect(s.Image, f.Image)) * f.Share * f.Seen
+		own += pressure(s.Image, f.Image) * f.Share * f.Seen
 	}
-	base := math.Log(max(s.Tail, LeastTail)) - explained
-	return math.Log(Aim) - max(base, math.Log(LeastTail))
+	return min(own, MostHeadroom) - Wanted
 }
 
 // byHarm returns the indexes of the fillers, the least harmful first.
-func byHarm(serving []Serving, fillers []Filler, effect Effects) []int {
+func byHarm(serving []Serving, fillers []Filler, pressure Pressures) []int {
 	harm := make([]float64, len(fillers))
 	order := make([]int, len(fillers))
 	for i, f := range fillers {
 		order[i] = i
 		for _, s := range serving {
-			harm[i] = max(harm[i], effect(s.Image, f.Image)*f.Share)
+			harm[i] = max(harm[i], pressure(s.Image, f.Image)*f.Share)
 		}
 	}
 	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(harm[a], harm[b]) })
 	return order
 }
 
-func speedOf(f Filler, serving []Serving, room []float64, over []bool, effect Effects) float64 {
+func speedOf(f Filler, serving []Serving, room []float64, pressure Pressures) float64 {
 	speed := min(1, f.Speed+rise)
 	for i, s := range serving {
-		harm := effect(s.Image, f.Image) * f.Share
+		harm := pressure(s.Image, f.Image) * f.Share
 		if harm < Harmless {
 			continue
 		}
 		speed = min(speed, max(0, room[i])/harm)
-		if over[i] {
+		if s.Headroom < 1 && f.Seen <= f.Speed+seenSlack {
 			speed = min(speed, cut*f.Speed)
 		}
 	}
 	return speed
 }
 
-// Guard stops all fillers of a VM while a tail stays over its objective, for
-// where the model is wrong: effects change within seconds. The zero value is
-// ready to use.
+// Guard stops all fillers of a VM while a task stays without headroom, for where
+// the model is wrong: pressures change within seconds. The zero value is ready to
+// use.
 type Guard struct {
 	overSince time.Time
 }
 
-// Stopped takes the tails as they are now and reports whether all fillers are to
-// stand still.
+// Stopped takes the serving tasks as they are now and reports whether all fillers
+// are to stand still.
 func (g *Guard) Stopped(serving []Serving, now time.Time) bool {
-	worst := 0.0
+	least := MostHeadroom
 	for _, s := range serving {
-		worst = max(worst, s.Tail)
+		least = min(least, s.Headroom)
 	}
 	switch {
-	case worst < relief:
+	case least > relief:
 		g.overSince = time.Time{}
-	case worst >= 1 && g.overSince.IsZero():
+	case least <= 1 && g.overSince.IsZero():
 		g.overSince = now
 	}
 	return !g.overSince.IsZero() && now.Sub(g.overSince) >= patience
--- a/runner/pace.go
+++ b/runner/pace.go
@@ -18,29 +18,29 @@
 	paceStep = 10
 	// leastShare stands for a filler that declares no processors.
 	leastShare = 0.001
-	// maxEffects bounds the pairs of images that are remembered.
-	maxEffects = 10_000
+	// maxPressures bounds the pairs of images that are remembered.
+	maxPressures = 10_000
 )
 
 // pair names a serving image and a filler's.
 type pair struct{ serving, filler string }
 
-// takeEffects notes what the leader has learned. The caller holds mu.
-func (a *Agent) takeEffects(list []wire.PairEffect) {
-	if len(a.effects) > maxEffects {
-		clear(a.effects) // the leader sends what matters with the next session
+// takePressures notes what the leader has learned. The caller holds mu.
+func (a *Agent) takePressures(list []wire.PairPressure) {
+	if len(a.pressures) > maxPressures {
+		clear(a.pressures) // the leader sends what matters with the next session
 	}
 	for _, e := range list {
-		a.effects[pair{e.Serving, e.Filler}] = float64(e.Effect)
+		a.pressures[pair{e.Serving, e.Filler}] = float64(e.Pressure)
 	}
 }
 
-// effect is what is known or assumed of a pair. The caller holds mu.
-func (a *Agent) effect(serving, filler string) float64 {
-	if e, ok := a.effects[pair{serving, filler}]; ok {
-		return e
+// pressure is what is known or assumed of a pair. The caller holds mu.
+func (a *Agent) pressure(serving, filler string) float64 {
+	if p, ok := a.pressures[pair{serving, filler}]; ok {
+		return p
 	}
-	return interference.Fillers().Effect
+	return interference.Unknown()
 }
 
 // paceOf is the share last asked for. The caller holds mu.
@@ -69,7 +69,7 @@
 		}
 		switch {
 		case o.TailMS > 0 && there && row.Percent == fullPace:
-			serving = append(serving, pace.Serving{Image: o.Image, Tail: float64(row.Load) / float64(o.TailMS)})
+			serving = append(serving, pace.Serving{Image: o.Image, Headroom: pace.Headroom(o.TailMS, row.Load)})
 		case o.Filler && there:
 			fillers = append(fillers, pace.Filler{
 				Run: ref, Image: o.Image, Share: max(leastShare, share),
@@ -80,7 +80,7 @@
 	return serving, fillers, idle
 }
 
-// seen is the mean speed of a filler while the tails were measured. The caller
+// seen is the mean speed of a filler while the headrooms were measured. The caller
 // holds mu.
 func (a *Agent) seen(ref rudderfork.RunRef) float64 {
 	if e := a.exposures[ref]; e != nil {
@@ -98,22 +98,22 @@
 		}
 	}
 	serving, fillers, idle := a.company()
-	worst := 0.0
+	least := pace.MostHeadroom
 	for _, s := range serving {
-		worst = max(worst, s.Tail)
+		least = min(least, s.Headroom)
 	}
 	stopped := a.guard.Stopped(serving, steady.Now())
-	for i, speed := range pace.Step(serving, fillers, idle, a.effect) {
+	for i, speed := range pace.Step(serving, fillers, idle, a.pressure) {
 		if stopped {
 			speed = 0
 		}
-		a.setPace(ctx, fillers[i].Run, int(speed*fullPace), worst)
+		a.setPace(ctx, fillers[i].Run, int(speed*fullPace), least)
 	}
 }
 
 // setPace asks for a share unless it is about the one last asked for. The caller
 // holds mu.
-func (a *Agent) setPace(ctx context.Context, ref rudderfork.RunRef, share int, worst float64) {
+func (a *Agent) setPace(ctx context.Context, ref rudderfork.RunRef, share int, least float64) {
 	old := a.paceOf(ref)
 	if old == share || abs(old-share) < paceStep && share != 0 && share != fullPace {
 		return
@@ -128,7 +128,7 @@
 		defer cancel()
 		err := a.exec.Pace(ctx, life, ref, share, fence)
 		a.log.Info().Str("task", string(ref.Task)).Uint32("run", ref.Run).Int("percent", share).Int("before", old).
-			Float64("worst_tail", worst).AnErr("error", err).Msg("filler_paced")
+			Float64("least_headroom", least).AnErr("error", err).Msg("filler_paced")
 		if err != nil {
 			a.mu.Lock()
 			defer a.mu.Unlock()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -34,7 +34,7 @@
 	// end to tell; pacedWait is the same while serving tasks have fillers beside
 	// them, whose effect is seen in half a second.
 	lookWait  = 1000 * time.Millisecond
-	pacedWait = 500 * time.Millisecond
+	pacedWait = 250 * time.Millisecond
 	// lookTimeout is added to the wait before a look is given up.
 	lookTimeout = 700 * time.Millisecond
 	// callTimeout bounds one start, stop or pace.
@@ -59,20 +59,20 @@
 	kicked chan struct{} // the call loop has something to do
 	beatUp chan struct{} // a heartbeat is due at once
 
-	mu       sync.Mutex
-	keeper   *runs.Keeper
-	vm       queue.VM
-	known    bool   // vm describes a life of the executor
-	leaving  bool   // the executor has said farewell, and ends
-	left     string // life that has left, and never comes back
-	draining bool
-	leaveAt  time.Time
-	seenAt   time.Time // when the executor last answered a look
-	rows     map[rudderfork.RunRef]rudderfork.RunRow
-	told     map[rudderfork.RunRef]rudderfork.RunRow // rows that the leader has
-	paces    map[rudderfork.RunRef]int               // speeds of fillers in percent, as last asked for
-	effects  map[pair]float64
-	guard    pace.Guard
+	mu        sync.Mutex
+	keeper    *runs.Keeper
+	vm        queue.VM
+	known     bool   // vm describes a life of the executor
+	leaving   bool   // the executor has said farewell, and ends
+	left      string // life that has left, and never comes back
+	draining  bool
+	leaveAt   time.Time
+	seenAt    time.Time // when the executor last answered a look
+	rows      map[rudderfork.RunRef]rudderfork.RunRow
+	told      map[rudderfork.RunRef]rudderfork.RunRow // rows that the leader has
+	paces     map[rudderfork.RunRef]int               // speeds of fillers in percent, as last asked for
+	pressures map[pair]float64
+	guard     pace.Guard
 
 	exposures map[rudderfork.RunRef]*exposure
 	begun     map[rudderfork.RunRef]time.Time // when starts were confirmed
@@ -99,7 +99,7 @@
 func New(process string, seeds func() []string, exec rudderfork.Executor, log zerolog.Logger) *Agent {
 	a := &Agent{
 		exec: exec, log: log, met: newMetrics(), kicked: make(chan struct{}, 1), beatUp: make(chan struct{}, 1),
-		keeper: runs.New(), effects: map[pair]float64{}, reports: map[uint64]report{},
+		keeper: runs.New(), pressures: map[pair]float64{}, reports: map[uint64]report{},
 	}
 	a.session = session.New(process, seeds, a, log)
 	a.forget()
@@ -240,13 +240,13 @@
 	defer a.mu.Unlock()
 	switch {
 	case m.Grant != nil:
-		a.takeEffects(m.Grant.Effects)
+		a.takePressures(m.Grant.Pressures)
 		if m.Grant.LeaseMS > 0 {
 			sent := time.Unix(0, m.Grant.Sent)
 			a.keeper.Grant(m.Grant.Life, m.Grant.Epoch, sent.Add(time.Duration(m.Grant.LeaseMS)*time.Millisecond))
 		}
 	case m.Orders != nil:
-		a.takeEffects(m.Orders.Effects)
+		a.takePressures(m.Orders.Pressures)
 		a.keeper.Order(*m.Orders)
 		a.log.Debug().Uint64("epoch", m.Orders.Epoch).Bool("full", m.Orders.Full).
 			Int("start", len(m.Orders.Start)).Int("stop", len(m.Orders.Stop)).Msg("orders")
@@ -323,7 +323,7 @@
 	}
 	now := steady.Now()
 	b = wire.VMBeat{Sent: now.UnixNano(), VM: a.vm, Draining: a.draining, Mute: now.Sub(a.seenAt) > muteAfter}
-	b.Worked, a.worked = a.worked, nil
+	b.Measured, b.Worked, a.worked = a.worked != nil, a.worked, nil
 	if a.draining {
 		b.LeaveMS = max(0, a.leaveAt.Sub(now).Milliseconds())
 	}
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -31,14 +31,14 @@
 // fleet is what the leader knows of the VMs and runs beside the replicated
 // state. It is guarded by the scheduler's mu.
 type fleet struct {
-	vms     map[rudderfork.VMID]*vmInfo
-	stops   map[rudderfork.RunRef]string // runs that are to end, with why
-	noted   map[rudderfork.RunRef]bool   // stops that were logged
-	failed  map[queue.TaskKey][]rudderfork.VMID
-	putOff  map[queue.TaskKey]time.Time
-	pruneAt time.Time
-	effects *effects
-	advice  *advice
+	vms       map[rudderfork.VMID]*vmInfo
+	stops     map[rudderfork.RunRef]string // runs that are to end, with why
+	noted     map[rudderfork.RunRef]bool   // stops that were logged
+	failed    map[queue.TaskKey][]rudderfork.VMID
+	putOff    map[queue.TaskKey]time.Time
+	pruneAt   time.Time
+	pressures *pressures
+	advice    *advice
 
 	// emptying is the VM whose upkeep is next; it gets no new work.
 	emptying rudderfork.VMID
@@ -67,7 +67,7 @@
 	return &fleet{
 		vms: map[rudderfork.VMID]*vmInfo{}, stops: map[rudderfork.RunRef]string{}, noted: map[rudderfork.RunRef]bool{},
 		failed: map[queue.TaskKey][]rudderfork.VMID{}, putOff: map[queue.TaskKey]time.Time{},
-		effects: newEffects(), advice: newAdvice(),
+		pressures: newPressures(), advice: newAdvice(),
 	}
 }
 
@@ -146,8 +146,8 @@
 	view := dispatch.View{
 		Now: rudderfork.Millis(now), VMs: map[rudderfork.VMID]dispatch.VMView{}, Runs: map[queue.TaskKey]dispatch.RunView{},
 		Failed: f.failed, PutOff: map[queue.TaskKey]int64{},
-		Tickets: f.advice.view(s, now),
-		Effect:  func(serving, filler string) float64 { return f.effects.of(serving, filler, now) },
+		Tickets:  f.advice.view(s, now),
+		Pressure: func(serving, filler string) float64 { return f.pressures.of(serving, filler, now) },
 	}
 	for _, vm := range s.VMs() {
 		v := f.vm(vm.ID)
--- /dev/null
+++ b/scheduler/pressures.go
@@ -0,0 +1,102 @@
+package scheduler
+
+import (
+	"math"
+	"time"
+
+	"rudderfork.example/rudderfork/interference"
+	"rudderfork.example/rudderfork/pace"
+	"rudderfork.example/rudderfork/queue"
+	"rudderfork.example/rudderfork/wire"
+)
+
+const (
+	// tellChange is the relative change of a pressure that an agent is told of,
+	// and leastChange the absolute one: less does not change a pace.
+	tellChange  = 0.15
+	leastChange = 0.3
+	// caution is the part of a pressure's standard error that is added to it.
+	caution = 0.3
+	// fullPercent is a lasting task at work, or a filler that is not paced.
+	fullPercent = 100
+)
+
+// imagePair names a serving image and a filler's.
+type imagePair struct{ serving, filler string }
+
+// pressures learns what fillers take from serving tasks, by pair of images, from
+// the accounts of all VMs.
+type pressures struct {
+	model *interference.Pressures
+}
+
+func newPressures() *pressures { return &pressures{interference.NewPressures()} }
+
+// crew is the serving tasks and the fillers that run on a VM.
+type crew struct {
+	serving map[string]bool       // images
+	fillers map[string]bool       // images, also of those paced to a standstill
+	figures []interference.Figure // of the serving tasks at work
+}
+
+func crewOf(s *queue.State, vm *queue.VM, v *vmInfo) crew {
+	c := crew{serving: map[string]bool{}, fillers: map[string]bool{}}
+	for k, r := range v.rows {
+		if vm.Runs()[k] != r.row.Run {
+			continue
+		}
+		st := s.Job(k.Job).Spec.Steps[k.Step]
+		c.add(st)
+		if st.TailMS > 0 && r.row.Percent == fullPercent && r.row.Load > 0 {
+			c.figures = append(c.figures, interference.Figure{
+				Image: st.Image, Run: r.row.RunRef, Headroom: pace.Headroom(st.TailMS, r.row.Load),
+			})
+		}
+	}
+	return c
+}
+
+// add notes the images of a step that runs on the VM.
+func (c crew) add(st queue.Step) {
+	if st.TailMS > 0 {
+		c.serving[st.Image] = true
+	}
+	if st.Filler {
+		c.fillers[st.Image] = true
+	}
+}
+
+// learn takes a VM's account.
+func (p *pressures) learn(c crew, b wire.VMBeat, now time.Time) {
+	if !b.Measured {
+		return
+	}
+	for _, f := range c.figures {
+		f.At, f.Shares = now, b.Worked
+		p.model.Observe(f)
+	}
+}
+
+// of returns what is known or assumed of a pair, on the cautious side.
+func (p *pressures) of(serving, filler string, now time.Time) float64 {
+	pressure, stderr := p.model.Of(serving, filler, now)
+	return pressure + caution*stderr
+}
+
+// news returns the pressures between the images on a VM that an agent has not
+// been told of, or that have changed since.
+func (p *pressures) news(c crew, told map[imagePair]float64, now time.Time) (list []wire.PairPressure) {
+	for serving := range c.serving {
+		for filler := range c.fillers {
+			pair := imagePair{serving, filler}
+			pressure := p.of(serving, filler, now)
+			old, ok := told[pair]
+			if ok && math.Abs(pressure-old) < max(leastChange, tellChange*math.Abs(old)) {
+				continue
+			}
+			told[pair] = pressure
+			list = append(list, wire.PairPressure{Serving: serving, Filler: filler, Pressure: float32(pressure)})
+		}
+	}
+	return list
+}
--- a/scheduler/session.go
+++ b/scheduler/session.go
@@ -40,7 +40,7 @@
 	full  bool            // the full list was sent in this epoch
 	sent  map[rudderfork.RunRef]bool
 	stops map[rudderfork.RunRef]bool // sent
-	told  map[imagePair]float64      // effects that were sent
+	told  map[imagePair]float64      // pressures that were sent
 }
 
 // Accept takes the sessions of fronts and agents.
--- a/scheduler/vm.go
+++ b/scheduler/vm.go
@@ -56,12 +56,12 @@
 		delete(ses.stops, ref)
 	}
 	if len(o.Start) > 0 {
-		// A filler's pace is right from its start only if its effects are known.
+		// A filler's pace is right from its start only if its pressures are known.
 		c := crewOf(qs, vm, ses.s.fleet.vm(ses.vm))
 		for k := range vm.Runs() {
 			c.add(qs.Job(k.Job).Spec.Steps[k.Step])
 		}
-		o.Effects = ses.s.fleet.effects.news(c, ses.told, steady.Now())
+		o.Pressures = ses.s.fleet.pressures.news(c, ses.told, steady.Now())
 	}
 	return o
 }
@@ -107,7 +107,7 @@
 		grant.LeaseMS = v.lease.Grant(time.Unix(0, st.ContactNS), now, s.cfg.Lease).Milliseconds()
 	}
 	s.mu.Unlock()
-	grant.Effects = ses.learn(now)
+	grant.Pressures = ses.learn(now)
 	ses.reply(wire.ToQueueNode{Grant: &grant})
 	if fresh {
 		ses.wake()
@@ -116,9 +116,9 @@
 	return nil
 }
 
-// learn draws on the VM's account for the effects of fillers, and returns those
+// learn draws on the VM's account for the pressures of fillers, and returns those
 // that its agent lacks.
-func (ses *session) learn(now time.Time) (list []wire.PairEffect) {
+func (ses *session) learn(now time.Time) (list []wire.PairPressure) {
 	ses.s.rep.View(func(st *state.State) {
 		ses.s.mu.Lock()
 		defer ses.s.mu.Unlock()
@@ -128,8 +128,8 @@
 		}
 		v := ses.s.fleet.vm(ses.vm)
 		c := crewOf(st.Queues(), vm, v)
-		ses.s.fleet.effects.learn(c, v.beat, now)
-		list = ses.s.fleet.effects.news(c, ses.told, now)
+		ses.s.fleet.pressures.learn(c, v.beat, now)
+		list = ses.s.fleet.pressures.news(c, ses.told, now)
 	})
 	return list
 }
--- a/wire/queue.go
+++ b/wire/queue.go
@@ -91,8 +91,10 @@
 	Mute bool                `cbor:"5,keyasint,omitempty"`
 	Rows []rudderfork.RunRow `cbor:"6,keyasint,omitempty"` // that have changed
 
+	// Measured says that the rows' figures are newer than in the heartbeat before.
+	Measured bool `cbor:"8,keyasint,omitempty"`
 	// Worked is the shares of the VM's processors at which fillers worked while
-	// the rows' figures were taken, by image; nil if there is no newer figure.
+	// those figures were taken, by image.
 	Worked map[string]float64 `cbor:"7,keyasint,omitempty"`
 }
 
@@ -104,15 +106,15 @@
 	Epoch   uint64 `cbor:"3,keyasint"`
 	Life    string `cbor:"5,keyasint"` // of the executor that it is for
 
-	Effects []PairEffect `cbor:"4,keyasint,omitempty"` // that are new or have changed
+	Pressures []PairPressure `cbor:"4,keyasint,omitempty"` // that are new or have changed
 }
 
-// PairEffect is what fillers of one image do to serving tasks of another, as
-// package interference gives it.
-type PairEffect struct {
-	Serving string  `cbor:"1,keyasint"`
-	Filler  string  `cbor:"2,keyasint"`
-	Effect  float32 `cbor:"3,keyasint"`
+// PairPressure is what fillers of one image take from the headroom of serving
+// tasks of another, as package interference gives it.
+type PairPressure struct {
+	Serving  string  `cbor:"1,keyasint"`
+	Filler   string  `cbor:"2,keyasint"`
+	Pressure float32 `cbor:"3,keyasint"`
 }
 
 // RunOrder asks a VM to run a task.
@@ -136,7 +138,7 @@
 	Start []RunOrder          `cbor:"3,keyasint,omitempty"`
 	Stop  []rudderfork.RunRef `cbor:"4,keyasint,omitempty"`
 
-	Effects []PairEffect `cbor:"5,keyasint,omitempty"` // that are new or have changed
+	Pressures []PairPressure `cbor:"5,keyasint,omitempty"` // that are new or have changed
 }
 
 // EndsReport tells of runs that have ended on a life of the VM. Seq is the
