Run copies where a step allows two, and move runs that lag behind their fellows

Change: a second run begins beside one whose VM does not answer, that was not seen to begin, stands still, or lags behind the other tasks of its step; where no copy is allowed, one that lags by 2.5 is moved, once. A task keeps how long its run took, to be compared with.

--- a/dispatch/colocate.go
+++ b/dispatch/colocate.go
@@ -45,9 +45,9 @@
 	}
 	whole := float64(max(1, vm.Capacity.CPUMilli))
 	c := &colocation{whole: whole, idle: whole * pace.MostUsed}
-	for k := range vm.Runs() {
-		run := p.view.Runs[k]
-		c.add(p.stepOf(k), run, run.Number == 0 || p.view.Now-run.SeenAt < freshMS)
+	for k, number := range vm.Runs() {
+		run, seen := p.view.Runs[k.Run(number)]
+		c.add(p.stepOf(k), run, !seen || p.view.Now-run.SeenAt < freshMS)
 	}
 	p.shared[vm.ID] = c
 	return c
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -31,11 +31,11 @@
 
 // RunView is what the leader knows of a run at the moment.
 type RunView struct {
-	Number  uint32
 	Percent int
-	SeenAt  int64 // when it was first reported, leader's clock, Unix ms
+	From    int   // percent when it was first reported
+	SeenAt  int64 // when that was, leader's clock, Unix ms
 	MovedAt int64 // when Percent last changed, leader's clock, Unix ms
-	Load    int64
+	Load    int64 // tail of a serving task in ms, else thousandths of a core
 	Held    int   // percent by which it is paced down
 	HeldAt  int64 // since when it is held down by more than a little, or 0
 }
@@ -44,7 +44,7 @@
 type View struct {
 	Now  int64 // leader's clock, Unix ms
 	VMs  map[rudderfork.VMID]VMView
-	Runs map[queue.TaskKey]RunView
+	Runs map[queue.RunKey]RunView
 	// Failed names the VMs on which a task has failed.
 	Failed map[queue.TaskKey][]rudderfork.VMID
 	// PutOff holds tasks back until a time, after a refusal.
@@ -94,6 +94,9 @@
 	for _, j := range jobs {
 		p.starts(j)
 	}
+	for _, j := range jobs {
+		p.copies(j)
+	}
 	return p.plan
 }
 
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -22,7 +22,7 @@
 
 func newWorld(t *testing.T, vms int) *world {
 	w := &world{t: t, s: queue.New(), pair: map[[2]string]float64{}, view: View{
-		Now: 1000, VMs: map[rudderfork.VMID]VMView{}, Runs: map[queue.TaskKey]RunView{}, Failed: map[queue.TaskKey][]rudderfork.VMID{},
+		Now: 1000, VMs: map[rudderfork.VMID]VMView{}, Runs: map[queue.RunKey]RunView{}, Failed: map[queue.TaskKey][]rudderfork.VMID{},
 	}}
 	w.view.Pressure = func(serving, filler string) float64 { return w.pair[[2]string{serving, filler}] }
 	w.s.Apply(queue.Command{Document: &queue.Document{
@@ -35,16 +35,21 @@
 		Pools: []queue.Pool{{Service: "desk"}},
 	}}, 1)
 	for i := range vms {
-		id := rudderfork.VMID(fmt.Sprintf("vm%d", i+1))
-		w.s.Apply(queue.Command{Register: &queue.VM{
-			ID: id, Life: "life", Service: "desk", Rack: fmt.Sprintf("rack%d", i/2+1),
-			Capacity: rudderfork.Resources{CPUMilli: 4000, MemoryMB: 4000}, Labels: []string{"a"},
-		}}, 1)
-		w.view.VMs[id] = VMView{Usable: true}
+		w.addVM(i + 1)
 	}
 	return w
 }
 
+// addVM adds a VM; two share a rack.
+func (w *world) addVM(n int) {
+	id := rudderfork.VMID(fmt.Sprintf("vm%d", n))
+	w.s.Apply(queue.Command{Register: &queue.VM{
+		ID: id, Life: "life", Service: "desk", Rack: fmt.Sprintf("rack%d", (n-1)/2+1),
+		Capacity: rudderfork.Resources{CPUMilli: 4000, MemoryMB: 4000}, Labels: []string{"a"},
+	}}, 1)
+	w.view.VMs[id] = VMView{Usable: true}
+}
+
 // submit hands in a job and returns the key of its first task.
 func (w *world) submit(queueName, id string, at int64, steps ...queue.Step) queue.TaskKey {
 	w.t.Helper()
@@ -267,6 +272,73 @@
 	})
 }
 
+// progress shows the first runs of a step's tasks, one on each VM, after a while
+// at work.
+func (w *world) progress(k queue.TaskKey, percents ...int) {
+	begun := w.view.Now
+	w.view.Now += slowAfterMS
+	for i, percent := range percents {
+		k.Index = i
+		w.view.Runs[k.Run(1)] = RunView{Percent: percent, SeenAt: begun, MovedAt: w.view.Now}
+	}
+}
+
+func TestCopies(t *testing.T) {
+	twice := cpu(4000)
+	twice.Speculative, twice.Count = true, 3
+	// begun has a step at work on three VMs, and a fourth.
+	begun := func(t *testing.T, st queue.Step) (w *world, k queue.TaskKey) {
+		w = newWorld(t, 3)
+		k = w.submit("urgent", "j", 1, st)
+		assert.Equal(t, len(w.run()), 3)
+		w.addVM(4)
+		w.progress(k, 50, 50, 50)
+		return w, k
+	}
+	for _, c := range []struct {
+		name   string
+		change func(w *world, k queue.TaskKey)
+		copied bool
+	}{
+		{"none while the runs go on", func(*world, queue.TaskKey) {}, false},
+		{"the VM does not answer", func(w *world, _ queue.TaskKey) { w.view.VMs["vm1"] = VMView{} }, true},
+		{"it was not seen to begin", func(w *world, k queue.TaskKey) {
+			w.progress(k, 60, 70, 70)
+			delete(w.view.Runs, k.Run(1))
+		}, true},
+		{"it stands still", func(w *world, k queue.TaskKey) {
+			still := w.view.Runs[k.Run(1)]
+			w.progress(k, 60, 70, 70)
+			w.view.Now++
+			w.view.Runs[k.Run(1)] = still
+		}, true},
+		{"it lags behind its fellows", func(w *world, k queue.TaskKey) { w.progress(k, 20, 80, 80) }, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w, k := begun(t, twice)
+			c.change(w, k)
+			places := w.run()
+			assert.Equal(t, places["j.0.0.0"] == "vm4", c.copied)
+			assert.Equal(t, len(w.s.Job("j").Task(k).Runs) == 2, c.copied)
+			assert.Equal(t, len(w.run()), 0, "two are enough")
+		})
+	}
+	t.Run("never where the step does not allow it", func(t *testing.T) {
+		once := twice
+		once.Speculative = false
+		w, _ := begun(t, once)
+		w.view.VMs["vm1"] = VMView{}
+		assert.Equal(t, len(w.run()), 0)
+	})
+	t.Run("the other run is stopped once one is done", func(t *testing.T) {
+		w, k := begun(t, twice)
+		w.progress(k, 20, 80, 80)
+		w.run()
+		w.s.Apply(queue.Command{Ends: &queue.Ends{VM: "vm4", Life: "life", List: []queue.End{{Task: k, Run: 2, How: queue.EndDone}}}}, w.view.Now)
+		assert.DeepEqual(t, stops(w), map[string]string{"j.0.0.0": "another run has done the task"})
+	})
+}
+
 // stops returns the reasons of a plan's stops by task.
 func stops(w *world) map[string]string {
 	m := map[string]string{}
@@ -297,7 +369,7 @@
 		w := newWorld(t, 1)
 		k := w.submit("urgent", "j", 1, cpu(1000))
 		w.run()
-		w.view.Runs[k] = RunView{Number: 1, Percent: 40, MovedAt: w.view.Now}
+		w.view.Runs[k.Run(1)] = RunView{Percent: 40, MovedAt: w.view.Now}
 		assert.Equal(t, len(stops(w)), 0)
 		w.view.Now += stillMS + 1
 		assert.DeepEqual(t, stops(w), map[string]string{"j.0.0.0": Stuck})
@@ -306,12 +378,46 @@
 		w := newWorld(t, 1)
 		k := w.submit("urgent", "s", 1, servingStep("audio", 1000))
 		w.run()
-		w.view.Runs[k] = RunView{Number: 1, Percent: 100, MovedAt: 0}
+		w.view.Runs[k.Run(1)] = RunView{Percent: 100, MovedAt: 0}
 		w.view.Now += 10 * startupMS
 		assert.Equal(t, len(stops(w)), 0)
-		w.view.Runs[k] = RunView{Number: 1, Percent: 20, MovedAt: 0}
+		w.view.Runs[k.Run(1)] = RunView{Percent: 20, MovedAt: 0}
 		assert.DeepEqual(t, stops(w), map[string]string{"s.0.0.0": Stuck})
 	})
+	t.Run("a task that lags behind its fellows, once", func(t *testing.T) {
+		w := newWorld(t, 3)
+		st := cpu(4000)
+		st.Count = 3
+		k := w.submit("urgent", "j", 1, st)
+		w.run()
+		w.progress(k, 10, 80, 90)
+		assert.Equal(t, len(stops(w)), 0, "there is no other VM")
+		w.addVM(4)
+		assert.DeepEqual(t, stops(w), map[string]string{"j.0.0.0": Slow})
+		w.view.Failed[k] = []rudderfork.VMID{"vm1"}
+		assert.Equal(t, len(stops(w)), 0, "it was slow elsewhere too")
+		delete(w.view.Failed, k)
+		w.progress(k, 60, 80, 90)
+		assert.Equal(t, len(stops(w)), 0, "it is about as fast")
+		w.progress(k, 10, 12, 14)
+		assert.Equal(t, len(stops(w)), 0, "all are, whatever was expected")
+	})
+	t.Run("a task whose fellows are long done", func(t *testing.T) {
+		w := newWorld(t, 3)
+		st := cpu(4000)
+		st.Count = 3
+		k := w.submit("urgent", "j", 1, st)
+		w.run()
+		for i := 1; i < 3; i++ {
+			other := k
+			other.Index = i
+			w.s.Apply(queue.Command{Ends: &queue.Ends{
+				VM: rudderfork.VMID(fmt.Sprintf("vm%d", i+1)), Life: "life", List: []queue.End{{Task: other, Run: 1, How: queue.EndDone}},
+			}}, w.view.Now+500)
+		}
+		w.progress(k, 20)
+		assert.DeepEqual(t, stops(w), map[string]string{"j.0.0.0": Slow})
+	})
 	t.Run("a filler that is held back, if it would work elsewhere", func(t *testing.T) {
 		w := newWorld(t, 2)
 		w.submit("urgent", "s", 1, servingStep("audio", 3000))
@@ -321,11 +427,11 @@
 		w.run()
 		w.pair[[2]string{"audio", "loud"}] = 30
 		w.view.Now += 10_000
-		w.view.Runs[k] = RunView{Number: 1, Percent: 5, MovedAt: w.view.Now, Held: 100, HeldAt: 1}
+		w.view.Runs[k.Run(1)] = RunView{Percent: 5, MovedAt: w.view.Now, Held: 100, HeldAt: 1}
 		assert.Equal(t, len(stops(w)), 0, "it has nowhere to go")
 		w.view.VMs["vm2"] = VMView{Usable: true}
 		assert.DeepEqual(t, stops(w), map[string]string{"f.0.0.0": HeldBack})
-		w.view.Runs[k] = RunView{Number: 1, Percent: 60, MovedAt: w.view.Now, Held: 100, HeldAt: 1}
+		w.view.Runs[k.Run(1)] = RunView{Percent: 60, MovedAt: w.view.Now, Held: 100, HeldAt: 1}
 		assert.Equal(t, len(stops(w)), 0, "it would lose what it has done")
 	})
 }
--- a/queue/apply.go
+++ b/queue/apply.go
@@ -224,6 +224,9 @@
 	for i, r := range t.Runs {
 		if r.VM == vm && r.Number == e.Run {
 			s.removeRun(j, e.Task, t, i)
+			if e.How == EndDone {
+				t.TookMS = at - r.StartedAt
+			}
 			s.settle(j, e, t, at)
 			return true
 		}
--- a/queue/model.go
+++ b/queue/model.go
@@ -135,6 +135,15 @@
 	return rudderfork.RunRef{Task: rudderfork.TaskID(k.String()), Run: run}
 }
 
+// Run returns the key of a run of the task.
+func (k TaskKey) Run(number uint32) RunKey { return RunKey{k, number} }
+
+// RunKey names a run of a task.
+type RunKey struct {
+	TaskKey
+	Number uint32
+}
+
 // ParseTaskKey is the inverse of String.
 func ParseTaskKey(s string) (k TaskKey, err error) {
 	parts := strings.Split(s, ".")
@@ -208,6 +217,7 @@
 	Runs       []Run  `cbor:"4,keyasint,omitempty"`
 	Checkpoint string `cbor:"5,keyasint,omitempty"`
 	EndedAt    int64  `cbor:"6,keyasint,omitempty"` // of the last run, Unix ms
+	TookMS     int64  `cbor:"7,keyasint,omitempty"` // from the start of the run that was done
 }
 
 // Occurrence is the tasks of one time of a job, by step and index.
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -58,6 +58,7 @@
 // runInfo is one run at the moment.
 type runInfo struct {
 	row     rudderfork.RunRow
+	from    int // percent when it was first reported
 	seenAt  time.Time
 	movedAt time.Time
 	heldAt  time.Time // since when it is held down; zero if it is not
@@ -105,7 +106,7 @@
 		}
 		r := v.rows[k]
 		if r == nil || r.row.Run != row.Run {
-			r = &runInfo{seenAt: now, movedAt: now}
+			r = &runInfo{seenAt: now, movedAt: now, from: row.Percent}
 			v.rows[k] = r
 		}
 		if r.row.Percent != row.Percent {
@@ -144,7 +145,7 @@
 // view returns what dispatch reads, and drops what concerns runs that are over.
 func (f *fleet) view(s *queue.State, now time.Time) dispatch.View {
 	view := dispatch.View{
-		Now: rudderfork.Millis(now), VMs: map[rudderfork.VMID]dispatch.VMView{}, Runs: map[queue.TaskKey]dispatch.RunView{},
+		Now: rudderfork.Millis(now), VMs: map[rudderfork.VMID]dispatch.VMView{}, Runs: map[queue.RunKey]dispatch.RunView{},
 		Failed: f.failed, PutOff: map[queue.TaskKey]int64{},
 		Tickets:  f.advice.view(s, now),
 		Pressure: func(serving, filler string) float64 { return f.pressures.of(serving, filler, now) },
@@ -158,12 +159,12 @@
 				continue
 			}
 			run := dispatch.RunView{
-				Number: r.row.Run, Percent: r.row.Percent, SeenAt: rudderfork.Millis(r.seenAt), MovedAt: rudderfork.Millis(r.movedAt), Load: r.row.Load, Held: r.row.Held,
+				Percent: r.row.Percent, From: r.from, SeenAt: rudderfork.Millis(r.seenAt), MovedAt: rudderfork.Millis(r.movedAt), Load: r.row.Load, Held: r.row.Held,
 			}
 			if !r.heldAt.IsZero() {
 				run.HeldAt = rudderfork.Millis(r.heldAt)
 			}
-			view.Runs[k] = run
+			view.Runs[k.Run(r.row.Run)] = run
 		}
 	}
 	for k, until := range f.putOff {
@@ -222,7 +223,7 @@
 	switch {
 	case e.How == queue.EndDone:
 		v.addDoubt(-doubtStep, now)
-	case e.How == queue.EndFailed, e.How == queue.EndRefused, f.stops[ref] == dispatch.Stuck:
+	case e.How == queue.EndFailed, e.How == queue.EndRefused, f.stops[ref] == dispatch.Stuck, f.stops[ref] == dispatch.Slow:
 		v.addDoubt(doubtStep, now)
 		f.failedOn(e.Task, vm)
 	}
