Tell a new leader what the one before had learned of pressures

Change: an agent sends the pressures that it was told with a new session; the leader takes them for pairs that it has not seen.

--- a/interference/pressure.go
+++ b/interference/pressure.go
@@ -32,6 +32,9 @@
 	// error. On calm days of the users' platform two pairs in three take less
 	// than 1, the others 4 to 12.
 	priorPressure, priorError = 2.0, 3.0
+	// assumedError is the standard error of what was learned elsewhere: half of
+	// what is unknown.
+	assumedError = priorError / 2
 	// pressureHalfLife is when a difference counts half.
 	pressureHalfLife = time.Minute
 	// figureVar is the variance of a difference by the rounding of its figures,
@@ -69,12 +72,26 @@
 
 // Observe takes a figure. Figures of a run come in the order of their times.
 func (p *Pressures) Observe(f Figure) {
-	fit := p.fits[f.Image]
-	if fit == nil {
-		fit = &pressureFit{index: map[string]int{}, last: map[rudderfork.RunRef]Figure{}}
-		p.fits[f.Image] = fit
+	p.fit(f.Image).observe(f)
+}
+
+// Assume takes a pressure that was learned elsewhere, unless the pair was seen
+// here already.
+func (p *Pressures) Assume(serving, filler string, pressure float64) {
+	fit := p.fit(serving)
+	if _, known := fit.index[filler]; !known {
+		fit.index[filler] = fit.reg.grow(max(0, pressure), assumedError*assumedError)
+	}
+}
+
+// fit returns the regression of a serving image.
+func (p *Pressures) fit(serving string) *pressureFit {
+	f := p.fits[serving]
+	if f == nil {
+		f = &pressureFit{index: map[string]int{}, last: map[rudderfork.RunRef]Figure{}}
+		p.fits[serving] = f
 	}
-	fit.observe(f)
+	return f
 }
 
 // Of returns the pressure of a pair and its standard error.
--- a/interference/pressure_test.go
+++ b/interference/pressure_test.go
@@ -88,6 +88,15 @@
 		loud, _ := e.p.Of("audio", "loud", e.now)
 		assert.Assert(t, loud < 2.5, "%.2f", loud)
 	})
+	t.Run("what was learned elsewhere is taken for a pair that is new here", func(t *testing.T) {
+		e.p.Assume("audio", "loud", 5)
+		e.p.Assume("audio", "new", 5)
+		loud, _ := e.p.Of("audio", "loud", e.now)
+		assert.Assert(t, loud < 2.5, "%.2f", loud)
+		got, stderr := e.p.Of("audio", "new", e.now)
+		assert.Equal(t, got, 5.0)
+		assert.Assert(t, stderr < priorError)
+	})
 	t.Run("fillers that work on as before tell nothing", func(t *testing.T) {
 		steady := newEvening(nil)
 		for i := range 20 {
--- a/runner/pace.go
+++ b/runner/pace.go
@@ -20,6 +20,8 @@
 	leastShare = 0.001
 	// maxPressures bounds the pairs of images that are remembered.
 	maxPressures = 10_000
+	// maxLearned bounds those that a new leader is told of: 30 images of each kind.
+	maxLearned = 900
 )
 
 // pair names a serving image and a filler's.
@@ -35,6 +37,17 @@
 	}
 }
 
+// learned returns the pressures that the agent was told of. The caller holds mu.
+func (a *Agent) learned() (list []wire.PairPressure) {
+	for p, pressure := range a.pressures {
+		if len(list) == maxLearned {
+			break
+		}
+		list = append(list, wire.PairPressure{Serving: p.serving, Filler: p.filler, Pressure: float32(pressure)})
+	}
+	return list
+}
+
 // pressure is what is known or assumed of a pair. The caller holds mu.
 func (a *Agent) pressure(serving, filler string) float64 {
 	if p, ok := a.pressures[pair{serving, filler}]; ok {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -227,6 +227,9 @@
 	for _, id := range slices.Sorted(maps.Keys(a.reports)) {
 		a.session.Send(a.reports[id].message(id)) // if it fails, the next session sends it again
 	}
+	if learned := a.learned(); len(learned) > 0 {
+		a.session.Send(wire.FromNode{Learned: learned}) // if it fails, the leader learns anew
+	}
 	a.mu.Unlock()
 	wake(a.beatUp)
 }
--- /dev/null
+++ b/runner/runner_test.go
@@ -0,0 +1,137 @@
+package runner
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/internal/steady"
+	"rudderfork.example/rudderfork/queue"
+	"rudderfork.example/rudderfork/standin/executor"
+	"rudderfork.example/rudderfork/wire"
+)
+
+// waitLimit ends a wait for a message that does not come.
+const waitLimit = 20 * time.Second
+
+// leader is a stand-in for the leader: it takes one session after the other.
+type leader struct {
+	t        *testing.T
+	sessions chan *leaderSession
+	srv      *httptest.Server
+}
+
+// leaderSession is one agent's session.
+type leaderSession struct {
+	t    *testing.T
+	conn *wire.Conn[wire.ToQueueNode, wire.FromNode]
+	done chan struct{}
+}
+
+func newLeader(t *testing.T) *leader {
+	l := &leader{t: t, sessions: make(chan *leaderSession)}
+	l.srv = httptest.NewServer(http.HandlerFunc(l.accept))
+	t.Cleanup(l.srv.Close)
+	return l
+}
+
+func (l *leader) seeds() []string { return []string{strings.TrimPrefix(l.srv.URL, "http://")} }
+
+func (l *leader) accept(w http.ResponseWriter, r *http.Request) {
+	c, err := wire.Accept[wire.ToQueueNode, wire.FromNode](w, r)
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	if _, err := c.Receive(r.Context()); err != nil { // the hello
+		return
+	}
+	if err := c.Send(r.Context(), wire.ToQueueNode{Welcome: &wire.QueueWelcome{Term: 1}}); err != nil {
+		return
+	}
+	ses := &leaderSession{t: l.t, conn: c, done: make(chan struct{})}
+	select {
+	case l.sessions <- ses:
+		<-ses.done
+	case <-l.t.Context().Done():
+	}
+}
+
+// next waits for a session.
+func (l *leader) next() *leaderSession {
+	l.t.Helper()
+	select {
+	case ses := <-l.sessions:
+		return ses
+	case <-time.After(waitLimit):
+		l.t.Fatal("no session comes")
+		return nil
+	}
+}
+
+// until reads messages until one is as wanted.
+func (s *leaderSession) until(wanted func(m wire.FromNode) bool) wire.FromNode {
+	s.t.Helper()
+	ctx, cancel := context.WithTimeout(s.t.Context(), waitLimit)
+	defer cancel()
+	for {
+		m, err := s.conn.Receive(ctx)
+		assert.NilError(s.t, err)
+		if wanted(m) {
+			return m
+		}
+	}
+}
+
+func (s *leaderSession) send(m wire.ToQueueNode) {
+	s.t.Helper()
+	assert.NilError(s.t, s.conn.Send(s.t.Context(), m))
+}
+
+// close ends the session, as a leader that is lost does.
+func (s *leaderSession) close() { close(s.done) }
+
+func isBeat(m wire.FromNode) bool { return m.Beat != nil }
+
+// startAgent runs an agent whose executor is the stand-in.
+func startAgent(t *testing.T, l *leader) *Agent {
+	room := rudderfork.Resources{CPUMilli: 4000, MemoryMB: 1000}
+	a := New("vm1", l.seeds, executor.New("life-1", executor.Config{Now: steady.Now, Room: room}), zerolog.Nop())
+	for _, s := range a.Services() {
+		go func() { _ = s.Serve(t.Context()) }() // it ends with the test
+	}
+	a.Describe(queue.VM{ID: "vm1", Life: "life-1", Service: "desk", Capacity: room}, false, 0)
+	return a
+}
+
+// TestNewLeader brings an agent a second leader: it is told what the first had
+// learned.
+func TestNewLeader(t *testing.T) {
+	l := newLeader(t)
+	a := startAgent(t, l)
+	first := l.next()
+	first.until(isBeat)
+	learned := []wire.PairPressure{{Serving: "audio", Filler: "loud", Pressure: 9}}
+	first.send(wire.ToQueueNode{Grant: &wire.VMGrant{Life: "life-1", Pressures: learned}})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if a.pressure("audio", "loud") == 9 {
+			return poll.Success()
+		}
+		return poll.Continue("the grant is not taken yet")
+	}, poll.WithTimeout(waitLimit))
+	first.close()
+	second := l.next()
+	defer second.close()
+	m := second.until(func(m wire.FromNode) bool { return len(m.Learned) > 0 })
+	assert.DeepEqual(t, m.Learned, learned)
+}
--- a/scheduler/pressures.go
+++ b/scheduler/pressures.go
@@ -77,6 +77,15 @@
 	}
 }
 
+// assume takes what the leader before had learned, from what it told the agents.
+func (s *Scheduler) assume(list []wire.PairPressure) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range list {
+		s.fleet.pressures.model.Assume(p.Serving, p.Filler, float64(p.Pressure))
+	}
+}
+
 // of returns what is known or assumed of a pair, on the cautious side.
 func (p *pressures) of(serving, filler string, now time.Time) float64 {
 	pressure, stderr := p.model.Of(serving, filler, now)
--- a/scheduler/session.go
+++ b/scheduler/session.go
@@ -161,6 +161,8 @@
 			err = ses.beat(ctx, *m.Beat)
 		case m.Ends != nil:
 			err = ses.ends(ctx, *m.Ends)
+		case len(m.Learned) > 0:
+			ses.s.assume(m.Learned)
 		case m.Ping != 0:
 			ses.reply(wire.ToQueueNode{Pong: m.Ping})
 		}
--- a/wire/queue.go
+++ b/wire/queue.go
@@ -13,6 +13,9 @@
 	Beat  *VMBeat     `cbor:"3,keyasint,omitempty"`
 	Ends  *EndsReport `cbor:"4,keyasint,omitempty"`
 	Ping  int64       `cbor:"5,keyasint,omitempty"` // answered by the same number
+
+	// Learned is what a VM's agent was told of pressures, for a leader that is new.
+	Learned []PairPressure `cbor:"6,keyasint,omitempty"`
 }
 
 // ToQueueNode is sent by control in a queue session.
