--- a/queue/apply.go
+++ b/queue/apply.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"fmt"
 	"path"
 	"regexp"
 
@@ -92,6 +93,9 @@
 	if !ok {
 		return refusal
 	}
+	if code := s.doc.Limits.exceeded(c.BodyBytes, c.HeaderBytes); code != "" {
+		return Result{Code: code, Text: fmt.Sprintf("a body of %d bytes, a header of %d; the document's limits are %+v", c.BodyBytes, c.HeaderBytes, s.doc.Limits)}
+	}
 	if err := c.Spec.Check(); err != nil {
 		return Result{Code: Invalid, Text: err.Error()}
 	}
--- a/queue/command.go
+++ b/queue/command.go
@@ -24,6 +24,10 @@
 
 	// KeepMS is how long the status of a finished job is kept.
 	KeepMS int64 `cbor:"4,keyasint"`
+
+	// BodyBytes and HeaderBytes are the sizes of the client's call.
+	BodyBytes   int64 `cbor:"5,keyasint,omitempty"`
+	HeaderBytes int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Cancel cancels the job whose ID ends the path.
@@ -81,6 +85,9 @@
 	NoQueue    Code = "no-queue"
 	NoJob      Code = "no-job"
 	Invalid    Code = "invalid"
+
+	BodyTooLarge   Code = "body-too-large"
+	HeaderTooLarge Code = "header-too-large"
 )
 
 // Result is what Apply returns. It is the same on every replica.
--- a/queue/document.go
+++ b/queue/document.go
@@ -36,6 +36,23 @@
 	Spare   bool               `cbor:"3,keyasint,omitempty" json:"spare"`   // its VMs are off
 }
 
+// Limits bounds what clients hand in; 0 means no bound of the operator's.
+type Limits struct {
+	BodyBytes   int64 `cbor:"1,keyasint,omitempty" json:"body_bytes"`
+	HeaderBytes int64 `cbor:"2,keyasint,omitempty" json:"header_bytes"`
+}
+
+// exceeded says which bound a call passes, or "".
+func (l Limits) exceeded(bodyBytes, headerBytes int64) Code {
+	switch {
+	case l.HeaderBytes > 0 && headerBytes > l.HeaderBytes:
+		return HeaderTooLarge
+	case l.BodyBytes > 0 && bodyBytes > l.BodyBytes:
+		return BodyTooLarge
+	}
+	return ""
+}
+
 // Document is the operator's whole document. A newer version replaces an older
 // one as a whole. Text is what the operator sent, to be read back unchanged.
 type Document struct {
@@ -43,6 +60,7 @@
 	Text    []byte  `cbor:"2,keyasint" json:"-"`
 	Queues  []Queue `cbor:"3,keyasint" json:"queues"`
 	Pools   []Pool  `cbor:"4,keyasint" json:"pools"`
+	Limits  Limits  `cbor:"5,keyasint,omitempty" json:"limits"`
 }
 
 // maxQueues bounds a document; letter 1's largest table has 1,100 rows.
@@ -56,6 +74,9 @@
 	if len(d.Queues) > maxQueues {
 		return fmt.Errorf("%d queues; want at most %d", len(d.Queues), maxQueues)
 	}
+	if d.Limits.BodyBytes < 0 || d.Limits.HeaderBytes < 0 {
+		return fmt.Errorf("limits: %+v; want no negative number", d.Limits)
+	}
 	pools := map[rudderfork.Service]bool{}
 	for _, p := range d.Pools {
 		if p.Service == "" || pools[p.Service] {
