--- a/interference/pressure.go
+++ b/interference/pressure.go
@@ -79,12 +79,14 @@
 }
 
 // Assume takes a pressure that was learned elsewhere, unless the pair was seen
-// here already.
-func (p *Pressures) Assume(serving, filler string, pressure float64) {
+// here already, and reports whether it did.
+func (p *Pressures) Assume(serving, filler string, pressure float64) bool {
 	fit := p.fit(serving)
-	if _, known := fit.index[filler]; !known {
-		fit.index[filler] = fit.reg.grow(max(0, pressure), assumedError*assumedError)
+	if _, known := fit.index[filler]; known {
+		return false
 	}
+	fit.index[filler] = fit.reg.grow(max(0, pressure), assumedError*assumedError)
+	return true
 }
 
 // fit returns the regression of a serving image.
--- a/scheduler/metrics.go
+++ b/scheduler/metrics.go
@@ -4,10 +4,11 @@
 
 // metrics are the scheduler's own.
 type metrics struct {
-	commit, plan        prometheus.Histogram
-	starts, stops, lost prometheus.Counter
-	ends, asks          *prometheus.CounterVec
-	answer              *prometheus.HistogramVec
+	commit, plan          prometheus.Histogram
+	starts, copies, stops prometheus.Counter
+	lost, left            prometheus.Counter
+	ends, asks            *prometheus.CounterVec
+	answer                *prometheus.HistogramVec
 }
 
 // latencyBuckets fit objectives of a few hundred milliseconds, in seconds.
@@ -24,8 +25,10 @@
 		commit: prometheus.NewHistogram(histogram("commit_seconds", "From a command's proposal until it is applied.")),
 		plan:   prometheus.NewHistogram(histogram("plan_seconds", "Time taken to make one plan.")),
 		starts: prometheus.NewCounter(counter("starts_total", "Runs started.")),
+		copies: prometheus.NewCounter(counter("copies_total", "Of these, second runs beside a first.")),
 		stops:  prometheus.NewCounter(counter("stops_total", "Runs asked to stop.")),
 		lost:   prometheus.NewCounter(counter("vms_lost_total", "VMs whose lease ran out.")),
+		left:   prometheus.NewCounter(counter("vms_left_total", "VMs whose executor left as planned.")),
 		ends:   prometheus.NewCounterVec(counter("ends_total", "Runs that ended, by how."), []string{"how"}),
 		asks:   prometheus.NewCounterVec(counter("asks_total", "Calls of fronts, by kind and outcome."), []string{"kind", "outcome"}),
 		answer: prometheus.NewHistogramVec(histogram("answer_seconds", "Time until a front's call is answered."), []string{"kind"}),
@@ -35,5 +38,5 @@
 // Collectors returns the scheduler's metrics, for a registry.
 func (s *Scheduler) Collectors() []prometheus.Collector {
 	m := s.met
-	return []prometheus.Collector{m.commit, m.plan, m.starts, m.stops, m.lost, m.ends, m.asks, m.answer}
+	return []prometheus.Collector{m.commit, m.plan, m.starts, m.copies, m.stops, m.lost, m.left, m.ends, m.asks, m.answer}
 }
--- a/scheduler/pressures.go
+++ b/scheduler/pressures.go
@@ -78,9 +78,13 @@
 func (s *Scheduler) assume(list []wire.PairPressure) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	taken := 0
 	for _, p := range list {
-		s.fleet.pressures.model.Assume(p.Serving, p.Filler, float64(p.Pressure))
+		if s.fleet.pressures.model.Assume(p.Serving, p.Filler, float64(p.Pressure)) {
+			taken++
+		}
 	}
+	s.log.Info().Int("told", len(list)).Int("taken", taken).Msg("pressures_assumed")
 }
 
 // of returns what is known or assumed of a pair, on the cautious side.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -230,6 +230,9 @@
 			continue
 		}
 		s.met.starts.Inc()
+		if st.Copy {
+			s.met.copies.Inc()
+		}
 		s.log.Info().Str("task", st.Task.String()).Uint32("run", numbers[i]).Str("to", string(st.VM)).
 			Str("reason", st.Reason).Msg("task_placed")
 		s.record("task_placed", st.Task.String(), "on "+string(st.VM)+": "+st.Reason)
--- a/scheduler/vm.go
+++ b/scheduler/vm.go
@@ -231,7 +231,7 @@
 	if err != nil {
 		return err
 	}
-	ses.s.met.lost.Inc()
+	ses.s.met.left.Inc()
 	ses.s.log.Info().Str("left_vm", string(vm)).Str("life", life).Str("result", string(res.Code)).Msg("vm_left")
 	ses.s.record("vm_left", string(vm), "its executor has left")
 	return nil
