Let fillers begin only where they leave a serving task headroom

Cause: a filler works at full speed until its first pace holds, 100 ms and more after its start; placed where half of that fitted, it took a serving task over its objective for a second or two, since figures remember it.

--- a/dispatch/colocate.go
+++ b/dispatch/colocate.go
@@ -14,8 +14,12 @@
 	// startSpeed is the least speed at which a filler begins while others of its
 	// job run; waitMS is how long a job may have nothing running for that reason
 	// (the users look after 3 s).
-	startSpeed = 0.5
+	startSpeed = 0.8
 	waitMS     = 1_000
+	// leftHeadroom is what a filler must leave a serving task at its place: more
+	// than package pace leaves it, since loads swing while the filler works, and
+	// since it works at full speed until its first pace holds.
+	leftHeadroom = 1.3
 	// leastSpeed bounds the cost of a place where a filler would stand still.
 	leastSpeed = 0.05
 )
@@ -83,7 +87,7 @@
 		if harm < pace.Harmless {
 			continue
 		}
-		room := s.Headroom - pace.Wanted
+		room := s.Headroom - leftHeadroom
 		for _, f := range c.fillers {
 			if f.fresh {
 				room -= pressure(s.Image, f.image) * f.cpu * f.speed / c.whole
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -257,6 +257,23 @@
 		w.submit("later", "f", 3, fillerStep("loud", 500))
 		assert.Equal(t, w.run()["f.0.0.0"], places["s1.0.0.0"])
 	})
+	t.Run("a filler leaves the tasks beside it some headroom", func(t *testing.T) {
+		w := newWorld(t, 1)
+		s := w.submit("urgent", "s", 1, servingStep("audio", 1000))
+		w.run()
+		w.pair[[2]string{"audio", "loud"}] = 4 // takes 0.5 of a headroom
+		two := fillerStep("loud", 500)
+		two.Count = 2
+		w.submit("later", "f", w.view.Now, two)
+		beside := func(headroom float64) int {
+			w.view.Runs[s.Run(1)] = RunView{Percent: 100, Load: int64(1000 * 18 / headroom)}
+			w.s.Job("s").Spec.Steps[0].TailMS = 18_000 // so that loads are fine-grained
+			return len(Make(w.s, w.view).Starts)
+		}
+		assert.Equal(t, beside(leftHeadroom+0.3), 0)
+		assert.Equal(t, beside(leftHeadroom+0.6), 1)
+		assert.Equal(t, beside(leftHeadroom+1.1), 2)
+	})
 	t.Run("fillers that would crawl wait, as long as their job has other runs", func(t *testing.T) {
 		w := newWorld(t, 1)
 		w.submit("urgent", "s", 1, servingStep("audio", 3000))
