Bound each event's log lines a second, and the wait for readers at the end

Cause: the queue of lines bounded their memory, not their volume; and a process whose standard output nobody reads could hang at its end, in the last flush (TestNobodyReads failed so).

--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -6,6 +6,7 @@
 	"io"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
@@ -52,9 +53,14 @@
 	dropNotice = "log_lines_dropped"
 )
 
-// NewBounded returns a logger of JSON lines that never blocks the process: lines
-// wait in a bounded queue, and if w does not keep up the oldest are dropped. A
-// line then says how many. flush writes what waits; it is called at the end.
+// flushLimit bounds the end of a process whose lines nobody reads: a part of the
+// second that the users' platform leaves after a stop.
+const flushLimit = 300 * time.Millisecond
+
+// NewBounded returns a logger of JSON lines that never blocks the process. Each
+// event gets a bounded number of lines a second; lines wait in a bounded queue,
+// and if w does not keep up the oldest are dropped. Lines then say how many.
+// flush writes what waits, for a while; it is called at the end.
 func NewBounded(w io.Writer, process string, p rudderfork.Place) (log zerolog.Logger, flush func()) {
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMicro
 	zerolog.MessageFieldName = "event"
@@ -62,6 +68,20 @@
 	dw := diode.NewWriter(w, queued, 0, func(missed int) {
 		direct.Warn().Int("lines", missed).Msg(dropNotice)
 	})
-	log = zerolog.New(dw).Level(zerolog.InfoLevel).With().Timestamp().Str("process", process).Str("domain", string(p.Domain)).Logger()
-	return log, func() { _ = dw.Close() } // there is nobody left to tell
+	plain := zerolog.New(dw).Level(zerolog.InfoLevel).With().Timestamp().Str("process", process).Str("domain", string(p.Domain)).Logger()
+	return plain.Hook(newLimiter(plain, time.Now)), func() { closeWithin(dw, flushLimit) }
+}
+
+// closeWithin closes c but waits no longer than the limit: there is nobody left
+// to tell if it fails.
+func closeWithin(c io.Closer, limit time.Duration) {
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		_ = c.Close()
+	}()
+	select {
+	case <-closed:
+	case <-time.After(limit):
+	}
 }
