--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -329,7 +329,7 @@
 			w.view.Now++
 			w.view.Runs[k.Run(1)] = still
 		}, true},
-		{"it lags behind its fellows", func(w *world, k queue.TaskKey) { w.progress(k, 20, 80, 80) }, true},
+		{"it lags behind its siblings", func(w *world, k queue.TaskKey) { w.progress(k, 20, 80, 80) }, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			w, k := begun(t, twice)
@@ -401,7 +401,7 @@
 		w.view.Runs[k.Run(1)] = RunView{Percent: 20, MovedAt: 0}
 		assert.DeepEqual(t, stops(w), map[string]string{"s.0.0.0": Stuck})
 	})
-	t.Run("a task that lags behind its fellows, once", func(t *testing.T) {
+	t.Run("a task that lags behind its siblings, once", func(t *testing.T) {
 		w := newWorld(t, 3)
 		st := cpu(4000)
 		st.Count = 3
@@ -419,7 +419,7 @@
 		w.progress(k, 10, 12, 14)
 		assert.Equal(t, len(stops(w)), 0, "all are, whatever was expected")
 	})
-	t.Run("a task whose fellows are long done", func(t *testing.T) {
+	t.Run("a task whose siblings are long done", func(t *testing.T) {
 		w := newWorld(t, 3)
 		st := cpu(4000)
 		st.Count = 3
--- a/dispatch/rank.go
+++ b/dispatch/rank.go
@@ -27,7 +27,7 @@
 	return rank{
 		hopeless: now > asked+hopeFactor*span && !lasting(j),
 		priority: row.Priority,
-		late:     now+LeftMS(j) > asked+span && !lasting(j),
+		late:     now+leftMS(j) > asked+span && !lasting(j),
 		deadline: asked + span,
 	}
 }
@@ -83,9 +83,9 @@
 	return chainMS(spec, func(int) bool { return true })
 }
 
-// LeftMS is the expected length of the longest chain of steps that are not done,
-// of a job's oldest time that is not.
-func LeftMS(j *queue.Job) int64 {
+// leftMS is the expected length of the longest chain of steps that are not done,
+// of the oldest time of a job that is not done.
+func leftMS(j *queue.Job) int64 {
 	for _, o := range j.Times {
 		if !o.Done() {
 			return chainMS(j.Spec, func(step int) bool { return o.Left[step] > 0 })
--- a/dispatch/stops.go
+++ b/dispatch/stops.go
@@ -107,16 +107,16 @@
 	// slowAfterMS is how long a run is watched before it is called slow: with two
 	// reports a second, two figures at least.
 	slowAfterMS = 700
-	// slowFactor is how many times as long as its fellows' a run's time must be
+	// slowFactor is how many times as long as its siblings' a run's time must be
 	// for the run to be moved; the tasks of a step differ by less than half.
 	// copyFactor is the same for a second run beside the first, which costs less
 	// if it was in vain.
 	slowFactor = 2.5
 	copyFactor = 1.8
-	// leastFellows is how many others of a step must be done or seen at work
+	// leastSiblings is how many others of a step must be done or seen at work
 	// elsewhere: the guesses of run times are too far off to tell a slow VM by (in
 	// a trial they had 50 runs moved on a day, most of them on sound VMs).
-	leastFellows = 2
+	leastSiblings = 2
 )
 
 // slow reports whether a task is better begun again on another VM. It is moved
@@ -129,14 +129,14 @@
 	return p.lags(j, k, r, slowFactor) && p.roomElsewhere(j, k, r.VM)
 }
 
-// lags reports whether what a run still needs is so many times what its fellows
+// lags reports whether what a run still needs is so many times what its siblings
 // need for the whole.
 func (p *planner) lags(j *queue.Job, k queue.TaskKey, r queue.Run, factor float64) bool {
 	rate, ok := p.rate(k, r)
 	if !ok {
 		return false
 	}
-	usual, ok := p.fellowRate(j, k, r.VM)
+	usual, ok := p.siblingRate(j, k, r.VM)
 	left := float64(100 - p.view.Runs[k.Run(r.Number)].Percent)
 	return ok && left*usual > 100*factor*rate
 }
@@ -151,9 +151,9 @@
 	return float64(run.Percent-run.From) / float64(watched), true
 }
 
-// fellowRate is the median rate of a step's other tasks, of those that are done
+// siblingRate is the median rate of a step's other tasks, of those that are done
 // and of those at work on other VMs; ok is false if there are too few.
-func (p *planner) fellowRate(j *queue.Job, k queue.TaskKey, at rudderfork.VMID) (rate float64, ok bool) {
+func (p *planner) siblingRate(j *queue.Job, k queue.TaskKey, at rudderfork.VMID) (rate float64, ok bool) {
 	var rates []float64
 	tasks := j.Times[k.Time].Steps[k.Step]
 	for i := range tasks {
@@ -169,7 +169,7 @@
 			}
 		}
 	}
-	if len(rates) < leastFellows {
+	if len(rates) < leastSiblings {
 		return 0, false
 	}
 	slices.Sort(rates)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -33,7 +33,7 @@
 	beatEvery = 500 * time.Millisecond
 	// lookWait is how long the executor holds an answer back while there is no
 	// end to tell; pacedWait is the same while serving tasks have fillers beside
-	// them, whose effect is seen in half a second.
+	// them: as often as executors renew their figures (seen in trials).
 	lookWait  = 1000 * time.Millisecond
 	pacedWait = 250 * time.Millisecond
 	// lookTimeout is added to the wait before a look is given up.
