Bound the reports that wait for a leader

Cause: the executor lists its ends again until they are noted, and the agent made a report of each listing: about three a second while no leader answers, and since reports outlive a life, without a bound. Change: while 32 wait, only ends that are told but once are reported; the others are listed again. TestReportsAreBounded failed first: 96 for 32.

--- a/runner/look.go
+++ b/runner/look.go
@@ -104,7 +104,7 @@
 		upTo = max(upTo, e.Seq)
 	}
 	noted = a.noted
-	a.report(a.keeper.Looked(look, asked), upTo)
+	a.reportLooked(a.keeper.Looked(look, asked), upTo)
 	clear(a.rows)
 	for _, r := range look.Running {
 		a.rows[r.RunRef] = r
--- a/runner/report.go
+++ b/runner/report.go
@@ -1,6 +1,8 @@
 package runner
 
 import (
+	"slices"
+
 	"rudderfork.example/rudderfork/queue"
 	"rudderfork.example/rudderfork/wire"
 )
@@ -37,6 +39,21 @@
 	a.reportOf(a.keeper.Life(), ends, upTo)
 }
 
+// maxReports bounds the reports that wait for a leader: the executor lists its
+// ends again until they are noted, a few times a second.
+const maxReports = 32
+
+// reportLooked sends the ends of an account. While many reports wait, it leaves
+// those to the next account that the executor will list again. The caller holds
+// mu.
+func (a *Agent) reportLooked(ends []queue.End, upTo uint64) {
+	if len(a.reports) >= maxReports {
+		ends = slices.DeleteFunc(ends, func(e queue.End) bool { return e.How != queue.EndGone })
+		upTo = 0
+	}
+	a.report(ends, upTo)
+}
+
 // reportOf sends ends of a life to the leader. The caller holds mu.
 func (a *Agent) reportOf(life string, ends []queue.End, upTo uint64) {
 	if len(ends) == 0 {
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -135,3 +135,36 @@
 	m := second.until(func(m wire.FromNode) bool { return len(m.Learned) > 0 })
 	assert.DeepEqual(t, m.Learned, learned)
 }
+
+// TestReportsAreBounded looks at an executor again and again while no leader
+// takes note of anything.
+func TestReportsAreBounded(t *testing.T) {
+	a := New("vm1", func() []string { return nil }, nil, zerolog.Nop())
+	a.Describe(queue.VM{ID: "vm1", Life: "life-1"}, false, 0)
+	lost := rudderfork.RunRef{Task: "j.0.0.1", Run: 1}
+	a.keeper.Order(wire.Orders{Full: true, Life: "life-1", Start: []wire.RunOrder{{RunRef: lost}}})
+	account := rudderfork.Look{
+		ClockMS: 1, Running: []rudderfork.RunRow{{RunRef: lost}},
+		Ended: []rudderfork.EndRow{{Seq: 1, RunRef: rudderfork.RunRef{Task: "j.0.0.0", Run: 1}, How: "done"}},
+	}
+	look := func() { a.looked(t.Context(), "life-1", account, steady.Now()) }
+	for range 3 * maxReports {
+		look()
+	}
+	assert.Equal(t, len(a.reports), maxReports)
+	t.Run("what is told but once is told all the same", func(t *testing.T) {
+		a.keeper.Started(lost, rudderfork.Started, nil, steady.Now())
+		account.Running = nil
+		look()
+		last := a.reports[a.reportID].ends.List
+		assert.Equal(t, len(last), 1)
+		assert.Equal(t, last[0].How, queue.EndGone)
+	})
+	t.Run("once one is noted, the list is told again", func(t *testing.T) {
+		for id := range a.reports {
+			delete(a.reports, id)
+		}
+		look()
+		assert.Equal(t, len(a.reports), 1)
+	})
+}
