--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"io"
 	"strings"
 	"testing"
@@ -61,11 +62,11 @@
 		var line struct {
 			Event string `json:"event"`
 		}
-		if err := d.Decode(&line); err == io.EOF {
+		err := d.Decode(&line)
+		if errors.Is(err, io.EOF) {
 			return n
-		} else {
-			assert.NilError(t, err)
 		}
+		assert.NilError(t, err)
 		n[line.Event]++
 	}
 }
