--- a/wire/queue.go
+++ b/wire/queue.go
@@ -109,7 +109,7 @@
 	Epoch   uint64 `cbor:"3,keyasint"`
 	Life    string `cbor:"5,keyasint"` // of the executor that it is for
 
-	Pressures []PairPressure `cbor:"4,keyasint,omitempty"` // that are new or have changed
+	Pressures []PairPressure `cbor:"6,keyasint,omitempty"` // that are new or have changed
 }
 
 // PairPressure is what fillers of one image take from the headroom of serving
@@ -141,7 +141,7 @@
 	Start []RunOrder          `cbor:"3,keyasint,omitempty"`
 	Stop  []rudderfork.RunRef `cbor:"4,keyasint,omitempty"`
 
-	Pressures []PairPressure `cbor:"5,keyasint,omitempty"` // that are new or have changed
+	Pressures []PairPressure `cbor:"7,keyasint,omitempty"` // that are new or have changed
 }
 
 // EndsReport tells of runs that have ended on a life of the VM. Seq is the
