Keep one outbox and one table of calls for all sessions

Cause: the queue session (session, front) wrote again what node.Client already had: the queue of messages that stands only with a session, and the matching of answers to calls by ID, which entry/link.go held a third time. An outbox closes before its calls end, so a call that could be sent is always ended. No change of behaviour is meant.

--- a/entry/link.go
+++ b/entry/link.go
@@ -31,16 +31,16 @@
 	names  []rudderfork.Service
 	cancel context.CancelFunc
 
-	mu    sync.Mutex
-	out   chan wire.ToAgent // nil without a connection
-	asked map[uint64]chan wire.Fenced
-	next  uint64
+	calls *wire.Calls[wire.Fenced]
+
+	mu  sync.Mutex
+	out chan wire.ToAgent // nil without a connection
 }
 
 func newAgentLink(f *fleet, i wire.UpstreamInfo, cancel context.CancelFunc) *agentLink {
 	return &agentLink{
 		fleet: f, vm: i.Place.VM, addr: i.Addr, boot: i.Boot, names: i.Services, cancel: cancel,
-		asked: map[uint64]chan wire.Fenced{},
+		calls: wire.NewCalls[wire.Fenced](),
 	}
 }
 
@@ -88,7 +88,7 @@
 				p.observe(l.vm, m.Load.Load)
 			}
 		case m.Fenced != nil:
-			l.answer(*m.Fenced)
+			l.calls.Answer(m.Fenced.ID, *m.Fenced)
 		}
 	}
 }
@@ -137,32 +137,18 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.out = nil
-	for id, ch := range l.asked {
-		close(ch)
-		delete(l.asked, id)
-	}
-}
-
-func (l *agentLink) answer(f wire.Fenced) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if ch := l.asked[f.ID]; ch != nil {
-		ch <- f
-		delete(l.asked, f.ID)
-	}
+	l.calls.End()
 }
 
 // fence asks the agent what became of a claimed request.
 func (l *agentLink) fence(ctx context.Context, c *state.Claim) (out wire.Fenced, err error) {
-	ch := make(chan wire.Fenced, 1)
 	l.mu.Lock()
 	if l.out == nil {
 		l.mu.Unlock()
 		return out, errNoAgent
 	}
-	l.next++
-	id := l.next
-	l.asked[id] = ch
+	id, answer := l.calls.Open()
+	defer l.calls.Forget(id)
 	select {
 	case l.out <- wire.ToAgent{Fence: &wire.Fence{ID: id, Key: c.Key, Token: c.Token, Boot: c.Boot}}:
 	default:
@@ -171,15 +157,12 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	select {
-	case f, ok := <-ch:
+	case f, ok := <-answer:
 		if !ok {
 			return out, errNoAgent
 		}
 		return f, nil
 	case <-ctx.Done():
-		l.mu.Lock()
-		delete(l.asked, id)
-		l.mu.Unlock()
 		return out, errNoAgent
 	}
 }
--- a/front/front.go
+++ b/front/front.go
@@ -26,16 +26,16 @@
 type Client struct {
 	session *session.Client
 
+	calls *wire.Calls[wire.AskAnswer]
+
 	mu     sync.Mutex
-	lastID uint64
-	asked  map[uint64]chan wire.AskAnswer
 	opened chan struct{} // closed while a session stands
 	isOpen bool
 }
 
 // New returns a client of the control processes that seeds names.
 func New(process string, seeds func() []string, log zerolog.Logger) *Client {
-	c := &Client{asked: map[uint64]chan wire.AskAnswer{}, opened: make(chan struct{})}
+	c := &Client{calls: wire.NewCalls[wire.AskAnswer](), opened: make(chan struct{})}
 	c.session = session.New(process, seeds, c, log)
 	return c
 }
@@ -61,14 +61,8 @@
 
 // Handle implements session.Handler.
 func (c *Client) Handle(m wire.ToQueueNode) {
-	if m.Answer == nil {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if ch := c.asked[m.Answer.ID]; ch != nil {
-		ch <- *m.Answer
-		delete(c.asked, m.Answer.ID)
+	if m.Answer != nil {
+		c.calls.Answer(m.Answer.ID, *m.Answer)
 	}
 }
 
@@ -80,10 +74,7 @@
 		c.isOpen = false
 		c.opened = make(chan struct{})
 	}
-	for id, ch := range c.asked {
-		close(ch)
-		delete(c.asked, id)
-	}
+	c.calls.End()
 }
 
 // errLost means that a call was sent and its answer will not come.
@@ -132,18 +123,14 @@
 
 // try sends the call once; sent says whether it may have reached the leader.
 func (c *Client) try(ctx context.Context, a wire.Ask) (ans wire.AskAnswer, sent bool, err error) {
-	ch := make(chan wire.AskAnswer, 1)
-	c.mu.Lock()
-	c.lastID++
-	a.ID = c.lastID
-	c.asked[a.ID] = ch
-	c.mu.Unlock()
-	defer c.forget(a.ID)
+	id, answer := c.calls.Open()
+	defer c.calls.Forget(id)
+	a.ID = id
 	if !c.session.Send(wire.FromNode{Ask: &a}) {
 		return ans, false, errLost
 	}
 	select {
-	case ans, ok := <-ch:
+	case ans, ok := <-answer:
 		if !ok {
 			return ans, true, errLost
 		}
@@ -152,9 +139,3 @@
 		return ans, true, ctx.Err()
 	}
 }
-
-func (c *Client) forget(id uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.asked, id)
-}
--- a/node/client.go
+++ b/node/client.go
@@ -51,19 +51,19 @@
 	h     Handler
 	log   zerolog.Logger
 
-	mu      sync.Mutex
-	next    int
-	out     chan wire.ToControl // nil without a session
-	asked   map[uint64]chan wire.CommandResult
-	askedID uint64
-	kick    context.CancelFunc
-	hellos  uint64 // rises with each call of Reconnect
+	out   wire.Outbox[wire.ToControl]
+	calls *wire.Calls[wire.CommandResult]
+
+	mu     sync.Mutex
+	next   int
+	kick   context.CancelFunc
+	hellos uint64 // rises with each call of Reconnect
 }
 
 // NewClient returns a client of the control processes at addrs, which beats at
 // the given interval.
 func NewClient(addrs []string, every time.Duration, t *Table, h Handler, log zerolog.Logger) *Client {
-	return &Client{addrs: addrs, every: every, table: t, h: h, log: log, asked: map[uint64]chan wire.CommandResult{}}
+	return &Client{addrs: addrs, every: every, table: t, h: h, log: log, calls: wire.NewCalls[wire.CommandResult]()}
 }
 
 // String names the service in the supervisor's log.
@@ -93,11 +93,7 @@
 }
 
 // Connected reports whether a leader is connected.
-func (c *Client) Connected() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.out != nil
-}
+func (c *Client) Connected() bool { return c.out.Connected() }
 
 func (c *Client) session(ctx context.Context, addr string) error {
 	conn, err := wire.Dial[wire.ToControl, wire.ToNode](ctx, "ws://"+addr+"/node")
@@ -148,7 +144,7 @@
 				c.beat(l.out) // confirm at once
 			}
 		case m.Result != nil:
-			c.answer(*m.Result)
+			c.calls.Answer(m.Result.ID, *m.Result)
 		default:
 			c.h.Handle(m)
 		}
@@ -209,7 +205,8 @@
 	if l.hellos != c.hellos {
 		return false
 	}
-	c.out, c.kick = l.out, l.kick
+	c.out.Open(l.out)
+	c.kick = l.kick
 	return true
 }
 
@@ -217,36 +214,13 @@
 func (c *Client) close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.out, c.kick = nil, nil
-	for id, ch := range c.asked {
-		close(ch)
-		delete(c.asked, id)
-	}
-}
-
-func (c *Client) answer(r wire.CommandResult) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if ch := c.asked[r.ID]; ch != nil {
-		ch <- r
-		delete(c.asked, r.ID)
-	}
+	c.kick = nil
+	c.out.Close()
+	c.calls.End()
 }
 
 // Send queues a message; false means that it was surely not sent.
-func (c *Client) Send(m wire.ToControl) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.out == nil {
-		return false
-	}
-	select {
-	case c.out <- m:
-		return true
-	default:
-		return false
-	}
-}
+func (c *Client) Send(m wire.ToControl) bool { return c.out.Send(m) }
 
 // Claim asks for a claim.
 func (c *Client) Claim(ctx context.Context, a state.ClaimAsk) (state.Result, error) {
@@ -263,14 +237,13 @@
 }
 
 func (c *Client) ask(ctx context.Context, build func(id uint64) wire.ToControl) (res state.Result, err error) {
-	ch := make(chan wire.CommandResult, 1)
-	id := c.expect(ch)
-	defer c.forget(id)
+	id, answer := c.calls.Open()
+	defer c.calls.Forget(id)
 	if !c.Send(build(id)) {
 		return res, ErrNoControl
 	}
 	select {
-	case r, ok := <-ch:
+	case r, ok := <-answer:
 		if !ok || r.Failed != "" {
 			return res, ErrUnknown
 		}
@@ -279,17 +252,3 @@
 		return res, ErrUnknown
 	}
 }
-
-func (c *Client) expect(ch chan wire.CommandResult) uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.askedID++
-	c.asked[c.askedID] = ch
-	return c.askedID
-}
-
-func (c *Client) forget(id uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.asked, id)
-}
--- a/session/session.go
+++ b/session/session.go
@@ -61,7 +61,8 @@
 	prefer string   // the leader, as last heard
 	known  []string // members, as last heard
 	turn   int
-	out    chan wire.FromNode // nil without a session
+
+	out wire.Outbox[wire.FromNode]
 }
 
 // New returns a client. seeds returns the addresses in the settings at the
@@ -136,11 +137,11 @@
 		defer cancel()
 		write(ctx, conn, out)
 	}()
-	c.set(out)
+	c.out.Open(out)
 	c.log.Info().Str("addr", addr).Uint64("term", welcome.Term).Msg("control_connected")
 	c.h.Opened(*welcome)
 	err = c.read(ctx, conn)
-	c.set(nil)
+	c.out.Close()
 	c.h.Closed()
 	c.log.Info().Str("addr", addr).AnErr("error", err).Msg("control_lost")
 	return err
@@ -218,30 +219,8 @@
 	}
 }
 
-func (c *Client) set(out chan wire.FromNode) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.out = out
-}
-
 // Connected reports whether a leader is connected.
-func (c *Client) Connected() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.out != nil
-}
+func (c *Client) Connected() bool { return c.out.Connected() }
 
 // Send queues a message; false means that it was surely not sent.
-func (c *Client) Send(m wire.FromNode) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.out == nil {
-		return false
-	}
-	select {
-	case c.out <- m:
-		return true
-	default:
-		return false
-	}
-}
+func (c *Client) Send(m wire.FromNode) bool { return c.out.Send(m) }
