Bound outliers in the regression itself

Cause: the pressures' update reckoned the expected difference and its variance again, k squared products for each figure, to clip what the regression then reckoned a second time. No change of behaviour is meant; measured: the tests of interference, control, placement and scheduler pass unchanged.

--- a/interference/interference.go
+++ b/interference/interference.go
@@ -126,7 +126,7 @@
 		x[f.index[k]] = share
 	}
 	f.forget(s.At)
-	f.reg.update(x, math.Log(s.Latency.Seconds()), f.prior.NoiseVar)
+	f.reg.update(x, math.Log(s.Latency.Seconds()), f.prior.NoiseVar, 0)
 }
 
 // forget widens the errors by the time since the newest sample. No effect is
--- a/interference/pressure.go
+++ b/interference/pressure.go
@@ -154,18 +154,10 @@
 	return x
 }
 
-// update takes a difference, but not more of it than an outlier, and keeps the
-// pressures from falling below zero: fillers do not speed anyone up.
+// update takes a difference, and keeps the pressures from falling below zero:
+// fillers do not speed anyone up.
 func (p *pressureFit) update(x []float64, y, noise float64) {
-	predicted, variance := 0.0, noise
-	for i := range x {
-		predicted += p.reg.beta[i] * x[i]
-		for j := range x {
-			variance += x[i] * p.reg.cov[i][j] * x[j]
-		}
-	}
-	most := outlier * math.Sqrt(max(variance, noise))
-	p.reg.update(x, max(predicted-most, min(predicted+most, y)), noise)
+	p.reg.update(x, y, noise, outlier)
 	for i := range p.reg.beta {
 		p.reg.beta[i] = max(0, p.reg.beta[i])
 	}
--- a/interference/regression.go
+++ b/interference/regression.go
@@ -52,8 +52,9 @@
 }
 
 // update takes an observation y of the coefficients weighted by x, with the
-// variance of its noise.
-func (r *regression) update(x []float64, y, noise float64) {
+// variance of its noise. outlier bounds how far it may pull the fit, in standard
+// deviations of what was expected; 0 means any.
+func (r *regression) update(x []float64, y, noise, outlier float64) {
 	n := len(x)
 	px := make([]float64, n)
 	predicted, variance := 0.0, noise
@@ -66,8 +67,12 @@
 	for i := range n {
 		variance += x[i] * px[i]
 	}
+	off := y - predicted
+	if most := outlier * math.Sqrt(max(variance, noise)); most > 0 {
+		off = max(-most, min(most, off))
+	}
 	for i := range n {
-		r.beta[i] += px[i] / variance * (y - predicted)
+		r.beta[i] += px[i] / variance * off
 	}
 	for i := range n {
 		for j := range n {
