Look for colocated tasks without reckoning their paces

Cause: each look at an executor reckoned the company of the VM twice, speeds over the last window included, once only to choose how long to wait; and the length of a chain had an exported twin that nothing else called. Change: one pass over the orders answers the first; chainMS serves both its callers.

--- a/dispatch/rank.go
+++ b/dispatch/rank.go
@@ -75,12 +75,8 @@
 // ObjectiveMS is how long a job of the queue may take: a multiple of its
 // longest chain of work, and the queue's latency.
 func ObjectiveMS(row queue.Queue, j *queue.Job) int64 {
-	return int64(max(1, row.Stretch)*float64(ChainMS(j.Spec))) + row.LatencyMS
-}
-
-// ChainMS is the expected length of a job's longest chain of dependent steps.
-func ChainMS(spec queue.Spec) int64 {
-	return chainMS(spec, func(int) bool { return true })
+	chain := chainMS(j.Spec, func(int) bool { return true })
+	return int64(max(1, row.Stretch)*float64(chain)) + row.LatencyMS
 }
 
 // leftMS is the expected length of the longest chain of steps that are not done,
@@ -94,7 +90,7 @@
 	return 0
 }
 
-// chainMS is the longest chain of the steps that count.
+// chainMS is the expected length of the longest chain of the steps that count.
 func chainMS(spec queue.Spec, counts func(step int) bool) (longest int64) {
 	ends := make([]int64, len(spec.Steps))
 	for i, st := range spec.Steps {
--- a/runner/look.go
+++ b/runner/look.go
@@ -53,7 +53,7 @@
 	}
 	req = rudderfork.LookRequest{Fence: a.keeper.Fence(), AckedUpTo: a.acked, WaitMS: lookWait.Milliseconds()}
 	req.UntilMS, _ = a.keeper.Until(steady.Now())
-	if serving, fillers, _ := a.company(); len(serving) > 0 && len(fillers) > 0 {
+	if a.colocated() {
 		req.WaitMS = pacedWait.Milliseconds()
 	}
 	if req.UntilMS == 0 {
--- a/runner/pace.go
+++ b/runner/pace.go
@@ -78,7 +78,7 @@
 			idle -= share
 		}
 		switch {
-		case o.TailMS > 0 && there && row.Percent == fullPace:
+		case there && serves(o, row):
 			serving = append(serving, pace.Serving{Image: o.Image, Headroom: pace.Headroom(o.TailMS, row.Load)})
 		case o.Filler && there:
 			fillers = append(fillers, pace.Filler{
@@ -90,6 +90,27 @@
 	return serving, fillers, idle
 }
 
+// colocated reports whether a serving task at work has a filler beside it. The
+// caller holds mu.
+func (a *Agent) colocated() bool {
+	serving, filler := false, false
+	for id, o := range a.keeper.Wanted() {
+		row, there := a.rows[rudderfork.RunRef{Task: id, Run: o.Run}]
+		switch {
+		case there && serves(o, row):
+			serving = true
+		case there && o.Filler:
+			filler = true
+		}
+	}
+	return serving && filler
+}
+
+// serves reports whether a run is a serving task at work.
+func serves(o wire.RunOrder, row rudderfork.RunRow) bool {
+	return o.TailMS > 0 && row.Percent == fullPace
+}
+
 // seen is the mean speed of a filler while the headrooms were measured. The caller
 // holds mu.
 func (a *Agent) seen(ref rudderfork.RunRef) float64 {
