Bear as many lost disks as the settings ask for, with standbys

Change: all core machines run the role; 2f+1 of them vote, the others follow as standbys and take the place of a voter that is silent or has lost its disk. A superseded voter is now removed before its successor is promoted, so that the group needs no more answers than whole at any step (promoting first made it need 4 of 6 with two lost). A leader with too few voters says so (voters_too_few).

TestTwoLosses, TestQuorumDuringRepair and TestStandby failed before.

--- a/quorum/election.go
+++ b/quorum/election.go
@@ -54,7 +54,7 @@
 	var best MemberID
 	for _, id := range n.voters() {
 		p := n.peers[id]
-		if p != nil && !n.silent(id, now) && (best == "" || p.match > n.peers[best].match) {
+		if p != nil && !n.silent(id, silentTimeouts, now) && (best == "" || p.match > n.peers[best].match) {
 			best = id
 		}
 	}
--- /dev/null
+++ b/quorum/losses_test.go
@@ -0,0 +1,204 @@
+package quorum
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// wantedVoters bear the loss of two.
+const wantedVoters = 5
+
+// tendAll runs the group for a while; its leader, if there is one, brings in
+// every replica that lives and is no member, and repairs the group.
+func (g *group) tendAll(steps int) {
+	for range steps {
+		if l := g.leader(); l != nil {
+			g.tend(l, g.outsider(l), wantedVoters)
+		}
+		g.step(nil)
+	}
+}
+
+// outsider returns a replica that lives and is no member, or a member.
+func (g *group) outsider(l *replica) Member {
+	for _, id := range g.order {
+		if _, ok := l.node.Member(id); !ok && g.replicas[id].node != nil {
+			return Member{ID: id, Name: string(id[:2])}
+		}
+	}
+	return Member{ID: l.id, Name: string(l.id[:2])}
+}
+
+// wipe ends a replica and starts an empty one of the same name in its place.
+func (g *group) wipe(id MemberID) {
+	g.crash(id)
+	g.replicas[id].frozen = true // that disk never comes back
+	life := len(g.order)
+	g.add(MemberID(fmt.Sprintf("%s#%d", id[:2], life)), Snapshot{})
+}
+
+// assertWhole holds that the group has its wanted voters, that all of them live,
+// and that it has what was acknowledged and takes more.
+func (g *group) assertWhole(acked ...string) {
+	g.t.Helper()
+	l := g.waitLeader()
+	voters := l.node.voters()
+	assert.Equal(g.t, len(voters), wantedVoters, "voters %v", voters)
+	for _, id := range voters {
+		assert.Assert(g.t, g.replicas[id].node != nil && !g.replicas[id].frozen, "voter %s is gone", id)
+	}
+	_, ok := g.propose("more")
+	assert.Assert(g.t, ok)
+	g.run(100)
+	for _, data := range append(acked, "more") {
+		assert.Assert(g.t, g.hasCommitted(data), "%q is lost", data)
+	}
+}
+
+// commit has the group acknowledge data.
+func (g *group) commit(data string) {
+	g.t.Helper()
+	g.waitLeader()
+	_, ok := g.propose(data)
+	assert.Assert(g.t, ok)
+	for range 400 {
+		if g.hasCommitted(data) {
+			return
+		}
+		g.step(nil)
+	}
+	g.t.Fatalf("%q is not acknowledged", data)
+}
+
+// TestTwoLosses loses two disks of five, in each way that the users' faults do.
+func TestTwoLosses(t *testing.T) {
+	for a := range wantedVoters {
+		for b := range a {
+			t.Run(fmt.Sprintf("at once/%d-%d", a, b), func(t *testing.T) {
+				g := newGroup(t, wantedVoters, uint64(10*a+b))
+				g.commit("acked")
+				g.wipe(g.order[a])
+				g.wipe(g.order[b])
+				g.tendAll(800)
+				g.assertWhole("acked")
+			})
+		}
+	}
+	t.Run("the leader and then its successor", func(t *testing.T) {
+		g := newGroup(t, wantedVoters, 61)
+		g.commit("first")
+		g.wipe(g.waitLeader().id)
+		g.commit("second")
+		g.wipe(g.waitLeader().id)
+		g.tendAll(800)
+		g.assertWhole("first", "second")
+	})
+	t.Run("in a row for long", func(t *testing.T) {
+		g := newGroup(t, wantedVoters, 62)
+		var acked []string
+		for i := range 5 {
+			data := fmt.Sprintf("round-%d", i)
+			g.commit(data)
+			acked = append(acked, data)
+			voters := g.waitLeader().node.voters()
+			g.wipe(voters[i%wantedVoters])
+			g.wipe(voters[(i+2)%wantedVoters])
+			g.tendAll(800)
+			g.assertWhole(acked...)
+		}
+	})
+	t.Run("while a replica joins", func(t *testing.T) {
+		g := newGroup(t, wantedVoters, 63)
+		g.commit("acked")
+		g.add("n1#1", Snapshot{})
+		g.tendAll(2)
+		g.wipe(g.order[0])
+		g.wipe(g.order[1])
+		g.tendAll(800)
+		g.assertWhole("acked")
+	})
+	for steps := range 40 {
+		t.Run(fmt.Sprintf("the second during the repair of the first/%d", steps), func(t *testing.T) {
+			g := newGroup(t, wantedVoters, uint64(100+steps))
+			g.commit("acked")
+			g.wipe(g.order[0])
+			g.tendAll(5 * steps)
+			g.wipe(g.order[1])
+			g.tendAll(800)
+			g.assertWhole("acked")
+		})
+		t.Run(fmt.Sprintf("two, and the others lose power/%d", steps), func(t *testing.T) {
+			g := newGroup(t, wantedVoters, uint64(200+steps))
+			g.commit("acked")
+			g.wipe(g.order[2])
+			g.wipe(g.order[3])
+			g.tendAll(5 * steps)
+			for _, id := range g.order {
+				if !g.replicas[id].frozen {
+					g.crash(id)
+				}
+			}
+			g.net = nil
+			for _, id := range g.order {
+				if !g.replicas[id].frozen {
+					g.start(id)
+				}
+			}
+			g.tendAll(800)
+			g.assertWhole("acked")
+		})
+	}
+}
+
+// TestQuorumDuringRepair holds that a group never needs more answers while it is
+// repaired than it needs whole: with two of five lost, the three that are left
+// must be enough at each step.
+func TestQuorumDuringRepair(t *testing.T) {
+	g := newGroup(t, wantedVoters, 7)
+	g.commit("acked")
+	g.wipe(g.order[0])
+	g.wipe(g.order[1])
+	for range 800 {
+		g.tendAll(1)
+		if l := g.leader(); l != nil {
+			voters := len(l.node.voters())
+			assert.Assert(t, voters == wantedVoters || voters == wantedVoters-1, "%d voters", voters)
+		}
+	}
+	g.assertWhole("acked")
+}
+
+// TestStandby keeps replicas beyond the wanted voters without a vote, and has them
+// take the place of voters that are gone.
+func TestStandby(t *testing.T) {
+	g := newGroup(t, 3, 8)
+	for i := range 5 {
+		g.add(MemberID(fmt.Sprintf("n%d#1", i)), Snapshot{})
+	}
+	g.tendAll(600)
+	g.assertWhole()
+	assert.Equal(t, len(g.waitLeader().node.Members()), 8)
+	t.Run("after a while a lost voter's place is taken", func(t *testing.T) {
+		for _, lost := range g.waitLeader().node.voters()[:2] {
+			g.crash(lost)
+			g.replicas[lost].frozen = true
+		}
+		g.tendAll(400)
+		g.assertWhole()
+	})
+	t.Run("what is gone for long is forgotten", func(t *testing.T) {
+		var gone MemberID
+		for _, m := range g.waitLeader().node.Members() {
+			if !m.Voter {
+				gone = m.ID
+			}
+		}
+		g.crash(gone)
+		g.replicas[gone].frozen = true
+		g.tendAll(1_500)
+		_, ok := g.waitLeader().node.Member(gone)
+		assert.Assert(t, !ok)
+	})
+}
--- a/quorum/members.go
+++ b/quorum/members.go
@@ -1,6 +1,9 @@
 package quorum
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // ProposeMembers appends a change of the group's members. It is refused unless
 // this replica leads, has committed an entry of its own term, no earlier change
@@ -60,44 +63,110 @@
 	return append(next, m), true
 }
 
-// silentTimeouts is how many election timeouts a voter may be silent before it
-// may be removed from a group that has more voters than it is to have.
-const silentTimeouts = 3
+const (
+	// silentTimeouts is how many election timeouts a voter may be silent before a
+	// standby takes its place. A killed process is back within a second or two.
+	silentTimeouts = 3
+	// forgetTimeouts is how many of them a replica without a vote may be silent
+	// before it is forgotten. One that lives asks to join again.
+	forgetTimeouts = 60
+)
 
-// Repair returns the next step that brings a rejoined replica in: promote it
-// once it has caught up, then remove the earlier life of the same name, or a
-// silent voter if there are more than size of them (0 means any number). ok is
-// false when there is nothing to do.
+// Repair returns the next step that brings the group to size voters that answer
+// (0 means any number); ok is false when there is nothing to do. Replicas beyond
+// that number follow as standbys, without a vote.
+//
+// A voter whose disk is lost never comes back under its ID: it goes as soon as a
+// replica of the same name follows. A silent one goes when a standby can take its
+// place. The voter goes first and its successor is promoted afterwards, so that an
+// odd group needs as many answers as before at each step: with 2f+1 voters, f of
+// them lost, promoting first would need an answer of each replica that is left.
 func (n *Node) Repair(size int, now time.Time) (next []Member, ok bool) {
-	ms := n.log.members()
-	for i, m := range ms {
-		if !m.Voter && n.Match(m.ID)+maxLag >= n.commit && n.Match(m.ID) > 0 {
-			next = append([]Member(nil), ms...)
-			next[i].Voter = true
-			return next, true
-		}
+	voters := len(n.voters())
+	standby := n.standby(now)
+	lost := n.supersededVoter()
+	odd, spare := voters%2 == 1, size > 0 && voters > size
+	switch {
+	case lost >= 0 && (odd || spare):
+		return n.without(lost, now)
+	case standby >= 0 && (size == 0 || voters < size || lost >= 0):
+		return n.promoted(standby), true
+	}
+	if silent := n.silentVoter(now); silent >= 0 && (spare || size > 0 && odd && standby >= 0) {
+		return n.without(silent, now)
 	}
+	if gone := n.forgettable(now); gone >= 0 {
+		return n.without(gone, now)
+	}
+	return nil, false
+}
+
+// standby returns the place among the members of a replica without a vote that
+// answers and has caught up, or -1.
+func (n *Node) standby(now time.Time) int {
+	return slices.IndexFunc(n.log.members(), func(m Member) bool {
+		match := n.Match(m.ID)
+		return !m.Voter && match > 0 && match+maxLag >= n.commit && !n.silent(m.ID, silentTimeouts, now)
+	})
+}
+
+// supersededVoter returns the place of a voter that has lost its disk, as a later
+// life of the same name shows, or -1.
+func (n *Node) supersededVoter() int {
+	ms := n.log.members()
 	newest := map[string]MemberID{}
 	for _, m := range ms {
-		if m.Voter {
-			newest[m.Name] = m.ID // later lives stand later
-		}
+		newest[m.Name] = m.ID // later lives stand later
 	}
-	for i, m := range ms {
-		spare := size > 0 && len(n.voters()) > size && n.silent(m.ID, now)
-		if m.Voter && (newest[m.Name] != m.ID || spare) {
-			return append(append([]Member(nil), ms[:i]...), ms[i+1:]...), true
+	return slices.IndexFunc(ms, func(m Member) bool { return m.Voter && newest[m.Name] != m.ID })
+}
+
+// silentVoter returns the place of a voter that has not answered for a while, or -1.
+func (n *Node) silentVoter(now time.Time) int {
+	return slices.IndexFunc(n.log.members(), func(m Member) bool {
+		return m.Voter && n.silent(m.ID, silentTimeouts, now)
+	})
+}
+
+// forgettable returns the place of a replica without a vote that was silent for
+// long, or -1.
+func (n *Node) forgettable(now time.Time) int {
+	return slices.IndexFunc(n.log.members(), func(m Member) bool {
+		return !m.Voter && n.silent(m.ID, forgetTimeouts, now)
+	})
+}
+
+// promoted returns the members with a vote for the one at place i.
+func (n *Node) promoted(i int) []Member {
+	next := slices.Clone(n.log.members())
+	next[i].Voter = true
+	return next
+}
+
+// without returns the members but the one at place i; ok is false if too few
+// voters would answer to go on.
+func (n *Node) without(i int, now time.Time) (next []Member, ok bool) {
+	next = slices.Delete(slices.Clone(n.log.members()), i, i+1)
+	voters, answering := 0, 0
+	for _, m := range next {
+		if !m.Voter {
+			continue
+		}
+		voters++
+		if !n.silent(m.ID, silentTimeouts, now) {
+			answering++
 		}
 	}
-	return nil, false
+	return next, answering > voters/2
 }
 
-// silent reports whether another replica has not answered for a while.
-func (n *Node) silent(id MemberID, now time.Time) bool {
+// silent reports whether another replica has not answered for that many election
+// timeouts.
+func (n *Node) silent(id MemberID, timeouts int, now time.Time) bool {
 	p := n.peers[id]
 	if p == nil {
 		return false
 	}
 	since := time.Unix(0, max(p.acked, n.heardAt.UnixNano()))
-	return now.Sub(since) > silentTimeouts*n.cfg.ElectionTimeout
+	return now.Sub(since) > time.Duration(timeouts)*n.cfg.ElectionTimeout
 }
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -316,17 +316,23 @@
 func rejoin(g *group, id MemberID, name string) {
 	g.add(id, Snapshot{})
 	for range 400 {
-		l := g.waitLeader()
-		if next, ok := l.node.Join(Member{ID: id, Name: name}); ok {
-			l.node.ProposeMembers(next, g.now)
-		} else if next, ok := l.node.Repair(0, g.now); ok {
-			l.node.ProposeMembers(next, g.now)
-		}
-		g.ready(l, nil)
+		g.tend(g.waitLeader(), Member{ID: id, Name: name}, 0)
 		g.step(nil)
 	}
 }
 
+// tend has a leader bring in a replica that asks to join, and repair the group.
+func (g *group) tend(l *replica, joining Member, wanted int) {
+	next, ok := l.node.Join(joining)
+	if !ok {
+		next, ok = l.node.Repair(wanted, g.now)
+	}
+	if ok {
+		l.node.ProposeMembers(next, g.now)
+	}
+	g.ready(l, nil)
+}
+
 // TestJoinUnderLoad brings a replica in while commands keep coming.
 func TestJoinUnderLoad(t *testing.T) {
 	g := newGroup(t, 3, 4)
@@ -473,12 +479,7 @@
 				_, ok := g.propose(fmt.Sprintf("busy-%d-%d", round, step))
 				assert.Assert(t, ok)
 			}
-			if next, ok := l.node.Join(Member{ID: id, Name: string(id[:2])}); ok {
-				l.node.ProposeMembers(next, g.now)
-			} else if next, ok := l.node.Repair(wanted, g.now); ok {
-				l.node.ProposeMembers(next, g.now)
-			}
-			g.ready(l, nil)
+			g.tend(l, Member{ID: id, Name: string(id[:2])}, wanted)
 			g.step(nil)
 		}
 		assert.Equal(t, voterCount(g), wanted, "round %d", round)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -73,6 +73,7 @@
 	waiting map[uint64]proposal // by index
 	pending []read
 	snapAt  uint64
+	short   shortage
 
 	mu     sync.RWMutex // guards what follows
 	state  *state.State
@@ -119,8 +120,8 @@
 	SnapshotEvery   uint64
 	Seed            uint64
 
-	// Voters is how many the group is to have: a silent voter above that number
-	// is removed. 0 means that none ever is.
+	// Voters is how many the group is to have, 2f+1 to bear the loss of f; replicas
+	// beyond that follow as standbys. 0 means that all vote.
 	Voters int
 }
 
@@ -401,6 +402,9 @@
 	if !r.node.Settled() {
 		return
 	}
+	if members := r.node.Members(); r.short.Found(r.node.Term(), members, r.size, r.now()) {
+		r.log.Warn().Int("voters", voterCount(members)).Int("needed", r.size).Msg("voters_too_few")
+	}
 	next, ok := r.node.Repair(r.size, r.now())
 	if !ok {
 		return
