--- a/quorum/losses_test.go
+++ b/quorum/losses_test.go
@@ -180,7 +180,7 @@
 	g.tendAll(600)
 	g.assertWhole()
 	assert.Equal(t, len(g.waitLeader().node.Members()), 8)
-	t.Run("after a while a lost voter's place is taken", func(t *testing.T) {
+	t.Run("after a while a lost voter's place is taken", func(*testing.T) {
 		for _, lost := range g.waitLeader().node.voters()[:2] {
 			g.crash(lost)
 			g.replicas[lost].frozen = true
