Regroup serving tasks by the fillers that they bear, and move fillers sooner

Where a step ended late, its slowest task had been paced down for 2 to 4 s of 11.

Change: a serving task's place costs the room that fillers lose there, by what is wanted and what presses; twice a second the leader looks for the one task whose move gives back most, and moves it if all of its step are at work, none was moved in the last 2 s and no upkeep is under way. Fillers held down are moved after 0.5 s, five a plan, where they can expect 0.8 of full speed.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -17,6 +17,7 @@
 	"slices"
 
 	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/interference"
 	"rudderfork.example/rudderfork/pace"
 	"rudderfork.example/rudderfork/queue"
 )
@@ -55,6 +56,10 @@
 	// Pressure is what fillers of one image take from the headroom of serving
 	// tasks of another, as package interference gives it.
 	Pressure pace.Pressures
+	// Regroup asks for a look at which serving task had better run elsewhere.
+	Regroup bool
+	// Moved is the serving task that was moved last to make room for fillers.
+	Moved Move
 }
 
 // Stop asks for the end of a run.
@@ -91,6 +96,7 @@
 	for _, j := range jobs {
 		p.stops(j)
 	}
+	p.regroup(jobs)
 	for _, j := range jobs {
 		p.starts(j)
 	}
@@ -113,12 +119,15 @@
 	shared map[rudderfork.VMID]*colocation
 
 	started map[rudderfork.JobID]int // runs of this plan
+	wanted  map[string]float64       // by image of fillers; nil until asked for
+	pairs   map[interference.Pair]float64
 }
 
 func newPlanner(s *queue.State, v View) *planner {
 	return &planner{
 		state: s, view: v, vms: s.VMs(), taken: map[rudderfork.VMID]rudderfork.Resources{}, placed: map[stepOnVM]int{},
 		shared: map[rudderfork.VMID]*colocation{}, started: map[rudderfork.JobID]int{},
+		pairs: map[interference.Pair]float64{},
 	}
 }
 
--- /dev/null
+++ b/dispatch/regroup.go
@@ -0,0 +1,214 @@
+package dispatch
+
+import (
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/interference"
+	"rudderfork.example/rudderfork/pace"
+	"rudderfork.example/rudderfork/queue"
+)
+
+const (
+	// heavyPressure is the pressure at which a VM's processors count half for a
+	// filler: on the users' platform half of the pairs of images take less than 1
+	// of a serving task's headroom, the others 2 to 7.
+	heavyPressure = 2.0
+	// regroupGain is how much less a serving task must cost elsewhere to be moved
+	// there, as a part of a VM's processors: more than the second and a half that
+	// the task is away for.
+	regroupGain = 0.15
+	// regroupRestMS is between two such moves: a stop, a start and their reports.
+	regroupRestMS = 2_000
+)
+
+// Regrouped is the reason for moving a serving task.
+const Regrouped = "fillers would find more room if it ran elsewhere"
+
+// Move is the serving task that was moved last.
+type Move struct {
+	Task queue.TaskKey
+	Run  uint32
+	At   int64 // when it was ordered, leader's clock, Unix ms
+}
+
+// Resting reports whether the move may be under way still.
+func (m Move) Resting(now int64) bool { return now-m.At < regroupRestMS }
+
+// demand is how much work of fillers waits or runs, by image, as parts of the
+// whole.
+func (p *planner) demand() map[string]float64 {
+	if p.wanted != nil {
+		return p.wanted
+	}
+	p.wanted = map[string]float64{}
+	sum := 0.0
+	for _, j := range p.state.Live() {
+		for _, o := range j.Times {
+			for i, st := range j.Spec.Steps {
+				if !st.Filler {
+					continue
+				}
+				work := float64(o.Left[i]) * float64(st.Size.CPUMilli) * float64(max(1, st.ExpectedMS))
+				p.wanted[st.Image] += work
+				sum += work
+			}
+		}
+	}
+	for image := range p.wanted {
+		p.wanted[image] /= max(1, sum)
+	}
+	return p.wanted
+}
+
+// room is what the VM's processors are worth to the fillers that are wanted, as a
+// part of a VM: those that serving tasks leave idle, less for images that press on
+// a serving task there. extra is a serving step that would be there too, if not nil.
+func (p *planner) room(c *colocation, extra *queue.Step) float64 {
+	idle := c.spare
+	if extra != nil {
+		idle -= float64(extra.Size.CPUMilli) * pace.ServingUse
+	}
+	image := ""
+	if extra != nil {
+		image = extra.Image
+	}
+	return max(0, idle) / c.whole * p.openness(c, image)
+}
+
+// openness is the part of the fillers that are wanted that a VM's serving tasks
+// bear, 0 to 1, with a further one of an image ("" for none).
+func (p *planner) openness(c *colocation, image string) float64 {
+	if open, known := c.open[image]; known {
+		return open
+	}
+	open := 0.0
+	for filler, part := range p.demand() {
+		most := 0.0
+		if image != "" {
+			most = p.pressure(image, filler)
+		}
+		for _, s := range c.serving {
+			most = max(most, p.pressure(s.image, filler))
+		}
+		open += part / (1 + most*most/(heavyPressure*heavyPressure))
+	}
+	if c.open == nil {
+		c.open = map[string]float64{}
+	}
+	c.open[image] = open
+	return open
+}
+
+// pressure is the view's, which is asked once for each pair.
+func (p *planner) pressure(serving, filler string) float64 {
+	pair := interference.Pair{Serving: serving, Filler: filler}
+	pressure, known := p.pairs[pair]
+	if !known {
+		pressure = p.view.Pressure(serving, filler)
+		p.pairs[pair] = pressure
+	}
+	return pressure
+}
+
+// regroup plans the move of the one serving task that leaves fillers most more room
+// elsewhere. Tasks come as they come, and what presses on what is known only later.
+func (p *planner) regroup(jobs []*queue.Job) {
+	if last := p.view.Moved; last.Resting(p.view.Now) {
+		p.renewMove(last)
+		return
+	}
+	if !p.view.Regroup {
+		return
+	}
+	if len(p.state.Waves()) > 0 {
+		return // upkeep ends tasks too, and counts who is away
+	}
+	var best Stop
+	most := regroupGain
+	for _, j := range jobs {
+		for step, st := range j.Spec.Steps {
+			if st.TailMS == 0 || !st.Lasting || st.Gang || j.Status.Final() || j.Spec.Repeat != nil {
+				continue
+			}
+			k := queue.TaskKey{Job: j.ID, Step: step}
+			if !p.allAtWork(j, k) {
+				continue
+			}
+			if stop, gain := p.bestMove(j, k); gain > most {
+				best, most = stop, gain
+			}
+		}
+	}
+	if best.Run != 0 {
+		p.plan.Stops = append(p.plan.Stops, best)
+	}
+}
+
+// renewMove asks for a stop again until it is done: the plan before may not have
+// reached the VM.
+func (p *planner) renewMove(m Move) {
+	j := p.state.Job(m.Task.Job)
+	if j == nil || j.Task(m.Task) == nil {
+		return
+	}
+	for _, r := range j.Task(m.Task).Runs {
+		if r.Number == m.Run {
+			p.plan.Stops = append(p.plan.Stops, Stop{m.Task, r.Number, r.VM, Regrouped})
+		}
+	}
+}
+
+// allAtWork reports whether each task of a lasting step was at work for a while on
+// a VM that answers: a move must not add to what is away.
+func (p *planner) allAtWork(j *queue.Job, k queue.TaskKey) bool {
+	tasks := j.Times[k.Time].Steps[k.Step]
+	for i := range tasks {
+		if len(tasks[i].Runs) != 1 {
+			return false
+		}
+		k.Index = i
+		r := tasks[i].Runs[0]
+		run, seen := p.view.Runs[k.Run(r.Number)]
+		vm := p.view.VMs[r.VM]
+		if !seen || run.Percent < 100 || !vm.Usable || vm.Draining || p.view.Now-r.StartedAt < startupMS {
+			return false
+		}
+	}
+	return true
+}
+
+// bestMove returns the stop of the task of a step that gains most by a move.
+func (p *planner) bestMove(j *queue.Job, k queue.TaskKey) (best Stop, most float64) {
+	tasks := j.Times[k.Time].Steps[k.Step]
+	for i := range tasks {
+		k.Index = i
+		r := tasks[i].Runs[0]
+		if gain := p.moveGain(j, k, r.VM); gain > most {
+			best, most = Stop{k, r.Number, r.VM, Regrouped}, gain
+		}
+	}
+	return best, most
+}
+
+// moveGain is how much more room fillers have if a task leaves its VM for the best
+// other one.
+func (p *planner) moveGain(j *queue.Job, k queue.TaskKey, at rudderfork.VMID) (gain float64) {
+	st := j.Spec.Steps[k.Step]
+	here := p.state.VM(at)
+	rest := p.colocationWithout(here, k)
+	stays := p.shadow(rest, st)
+	for _, vm := range p.vms {
+		if vm.ID == at {
+			continue
+		}
+		more := stays - p.shadow(p.colocationOn(vm), st)
+		if more > max(gain, regroupGain) && p.view.VMs[vm.ID].Doubt < doubtful && p.obstacle(j, k, vm) == "" {
+			gain = more
+		}
+	}
+	return gain
+}
+
+// shadow is the room that fillers lose on a VM to a serving task.
+func (p *planner) shadow(c *colocation, st queue.Step) float64 {
+	return p.room(c, nil) - p.room(c, &st)
+}
--- a/dispatch/stops.go
+++ b/dispatch/stops.go
@@ -17,12 +17,12 @@
 	// heldMS is how long a filler must be held down before it is moved, and
 	// moveSpeed what it must expect elsewhere: more than a move costs it, with
 	// its restart and a second of work.
-	heldMS    = 1_000
+	heldMS    = 500
 	restMS    = 2_000 // between two moves of a task
-	moveSpeed = 0.6
+	moveSpeed = 0.8
 	// maxMoves bounds the fillers moved in one plan, since each changes what the
 	// next one can expect.
-	maxMoves = 2
+	maxMoves = 5
 	// littleDone is the part of its work, in percent, up to which a filler that
 	// keeps no checkpoint is moved too.
 	littleDone = 15
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -40,6 +40,10 @@
 	pressures *pressures
 	advice    *advice
 
+	// regroupAt is when to look next for a serving task that had better run
+	// elsewhere; moved is the one that was moved last.
+	regroupAt time.Time
+	moved     dispatch.Move
 	// emptying is the VM whose upkeep is next; it gets no new work.
 	emptying rudderfork.VMID
 }
@@ -148,6 +152,7 @@
 		Now: rudderfork.Millis(now), VMs: map[rudderfork.VMID]dispatch.VMView{}, Runs: map[queue.RunKey]dispatch.RunView{},
 		Failed: f.failed, PutOff: map[queue.TaskKey]int64{},
 		Tickets:  f.advice.view(s, now),
+		Moved:    f.moved,
 		Pressure: func(serving, filler string) float64 { return f.pressures.of(serving, filler, now) },
 	}
 	for _, vm := range s.VMs() {
@@ -198,11 +203,26 @@
 	}
 }
 
+// regroupPause is between two looks for a serving task to move, which weigh each
+// against all VMs.
+const regroupPause = 500 * time.Millisecond
+
+func (f *fleet) regroupDue(now time.Time) bool {
+	if now.Before(f.regroupAt) {
+		return false
+	}
+	f.regroupAt = now.Add(regroupPause)
+	return true
+}
+
 // setStops replaces the runs that are to end.
-func (f *fleet) setStops(stops []dispatch.Stop) {
+func (f *fleet) setStops(stops []dispatch.Stop, now time.Time) {
 	clear(f.stops)
 	for _, st := range stops {
 		f.stops[st.Task.Ref(st.Run)] = st.Reason
+		if st.Reason == dispatch.Regrouped && (f.moved.Task != st.Task || f.moved.Run != st.Run) {
+			f.moved = dispatch.Move{Task: st.Task, Run: st.Run, At: rudderfork.Millis(now)}
+		}
 	}
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -125,6 +125,7 @@
 	s.closeSessions()
 	s.term = term
 	s.fleet = newFleet()
+	s.fleet.moved.At = rudderfork.Millis(now) // the leader before may have just moved a task
 	for _, vm := range vms {
 		s.fleet.vm(vm.ID).lease.Assume(now.Add(s.cfg.Lease))
 	}
@@ -202,8 +203,10 @@
 	s.rep.View(func(st *state.State) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		plan = dispatch.Make(st.Queues(), s.fleet.view(st.Queues(), began))
-		s.fleet.setStops(plan.Stops)
+		view := s.fleet.view(st.Queues(), began)
+		view.Regroup = s.fleet.regroupDue(began)
+		plan = dispatch.Make(st.Queues(), view)
+		s.fleet.setStops(plan.Stops, began)
 	})
 	s.met.plan.Observe(steady.Now().Sub(began).Seconds())
 	s.logStops(plan.Stops)
