Give no more upkeep orders in a term once another holder's is newer

Cause: a leader that was frozen may order upkeep after its successor has; the provider's refusal was taken for a passing one, and the order was given again every 2 s for as long as this process believed to lead. Ruled out: agents, whose executors see the tokens of their own machine only.

Change: a refusal for the fencing token ends the holder's orders, on all machines and waves, until it leads in another term.

--- a/provider.go
+++ b/provider.go
@@ -26,6 +26,9 @@
 	ErrNoMachine = errors.New("the provider does not know the machine")
 	// ErrRefused means that the order was not carried out, and may be later.
 	ErrRefused = errors.New("the provider refused the order")
+	// ErrOutranked means that it was not carried out, since an order with a higher
+	// fencing token was given for the machine.
+	ErrOutranked = errors.New("another holder's order is newer")
 )
 
 // Provider keeps the machines on which VMs run.
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -225,6 +225,7 @@
 	most    int
 	duties  []rudderfork.Duty
 	refuse  int
+	newer   bool // another holder has given orders with a higher token
 	check   func(machine string)
 }
 
@@ -247,6 +248,9 @@
 	if machine == "m9" {
 		return rudderfork.ErrNoMachine
 	}
+	if p.newer {
+		return rudderfork.ErrOutranked
+	}
 	if p.refuse > 0 {
 		p.refuse--
 		return rudderfork.ErrRefused
@@ -317,6 +321,31 @@
 	assert.Equal(t, s.ask(wire.Ask{Upkeep: 8}).Code, queue.NoJob)
 }
 
+// TestOutranked refuses a leader's order because another holder's is newer: it gives
+// no more, on any machine of any wave, until it leads in another term.
+func TestOutranked(t *testing.T) {
+	s := newSite(t, nil)
+	s.addVM(executor.Config{})
+	s.addVM(executor.Config{})
+	s.put(nil)
+	p := &provider{s: s, done: map[string]bool{}, downNow: map[string]time.Time{}, newer: true}
+	u, ok := s.sched.Upkeep(p, "c", 0).(*upkeep)
+	assert.Assert(t, ok)
+	for id := range uint64(2) {
+		wave := queue.Wave{ID: id + 1, Machines: []string{"m1", "m2"}, DueMS: 1, MaxDown: 2}
+		assert.Equal(t, s.ask(wire.Ask{Wave: &wave}).Code, queue.OK)
+	}
+	for range 10 {
+		assert.Assert(t, u.round(t.Context()), "there are waves")
+	}
+	assert.Equal(t, len(p.duties), 1)
+	t.Run("a later term begins anew", func(t *testing.T) {
+		u.term--
+		u.round(t.Context())
+		assert.Equal(t, len(p.duties), 2)
+	})
+}
+
 // TestLostVM takes a VM's agent away: its work begins elsewhere only once its
 // lease has run out, and none of it runs twice at once.
 func TestLostVM(t *testing.T) {
--- a/scheduler/upkeep.go
+++ b/scheduler/upkeep.go
@@ -44,8 +44,11 @@
 	ordersAt time.Time            // no orders before
 	begunAt  map[string]time.Time // by machine: when an order may have been carried out
 	refused  map[string]time.Time // by machine: when an order was refused last
-	next     string               // the machine kept from new work, since nextAt
-	nextAt   time.Time
+	// outranked says that a newer holder has given orders: this one gives no more
+	// in its term, since its fencing token will not get higher.
+	outranked bool
+	next      string // the machine kept from new work, since nextAt
+	nextAt    time.Time
 }
 
 // Upkeep returns the service that carries out waves. holder names this process to
@@ -80,7 +83,7 @@
 	}
 	now := steady.Now()
 	if term != u.term {
-		u.term, u.ordersAt = term, now.Add(u.wait)
+		u.term, u.ordersAt, u.outranked = term, now.Add(u.wait), false
 		clear(u.begunAt)
 	}
 	waves := u.s.openWaves()
@@ -88,7 +91,7 @@
 		u.keepFree("", "")
 		return false
 	}
-	if now.Before(u.ordersAt) {
+	if now.Before(u.ordersAt) || u.outranked {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, providerTimeout)
@@ -103,7 +106,9 @@
 		byName[m.Name] = m
 	}
 	for _, w := range waves {
-		u.move(ctx, w, byName, now)
+		if !u.outranked {
+			u.move(ctx, w, byName, now)
+		}
 	}
 	return true
 }
@@ -256,6 +261,9 @@
 			u.s.log.Warn().Err(err).Msg("upkeep_not_committed") // it is ordered again, which changes nothing
 		}
 		u.keepFree("", "")
+	case errors.Is(err, rudderfork.ErrOutranked):
+		u.outranked = true
+		u.keepFree("", "")
 	case errors.Is(err, rudderfork.ErrRefused):
 		delete(u.begunAt, name)
 		u.refused[name] = now
