--- a/cmd/rudderctl/reasons.go
+++ b/cmd/rudderctl/reasons.go
@@ -28,6 +28,7 @@
 var reasonCommands = []*command{
 	{name: "explain", usage: "JOB/INDEX | JOB | VM | REQUEST", synopsis: "say why a decision was made", args: 1, do: explain},
 	{name: "trace", usage: "ID [FILE ...]", synopsis: "join the log lines of several processes that name a job, task or path, in order of time; reads standard input without files", args: 1, local: true, do: trace},
+	{name: "where", usage: "FILE ...", synopsis: "tell from the logs of all processes where the time of jobs went", args: 1, local: true, do: where},
 	{name: "timeline", usage: "[flags]", synopsis: "show the events of all processes in one order", flags: timelineFlags, do: showTimeline},
 }
 
