Move no second serving task before the first one's stop is done

Cause (found by reading): an executor may carry a stop out seconds late; after two seconds of rest the leader could have moved another task of the same step, and both would have been away. Change: the stop is asked for until its run is over, nothing else is moved before, and upkeep counts the task as away. Test: dispatch TestRegroup, which failed before.

--- a/dispatch/regroup.go
+++ b/dispatch/regroup.go
@@ -33,6 +33,11 @@
 // Resting reports whether the move may be under way still.
 func (m Move) Resting(now int64) bool { return now-m.At < regroupRestMS }
 
+// Moves reports whether the move concerns a run of a task and may be under way.
+func (m Move) Moves(k queue.TaskKey, run uint32, now int64) bool {
+	return m.Task == k && (m.Run == run || m.Resting(now))
+}
+
 // demand is how much work of fillers waits or runs, by image, as parts of the
 // whole.
 func (p *planner) demand() map[string]float64 {
@@ -63,12 +68,9 @@
 // part of a VM: those that serving tasks leave idle, less for images that press on
 // a serving task there. extra is a serving step that would be there too, if not nil.
 func (p *planner) room(c *colocation, extra *queue.Step) float64 {
-	idle := c.spare
+	idle, image := c.spare, ""
 	if extra != nil {
 		idle -= float64(extra.Size.CPUMilli) * pace.ServingUse
-	}
-	image := ""
-	if extra != nil {
 		image = extra.Image
 	}
 	return max(0, idle) / c.whole * p.openness(c, image)
@@ -112,11 +114,7 @@
 // regroup plans the move of the one serving task that leaves fillers most more room
 // elsewhere. Tasks come as they come, and what presses on what is known only later.
 func (p *planner) regroup(jobs []*queue.Job) {
-	if last := p.view.Moved; last.Resting(p.view.Now) {
-		p.renewMove(last)
-		return
-	}
-	if !p.view.Regroup {
+	if p.renewMove(p.view.Moved) || p.view.Moved.Resting(p.view.Now) || !p.view.Regroup {
 		return
 	}
 	if len(p.state.Waves()) > 0 {
@@ -143,18 +141,21 @@
 	}
 }
 
-// renewMove asks for a stop again until it is done: the plan before may not have
-// reached the VM.
-func (p *planner) renewMove(m Move) {
+// renewMove asks for a stop again until it is done, since the plan before may not
+// have reached the VM; false means that it is done. Until then no other task is
+// moved: a stop that is carried out late would have two of a step away.
+func (p *planner) renewMove(m Move) (pending bool) {
 	j := p.state.Job(m.Task.Job)
 	if j == nil || j.Task(m.Task) == nil {
-		return
+		return false
 	}
 	for _, r := range j.Task(m.Task).Runs {
 		if r.Number == m.Run {
 			p.plan.Stops = append(p.plan.Stops, Stop{m.Task, r.Number, r.VM, Regrouped})
+			pending = true
 		}
 	}
+	return pending
 }
 
 // allAtWork reports whether each task of a lasting step was at work for a while on
--- a/dispatch/regroup_test.go
+++ b/dispatch/regroup_test.go
@@ -89,7 +89,9 @@
 		other := w.serve("d", "audio", "vm2")
 		w.view.Moved = Move{Task: other, Run: 1, At: w.view.Now - 1}
 		assert.DeepEqual(t, regroupings(Make(w.s, w.view)), []queue.TaskKey{other})
-		w.view.Moved.At = w.view.Now - regroupRestMS
+		w.view.Moved.At = w.view.Now - 10*regroupRestMS
+		assert.DeepEqual(t, regroupings(Make(w.s, w.view)), []queue.TaskKey{other}) // its stop is not done
+		w.view.Moved.Run++
 		assert.DeepEqual(t, regroupings(Make(w.s, w.view)), []queue.TaskKey{stray})
 	})
 }
--- a/scheduler/upkeep.go
+++ b/scheduler/upkeep.go
@@ -234,11 +234,15 @@
 	tasks := j.Times[step.Time].Steps[step.Step]
 	for i := range tasks {
 		k := queue.TaskKey{Job: step.Job, Time: step.Time, Step: step.Step, Index: i}
-		if len(tasks[i].Runs) == 0 || s.fleet.moved.Task == k && s.fleet.moved.Resting(rudderfork.Millis(steady.Now())) {
+		if len(tasks[i].Runs) == 0 {
 			n++
 			continue
 		}
 		on := tasks[i].Runs[0]
+		if s.fleet.moved.Moves(k, on.Number, rudderfork.Millis(steady.Now())) {
+			n++
+			continue
+		}
 		if on.VM == but.ID {
 			continue
 		}
