--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -13,7 +13,10 @@
 	costFailed = 8.0 // the task has failed there before
 	costDoubt  = 4.0 // for each unit of doubt in the VM
 	costOthers = 1.0 // beside serving tasks of other images only
-	costShadow = 6.0 // a serving task that takes all of a VM's room from fillers
+	// costShadow is for a serving task that takes all of a VM's room from fillers.
+	// (Worth of a day in the mean of 40 runs: 0.601 with it, 0.595 without; 0.575
+	// without it and without moves of serving tasks.)
+	costShadow = 6.0
 	costEmpty  = 0.5 // a serving task on a VM that has none yet
 	packing    = 1.3 // a serving task on a full VM: more than it costs others
 )
--- a/dispatch/regroup.go
+++ b/dispatch/regroup.go
@@ -9,12 +9,13 @@
 
 const (
 	// heavyPressure is the pressure at which a VM's processors count half for a
-	// filler: on the users' platform half of the pairs of images take less than 1
-	// of a serving task's headroom, the others 2 to 7.
+	// filler: of 90 pairs of images, by regression over the figures of two days,
+	// half take less than 1 of a serving task's headroom, the others 1.5 to 7.
 	heavyPressure = 2.0
 	// regroupGain is how much less a serving task must cost elsewhere to be moved
 	// there, as a part of a VM's processors: more than the second and a half that
-	// the task is away for.
+	// the task is away for. (Worth of a day in the mean of 40 runs, four days of ten
+	// seeds: 0.601 with these moves, 0.587 without.)
 	regroupGain = 0.15
 	// regroupRestMS is between two such moves: a stop, a start and their reports.
 	regroupRestMS = 2_000
@@ -33,8 +34,8 @@
 // Resting reports whether the move may be under way still.
 func (m Move) Resting(now int64) bool { return now-m.At < regroupRestMS }
 
-// Moves reports whether the move concerns a run of a task and may be under way.
-func (m Move) Moves(k queue.TaskKey, run uint32, now int64) bool {
+// Covers reports whether the move concerns a run of a task and may be under way.
+func (m Move) Covers(k queue.TaskKey, run uint32, now int64) bool {
 	return m.Task == k && (m.Run == run || m.Resting(now))
 }
 
--- a/dispatch/stops.go
+++ b/dispatch/stops.go
@@ -16,7 +16,9 @@
 	startupMS = 4_000
 	// heldMS is how long a filler must be held down before it is moved, and
 	// moveSpeed what it must expect elsewhere: more than a move costs it, with
-	// its restart and a second of work.
+	// its restart and half a second of work. A step ends with its slowest task,
+	// which was paced down for 2 to 4 s of 11. (0.3 s, with ten moves a plan, earned
+	// the same in 40 runs.)
 	heldMS    = 500
 	restMS    = 2_000 // between two moves of a task
 	moveSpeed = 0.8
--- a/scheduler/upkeep.go
+++ b/scheduler/upkeep.go
@@ -239,7 +239,7 @@
 			continue
 		}
 		on := tasks[i].Runs[0]
-		if s.fleet.moved.Moves(k, on.Number, rudderfork.Millis(steady.Now())) {
+		if s.fleet.moved.Covers(k, on.Number, rudderfork.Millis(steady.Now())) {
 			n++
 			continue
 		}
