Take the first of two runs that did a task as the one that did it

Cause: which of a task's runs counted as the one that did it hung on the order of a map where a copy was done too. Test: jobtime TestJobs, which failed before.

--- a/jobtime/jobtime.go
+++ b/jobtime/jobtime.go
@@ -181,14 +181,14 @@
 	return -1
 }
 
-// done returns the run that did the task, or nil.
-func (t *task) done() *run {
+// done returns the run that did the task, or nil: the first, if a copy did it too.
+func (t *task) done() (first *run) {
 	for _, r := range t.runs {
-		if r.how == Done && !r.placed.IsZero() {
-			return r
+		if r.how == Done && !r.placed.IsZero() && (first == nil || r.ended.Before(first.ended)) {
+			first = r
 		}
 	}
-	return nil
+	return first
 }
 
 // sorted returns the runs that were placed, in the order of their starts. One of
--- a/jobtime/jobtime_test.go
+++ b/jobtime/jobtime_test.go
@@ -85,6 +85,11 @@
 		assertParts(t, logOf(runOf("j.0.0.0", 1, 0, 4, Done), runOf("j.0.0.0", 2, 2, 4.5, "stopped")),
 			map[Part]float64{Working: 4})
 	})
+	t.Run("a copy that did it too, later", func(t *testing.T) {
+		for range 20 { // whatever the order of the runs
+			assertParts(t, logOf(runOf("j.0.0.0", 1, 0, 4, Done), runOf("j.0.0.0", 2, 2, 4.5, Done)), map[Part]float64{Working: 4})
+		}
+	})
 	t.Run("jobs that have not ended are left out", func(t *testing.T) {
 		assert.Equal(t, len(logOf(runOf("j.0.0.0", 1, 0, 4, "failed")).Jobs()), 0)
 	})
