Read logs, silent members, voters and moves of tasks in one place each

Cause: a last reading of the change. rudderctl's trace and where each opened files, scanned lines and looked for the first brace; jobtime took task IDs apart by hand beside queue.ParseTaskKey and had its own word for queue.EndDone; quorum looked for silent voters and silent standbys in two functions; replica counted voters that quorum knows; dispatch asked twice which other sound VM can take a task, and held a move's gain against its least in two places; upkeep read the clock for each task of a step.

Change: each stands once. No change of behaviour meant; no assertion of a test changed (the shortage's are given the count of voters, which quorum's tests hold).

--- a/cmd/rudderctl/trace.go
+++ b/cmd/rudderctl/trace.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -16,9 +15,6 @@
 	"rudderfork.example/rudderfork/operator"
 )
 
-// maxLine bounds a line of a log, in bytes.
-const maxLine = 1 << 20
-
 // logLine is one line of a process's log.
 type logLine struct {
 	at      time.Time
@@ -34,22 +30,16 @@
 // path, in the order of time. It reads files, or standard input.
 func trace(_ context.Context, _ *operator.Client, args []string) error {
 	var lines []logLine
-	for _, file := range args[1:] {
-		f, err := os.Open(file)
-		if err != nil {
-			return err
-		}
-		lines, err = appendLines(lines, f, args[0])
-		_ = f.Close() // it was only read
-		if err != nil {
-			return fmt.Errorf("%s: %w", file, err)
-		}
+	read := func(_ string, r io.Reader) (err error) {
+		lines, err = appendLines(lines, r, args[0])
+		return err
 	}
+	err := readFiles(args[1:], read)
 	if len(args) == 1 {
-		var err error
-		if lines, err = appendLines(nil, os.Stdin, args[0]); err != nil {
-			return err
-		}
+		err = read("", os.Stdin)
+	}
+	if err != nil {
+		return err
 	}
 	if len(lines) == 0 {
 		return fmt.Errorf("no line names %s", args[0])
@@ -61,26 +51,21 @@
 	return nil
 }
 
-// appendLines appends the lines of r that name id. What stands before the first
-// brace of a line is passed over, and so is a line that is none of ours.
+// appendLines appends the lines of r that name id. One that is none of ours is
+// passed over.
 func appendLines(lines []logLine, r io.Reader, id string) ([]logLine, error) {
-	sc := bufio.NewScanner(r)
-	sc.Buffer(nil, maxLine)
-	for sc.Scan() {
-		text := sc.Text()
-		start := strings.IndexByte(text, '{')
-		if start < 0 || !strings.Contains(text, id) {
-			continue
+	err := eachObject(r, func(_ int, line, object string) {
+		if !strings.Contains(line, id) {
+			return
 		}
 		fields := map[string]any{}
-		d := json.NewDecoder(strings.NewReader(text[start:]))
+		d := json.NewDecoder(strings.NewReader(object))
 		d.UseNumber()
-		if d.Decode(&fields) != nil {
-			continue
+		if d.Decode(&fields) == nil {
+			lines = append(lines, newLogLine(fields))
 		}
-		lines = append(lines, newLogLine(fields))
-	}
-	return lines, sc.Err()
+	})
+	return lines, err
 }
 
 func newLogLine(fields map[string]any) logLine {
--- a/cmd/rudderctl/where.go
+++ b/cmd/rudderctl/where.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -15,8 +14,10 @@
 	"text/tabwriter"
 	"time"
 
+	"rudderfork.example/rudderfork"
 	"rudderfork.example/rudderfork/jobtime"
 	"rudderfork.example/rudderfork/operator"
+	"rudderfork.example/rudderfork/queue"
 )
 
 // eventLine is what jobtime needs of a log line.
@@ -24,7 +25,7 @@
 	Event   string `json:"event"`
 	TimeUS  int64  `json:"time"` // Unix µs
 	Task    string `json:"task"`
-	Run     uint64 `json:"run"`
+	Run     uint32 `json:"run"`
 	How     string `json:"how"`
 	Reason  string `json:"reason"`
 	Percent int    `json:"percent"`
@@ -41,29 +42,26 @@
 // of returns the line as an event; ok is false for lines that tell nothing of jobs.
 func (l eventLine) of() (e jobtime.Event, ok bool) {
 	e = jobtime.Event{
-		Kind: eventKinds[l.Event], At: time.UnixMicro(l.TimeUS), Task: l.Task, Run: l.Run, How: l.How, Reason: l.Reason, Percent: l.Percent,
+		Kind: eventKinds[l.Event], At: time.UnixMicro(l.TimeUS), Run: l.Run, How: queue.Ending(l.How), Reason: l.Reason, Percent: l.Percent,
 	}
 	if l.Event == "ask_answered" && l.Ask == "submit" && l.Result == "ok" {
-		e.Kind, e.Job = jobtime.Submitted, l.Path[strings.LastIndexByte(l.Path, '/')+1:]
+		e.Kind, e.Job = jobtime.Submitted, rudderfork.JobID(l.Path[strings.LastIndexByte(l.Path, '/')+1:])
 		return e, e.Job != ""
 	}
-	return e, e.Kind != "" && e.Task != ""
+	var err error
+	e.Task, err = queue.ParseTaskKey(l.Task)
+	return e, e.Kind != "" && err == nil
 }
 
 // where prints what the time of jobs was spent on, from the logs of all processes.
 // Lines that cannot be read are told on standard error, with file and line.
 func where(_ context.Context, _ *operator.Client, args []string) error {
 	log := jobtime.New()
-	for _, file := range args {
-		f, err := os.Open(file)
-		if err != nil {
-			return err
-		}
-		err = readEvents(log, f, func(line int, err error) { fmt.Fprintf(os.Stderr, "%s:%d: %v\n", file, line, err) })
-		_ = f.Close() // it was only read
-		if err != nil {
-			return fmt.Errorf("%s: %w", file, err)
-		}
+	err := readFiles(args, func(file string, r io.Reader) error {
+		return readEvents(log, r, func(line int, err error) { fmt.Fprintf(os.Stderr, "%s:%d: %v\n", file, line, err) })
+	})
+	if err != nil {
+		return err
 	}
 	jobs := log.Jobs()
 	if len(jobs) == 0 {
@@ -72,27 +70,18 @@
 	return printWhere(os.Stdout, jobs)
 }
 
-// readEvents adds the events of a log. What stands before the first brace of a line
-// is passed over, and so are lines without one.
+// readEvents adds the events of a log.
 func readEvents(log *jobtime.Log, r io.Reader, bad func(line int, err error)) error {
-	sc := bufio.NewScanner(r)
-	sc.Buffer(nil, maxLine)
-	for n := 1; sc.Scan(); n++ {
-		text := sc.Text()
-		start := strings.IndexByte(text, '{')
-		if start < 0 {
-			continue
-		}
+	return eachObject(r, func(n int, _, object string) {
 		var l eventLine
-		if err := json.Unmarshal([]byte(text[start:]), &l); err != nil {
+		if err := json.Unmarshal([]byte(object), &l); err != nil {
 			bad(n, fmt.Errorf("not a line of ours, or cut short: %w", err))
-			continue
+			return
 		}
 		if e, ok := l.of(); ok {
 			log.Add(e)
 		}
-	}
-	return sc.Err()
+	})
 }
 
 // printWhere prints the parts of the jobs' time, the largest first.
--- a/dispatch/regroup.go
+++ b/dispatch/regroup.go
@@ -129,11 +129,8 @@
 				continue
 			}
 			k := queue.TaskKey{Job: j.ID, Step: step}
-			if !p.allAtWork(j, k) {
-				continue
-			}
-			if stop, gain := p.bestMove(j, k); gain > most {
-				best, most = stop, gain
+			if p.allAtWork(j, k) {
+				best, most = p.betterMove(j, k, best, most)
 			}
 		}
 	}
@@ -178,13 +175,14 @@
 	return true
 }
 
-// bestMove returns the stop of the task of a step that gains most by a move.
-func (p *planner) bestMove(j *queue.Job, k queue.TaskKey) (best Stop, most float64) {
+// betterMove returns the move of a task of a step that gains most, if one gains more
+// than the best one so far, else that.
+func (p *planner) betterMove(j *queue.Job, k queue.TaskKey, best Stop, most float64) (Stop, float64) {
 	tasks := j.Times[k.Time].Steps[k.Step]
 	for i := range tasks {
 		k.Index = i
 		r := tasks[i].Runs[0]
-		if gain := p.moveGain(j, k, r.VM); gain > most {
+		if gain := p.moveGain(j, k, r.VM, most); gain > most {
 			best, most = Stop{k, r.Number, r.VM, Regrouped}, gain
 		}
 	}
@@ -192,22 +190,18 @@
 }
 
 // moveGain is how much more room fillers have if a task leaves its VM for the best
-// other one.
-func (p *planner) moveGain(j *queue.Job, k queue.TaskKey, at rudderfork.VMID) (gain float64) {
+// other one, or least if that is not more.
+func (p *planner) moveGain(j *queue.Job, k queue.TaskKey, at rudderfork.VMID, least float64) float64 {
 	st := j.Spec.Steps[k.Step]
-	here := p.state.VM(at)
-	rest := p.colocationWithout(here, k)
-	stays := p.shadow(rest, st)
+	stays := p.shadow(p.colocationWithout(p.state.VM(at), k), st)
+	most := least
 	for _, vm := range p.vms {
-		if vm.ID == at {
-			continue
-		}
-		more := stays - p.shadow(p.colocationOn(vm), st)
-		if more > max(gain, regroupGain) && p.view.VMs[vm.ID].Doubt < doubtful && p.obstacle(j, k, vm) == "" {
-			gain = more
+		gain := stays - p.shadow(p.colocationOn(vm), st)
+		if gain > most && p.takesMoved(j, k, at, vm) {
+			most = gain
 		}
 	}
-	return gain
+	return most
 }
 
 // shadow is the room that fillers lose on a VM to a serving task.
--- a/dispatch/stops.go
+++ b/dispatch/stops.go
@@ -180,9 +180,13 @@
 
 // roomElsewhere reports whether another VM can take the task now.
 func (p *planner) roomElsewhere(j *queue.Job, k queue.TaskKey, at rudderfork.VMID) bool {
-	return slices.ContainsFunc(p.vms, func(vm *queue.VM) bool {
-		return vm.ID != at && p.view.VMs[vm.ID].Doubt < doubtful && p.obstacle(j, k, vm) == ""
-	})
+	return slices.ContainsFunc(p.vms, func(vm *queue.VM) bool { return p.takesMoved(j, k, at, vm) })
+}
+
+// takesMoved reports whether a VM is another than the one a task is on, sound, and
+// can take the task now.
+func (p *planner) takesMoved(j *queue.Job, k queue.TaskKey, at rudderfork.VMID, vm *queue.VM) bool {
+	return vm.ID != at && p.view.VMs[vm.ID].Doubt < doubtful && p.obstacle(j, k, vm) == ""
 }
 
 // doubtful is the doubt in a VM above which nothing is moved there: one failure.
--- a/jobtime/jobtime.go
+++ b/jobtime/jobtime.go
@@ -11,8 +11,10 @@
 	"cmp"
 	"maps"
 	"slices"
-	"strings"
 	"time"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/queue"
 )
 
 // Part is what a job's time was spent on.
@@ -47,43 +49,40 @@
 	PacedTo   Kind = "paced"
 )
 
-// Done is how a run ends that has done its task.
-const Done = "done"
-
 // Event is what a log line tells of a job or a run.
 type Event struct {
 	Kind    Kind
 	At      time.Time
-	Job     string // of a submission
-	Task    string // JOB.TIME.STEP.INDEX
-	Run     uint64
-	How     string // of an end
-	Reason  string // of a stop
-	Percent int    // of a pace
+	Job     rudderfork.JobID // of a submission
+	Task    queue.TaskKey
+	Run     uint32
+	How     queue.Ending // of an end
+	Reason  string       // of a stop
+	Percent int          // of a pace
 }
 
 // Job is where a job's time went.
 type Job struct {
-	ID    string
+	ID    rudderfork.JobID
 	Took  time.Duration
 	Parts map[Part]time.Duration // their sum is Took
 }
 
 // Log gathers events, in any order.
 type Log struct {
-	submitted map[string]time.Time
-	tasks     map[string]*task
+	submitted map[rudderfork.JobID]time.Time
+	tasks     map[queue.TaskKey]*task
 }
 
 type task struct {
-	id   string
-	step string // JOB.TIME.STEP
-	runs map[uint64]*run
+	key  queue.TaskKey
+	runs map[uint32]*run
 }
 
 type run struct {
 	placed, ended time.Time
-	how, reason   string
+	how           queue.Ending
+	reason        string
 	paces         []pace
 }
 
@@ -93,7 +92,9 @@
 }
 
 // New returns an empty log.
-func New() *Log { return &Log{submitted: map[string]time.Time{}, tasks: map[string]*task{}} }
+func New() *Log {
+	return &Log{submitted: map[rudderfork.JobID]time.Time{}, tasks: map[queue.TaskKey]*task{}}
+}
 
 // Add takes an event.
 func (l *Log) Add(e Event) {
@@ -116,12 +117,11 @@
 	}
 }
 
-func (l *Log) run(id string, number uint64) *run {
-	t := l.tasks[id]
+func (l *Log) run(k queue.TaskKey, number uint32) *run {
+	t := l.tasks[k]
 	if t == nil {
-		step := id[:max(0, strings.LastIndexByte(id, '.'))]
-		t = &task{id: id, step: step, runs: map[uint64]*run{}}
-		l.tasks[id] = t
+		t = &task{key: k, runs: map[uint32]*run{}}
+		l.tasks[k] = t
 	}
 	r := t.runs[number]
 	if r == nil {
@@ -134,10 +134,9 @@
 // Jobs returns the jobs of which the submission is known and each task that was
 // placed has ended, by their IDs.
 func (l *Log) Jobs() (jobs []Job) {
-	byJob := map[string][]*task{}
-	for _, t := range l.tasks {
-		job, _, _ := strings.Cut(t.id, ".")
-		byJob[job] = append(byJob[job], t)
+	byJob := map[rudderfork.JobID][]*task{}
+	for k, t := range l.tasks {
+		byJob[k.Job] = append(byJob[k.Job], t)
 	}
 	for _, id := range slices.Sorted(maps.Keys(byJob)) {
 		at, known := l.submitted[id]
@@ -151,9 +150,9 @@
 }
 
 // split walks a job's chain from its last task back to its submission.
-func split(id string, submitted time.Time, tasks []*task) Job {
+func split(id rudderfork.JobID, submitted time.Time, tasks []*task) Job {
 	slices.SortFunc(tasks, func(a, b *task) int {
-		return cmp.Or(a.done().ended.Compare(b.done().ended), cmp.Compare(a.id, b.id))
+		return cmp.Or(a.done().ended.Compare(b.done().ended), cmp.Compare(a.key.String(), b.key.String()))
 	})
 	at := len(tasks) - 1
 	j := Job{ID: id, Took: tasks[at].done().ended.Sub(submitted), Parts: map[Part]time.Duration{}}
@@ -174,7 +173,7 @@
 func endedBefore(tasks []*task, i int) int {
 	first := tasks[i].sorted()[0].placed
 	for k := i - 1; k >= 0; k-- {
-		if tasks[k].step != tasks[i].step && !tasks[k].done().ended.After(first) {
+		if tasks[k].key.StepKey() != tasks[i].key.StepKey() && !tasks[k].done().ended.After(first) {
 			return k
 		}
 	}
@@ -184,7 +183,7 @@
 // done returns the run that did the task, or nil: the first, if a copy did it too.
 func (t *task) done() (first *run) {
 	for _, r := range t.runs {
-		if r.how == Done && !r.placed.IsZero() && (first == nil || r.ended.Before(first.ended)) {
+		if r.how == queue.EndDone && !r.placed.IsZero() && (first == nil || r.ended.Before(first.ended)) {
 			first = r
 		}
 	}
@@ -234,7 +233,7 @@
 	if r.reason != "" {
 		return Part(lost + "was stopped: " + r.reason)
 	}
-	return Part(lost + "ended " + r.how)
+	return Part(lost + "ended " + string(r.how))
 }
 
 // held is the time by which a run was held back from a time on.
--- a/quorum/members.go
+++ b/quorum/members.go
@@ -82,7 +82,7 @@
 // odd group needs as many answers as before at each step: with 2f+1 voters, f of
 // them lost, promoting first would need an answer of each replica that is left.
 func (n *Node) Repair(size int, now time.Time) (next []Member, ok bool) {
-	voters := len(n.voters())
+	voters := n.Voters()
 	standby := n.standby(now)
 	lost := n.supersededVoter()
 	odd, spare := voters%2 == 1, size > 0 && voters > size
@@ -92,10 +92,10 @@
 	case standby >= 0 && (size == 0 || voters < size || lost >= 0):
 		return n.promoted(standby), true
 	}
-	if silent := n.silentVoter(now); silent >= 0 && (spare || size > 0 && odd && standby >= 0) {
+	if silent := n.silentMember(true, silentTimeouts, now); silent >= 0 && (spare || size > 0 && odd && standby >= 0) {
 		return n.without(silent, now)
 	}
-	if gone := n.forgettable(now); gone >= 0 {
+	if gone := n.silentMember(false, forgetTimeouts, now); gone >= 0 {
 		return n.without(gone, now)
 	}
 	return nil, false
@@ -121,18 +121,11 @@
 	return slices.IndexFunc(ms, func(m Member) bool { return m.Voter && newest[m.Name] != m.ID })
 }
 
-// silentVoter returns the place of a voter that has not answered for a while, or -1.
-func (n *Node) silentVoter(now time.Time) int {
+// silentMember returns the place of a member, with a vote or without, that has not
+// answered for that many election timeouts, or -1.
+func (n *Node) silentMember(voter bool, timeouts int, now time.Time) int {
 	return slices.IndexFunc(n.log.members(), func(m Member) bool {
-		return m.Voter && n.silent(m.ID, silentTimeouts, now)
-	})
-}
-
-// forgettable returns the place of a replica without a vote that was silent for
-// long, or -1.
-func (n *Node) forgettable(now time.Time) int {
-	return slices.IndexFunc(n.log.members(), func(m Member) bool {
-		return !m.Voter && n.silent(m.ID, forgetTimeouts, now)
+		return m.Voter == voter && n.silent(m.ID, timeouts, now)
 	})
 }
 
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -122,6 +122,9 @@
 	return ok && m.Voter
 }
 
+// Voters returns how many members have a vote.
+func (n *Node) Voters() int { return len(n.voters()) }
+
 func (n *Node) voters() []MemberID {
 	var ids []MemberID
 	for _, m := range n.log.members() {
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -356,7 +356,7 @@
 	assert.Assert(t, ok && m.Voter, "after 200 steps under load the members are %v", g.waitLeader().node.Members())
 }
 
-func voterCount(g *group) int { return len(g.waitLeader().node.voters()) }
+func voterCount(g *group) int { return g.waitLeader().node.Voters() }
 
 func TestEmptyReplicaDoesNotVote(t *testing.T) {
 	g := newGroup(t, 3, 2)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -402,8 +402,8 @@
 	if !r.node.Settled() {
 		return
 	}
-	if members := r.node.Members(); r.short.Found(r.node.Term(), members, r.size, r.now()) {
-		r.log.Warn().Int("voters", voterCount(members)).Int("needed", r.size).Msg("voters_too_few")
+	if voters := r.node.Voters(); r.short.Found(r.node.Term(), voters, r.size, r.now()) {
+		r.log.Warn().Int("voters", voters).Int("needed", r.size).Msg("voters_too_few")
 	}
 	next, ok := r.node.Repair(r.size, r.now())
 	if !ok {
--- a/replica/shortage.go
+++ b/replica/shortage.go
@@ -1,10 +1,6 @@
 package replica
 
-import (
-	"time"
-
-	"rudderfork.example/rudderfork/quorum"
-)
+import "time"
 
 // shortAfter is how long a leader lets replicas join before it says that there are
 // too few: the machines of a whole system start within a second of each other.
@@ -17,9 +13,9 @@
 	due  time.Time // zero once it was told in this term
 }
 
-// Found reports whether a settled leader with these members is to say that there
-// are too few voters.
-func (s *shortage) Found(term uint64, members []quorum.Member, size int, now time.Time) bool {
+// Found reports whether a settled leader is to say that there are fewer voters than
+// the group is to have.
+func (s *shortage) Found(term uint64, voters, size int, now time.Time) bool {
 	if term != s.term {
 		s.term, s.due = term, now.Add(shortAfter)
 	}
@@ -27,14 +23,5 @@
 		return false
 	}
 	s.due = time.Time{}
-	return voterCount(members) < size
-}
-
-func voterCount(members []quorum.Member) (count int) {
-	for _, m := range members {
-		if m.Voter {
-			count++
-		}
-	}
-	return count
+	return voters < size
 }
--- a/replica/shortage_test.go
+++ b/replica/shortage_test.go
@@ -5,24 +5,22 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-
-	"rudderfork.example/rudderfork/quorum"
 )
 
 func TestShortage(t *testing.T) {
-	members := []quorum.Member{{ID: "a#1", Voter: true}, {ID: "b#1", Voter: true}, {ID: "c#1"}}
+	const voters = 2
 	at := time.Unix(1000, 0)
 	t.Run("too few voters are told once a term, after the others had time to join", func(t *testing.T) {
 		var s shortage
-		assert.Assert(t, !s.Found(1, members, 3, at))
-		assert.Assert(t, s.Found(1, members, 3, at.Add(shortAfter)))
-		assert.Assert(t, !s.Found(1, members, 3, at.Add(2*shortAfter)))
-		assert.Assert(t, !s.Found(2, members, 3, at.Add(2*shortAfter)))
-		assert.Assert(t, s.Found(2, members, 3, at.Add(3*shortAfter)))
+		assert.Assert(t, !s.Found(1, voters, 3, at))
+		assert.Assert(t, s.Found(1, voters, 3, at.Add(shortAfter)))
+		assert.Assert(t, !s.Found(1, voters, 3, at.Add(2*shortAfter)))
+		assert.Assert(t, !s.Found(2, voters, 3, at.Add(2*shortAfter)))
+		assert.Assert(t, s.Found(2, voters, 3, at.Add(3*shortAfter)))
 	})
 	t.Run("enough are not told", func(t *testing.T) {
 		var s shortage
-		assert.Assert(t, !s.Found(1, members, 2, at))
-		assert.Assert(t, !s.Found(1, members, 2, at.Add(shortAfter)))
+		assert.Assert(t, !s.Found(1, voters, 2, at))
+		assert.Assert(t, !s.Found(1, voters, 2, at.Add(shortAfter)))
 	})
 }
--- a/scheduler/upkeep.go
+++ b/scheduler/upkeep.go
@@ -231,6 +231,7 @@
 // away counts the tasks of a step that are not at work on other VMs than the
 // given one. The caller holds mu.
 func (s *Scheduler) away(j *queue.Job, step queue.StepKey, but *queue.VM) (n int) {
+	now := rudderfork.Millis(steady.Now())
 	tasks := j.Times[step.Time].Steps[step.Step]
 	for i := range tasks {
 		k := queue.TaskKey{Job: step.Job, Time: step.Time, Step: step.Step, Index: i}
@@ -239,7 +240,7 @@
 			continue
 		}
 		on := tasks[i].Runs[0]
-		if s.fleet.moved.Covers(k, on.Number, rudderfork.Millis(steady.Now())) {
+		if s.fleet.moved.Covers(k, on.Number, now) {
 			n++
 			continue
 		}
