Show that silent links between replicas leave the group without a leader for good

Cause: a replica's link is only written to by the one that dialled and only read by the one that accepted; neither bounds silence, so a connection that a device on the way has forgotten is used for ever. Test: TestSilentLinks makes open links silent through a proxy (internal/faultlink) while new ones work. Ruled out: a reset (none is sent), lost members (all run).

--- a/replica/peers_test.go
+++ b/replica/peers_test.go
@@ -34,19 +34,26 @@
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	dir := filepath.Join(t.TempDir(), "data")
 	self := quorum.Member{ID: MemberID(name, Founding), Name: name, Addr: ln.Addr().String(), Voter: founding}
 	id := disk.Identity{ID: self.ID}
 	if founding {
 		id.Members = []quorum.Member{self}
 	}
+	return runLinked(t, ln, self, id, told, nil)
+}
+
+// runLinked runs a replica on an empty folder of the given identity. dial says, by
+// member name, where the others are reached.
+func runLinked(t *testing.T, ln net.Listener, self quorum.Member, id disk.Identity, told []string, dial map[string]string) *linked {
+	t.Helper()
+	dir := filepath.Join(t.TempDir(), "data")
 	assert.NilError(t, disk.Format(dir, id))
 	store, err := disk.Open(dir)
 	assert.NilError(t, err)
 	self.Voter = false
-	peers := NewPeers(self, told, nil, zerolog.Nop())
+	peers := NewPeers(self, told, dial, zerolog.Nop())
 	rep, err := New(Config{
-		ElectionTimeout: 100 * time.Millisecond, Heartbeat: 20 * time.Millisecond, SnapshotEvery: 1000, Seed: Seed(name), Voters: 3,
+		ElectionTimeout: 100 * time.Millisecond, Heartbeat: 20 * time.Millisecond, SnapshotEvery: 1000, Seed: Seed(self.Name), Voters: 3,
 	}, store, peers, zerolog.Nop(), nobody{}, steady.Now)
 	assert.NilError(t, err)
 	l := &linked{rep: rep, peers: peers, self: self}
--- /dev/null
+++ b/replica/silence_test.go
@@ -0,0 +1,227 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"rudderfork.example/rudderfork/disk"
+	"rudderfork.example/rudderfork/internal/faultlink"
+	"rudderfork.example/rudderfork/internal/steady"
+	"rudderfork.example/rudderfork/queue"
+	"rudderfork.example/rudderfork/quorum"
+	"rudderfork.example/rudderfork/state"
+)
+
+// proxied is a group of replicas each of which reaches each other through a proxy
+// of its own.
+type proxied struct {
+	t     *testing.T
+	reps  []*linked
+	links map[[2]int]*faultlink.Proxy // by the one that dials and the one dialled
+	docs  uint64                      // versions proposed
+}
+
+// startProxied runs founders that form a group, and joiners that are told of them.
+func startProxied(t *testing.T, founders, joiners int) *proxied {
+	t.Helper()
+	g := &proxied{t: t, links: map[[2]int]*faultlink.Proxy{}}
+	all := founders + joiners
+	lns := make([]net.Listener, all)
+	members := make([]quorum.Member, all)
+	for i := range all {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		name := fmt.Sprintf("r%d", i)
+		lns[i] = ln
+		members[i] = quorum.Member{ID: MemberID(name, Founding), Name: name, Addr: ln.Addr().String(), Voter: i < founders}
+	}
+	for i := range all {
+		id := disk.Identity{ID: members[i].ID}
+		var told []string
+		if i < founders {
+			id.Members = members[:founders]
+		} else {
+			told = []string{g.proxy(i, 0, members[0]), g.proxy(i, 1, members[1])}
+		}
+		g.reps = append(g.reps, runLinked(t, lns[i], members[i], id, told, g.dial(i, members)))
+	}
+	return g
+}
+
+// proxy returns the address of the proxy that one replica dials another by.
+func (g *proxied) proxy(from, to int, m quorum.Member) string {
+	key := [2]int{from, to}
+	if g.links[key] == nil {
+		p, err := faultlink.New(m.Addr)
+		assert.NilError(g.t, err)
+		g.t.Cleanup(p.Close)
+		g.links[key] = p
+	}
+	return g.links[key].Addr()
+}
+
+func (g *proxied) dial(from int, members []quorum.Member) map[string]string {
+	dial := map[string]string{}
+	for to, m := range members {
+		if to != from {
+			dial[m.Name] = g.proxy(from, to, m)
+		}
+	}
+	return dial
+}
+
+// silence makes the open links that pick chooses silent.
+func (g *proxied) silence(pick func(from, to int) bool, dirs ...faultlink.Direction) {
+	for key, p := range g.links {
+		if pick(key[0], key[1]) {
+			p.Silence(dirs...)
+		}
+	}
+}
+
+// leader waits for a settled leader and returns its place.
+func (g *proxied) leader() (place int) {
+	g.t.Helper()
+	poll.WaitOn(g.t, func(poll.LogT) poll.Result {
+		for i, l := range g.reps {
+			if l.rep.Leads() {
+				place = i
+				return poll.Success()
+			}
+		}
+		return poll.Continue("nobody leads")
+	}, poll.WithTimeout(joinLimit))
+	return place
+}
+
+// assertCommits asserts that a command is committed, by whoever leads, and that
+// every replica that runs comes to hold it.
+func (g *proxied) assertCommits(running ...*linked) {
+	g.t.Helper()
+	g.docs++
+	d := queue.Document{Version: g.docs}
+	poll.WaitOn(g.t, func(poll.LogT) poll.Result {
+		for _, l := range running {
+			ctx, cancel := context.WithTimeout(g.t.Context(), time.Second)
+			_, err := l.rep.Do(ctx, state.Command{Queue: &queue.Command{Document: &d}})
+			cancel()
+			if err == nil {
+				return poll.Success()
+			}
+		}
+		return poll.Continue("no replica commits version %d", d.Version)
+	}, poll.WithTimeout(joinLimit))
+	poll.WaitOn(g.t, func(poll.LogT) poll.Result {
+		for _, l := range running {
+			if held := heldVersion(l); held < d.Version {
+				return poll.Continue("%s holds version %d; want %d", l.self.Name, held, d.Version)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(joinLimit))
+}
+
+// heldVersion returns the version of the document at a replica, or 0.
+func heldVersion(l *linked) (version uint64) {
+	l.rep.View(func(s *state.State) {
+		if d := s.Queues().Document(); d != nil {
+			version = d.Version
+		}
+	})
+	return version
+}
+
+func every(int, int) bool { return true }
+
+// both is both directions of a link.
+var both = []faultlink.Direction{faultlink.Forth, faultlink.Back}
+
+// TestSilentLinks makes open links between replicas silent for good, while new
+// ones work: a device on the way has forgotten them, and no end is told. The group
+// must go on. (It never did: a replica wrote into links on which nothing arrived
+// any more, and waited without a bound on those that it had accepted, so that no
+// leader was known from then on.)
+func TestSilentLinks(t *testing.T) {
+	t.Run("all", func(t *testing.T) {
+		g := startProxied(t, 3, 0)
+		g.assertCommits(g.reps...)
+		g.silence(every, both...)
+		g.assertCommits(g.reps...)
+	})
+	t.Run("those of the leader", func(t *testing.T) {
+		g := startProxied(t, 3, 0)
+		g.assertCommits(g.reps...)
+		lead := g.leader()
+		g.silence(func(from, to int) bool { return from == lead || to == lead }, both...)
+		g.assertCommits(g.reps...)
+	})
+	t.Run("from the one that dialled", func(t *testing.T) {
+		g := startProxied(t, 3, 0)
+		g.assertCommits(g.reps...)
+		g.silence(every, faultlink.Forth)
+		g.assertCommits(g.reps...)
+	})
+	t.Run("to the one that dialled", func(t *testing.T) {
+		g := startProxied(t, 3, 0)
+		g.assertCommits(g.reps...)
+		g.silence(every, faultlink.Back)
+		g.assertCommits(g.reps...)
+		assertFewLinks(t, g)
+	})
+	t.Run("again and again", func(t *testing.T) {
+		rng := rand.New(rand.NewPCG(7, 1))
+		g := startProxied(t, 3, 0)
+		for range 5 {
+			g.assertCommits(g.reps...)
+			g.silence(func(int, int) bool { return rng.IntN(3) > 0 }, both...)
+		}
+		g.assertCommits(g.reps...)
+		assertFewLinks(t, g)
+	})
+	t.Run("beside an election", func(t *testing.T) {
+		g := startProxied(t, 5, 0)
+		g.assertCommits(g.reps...)
+		lead := g.leader()
+		left := append(append([]*linked(nil), g.reps[:lead]...), g.reps[lead+1:]...)
+		g.reps[lead].stop()
+		g.silence(every, both...)
+		g.assertCommits(left...)
+	})
+	t.Run("beside a change of members", func(t *testing.T) {
+		g := startProxied(t, 2, 2)
+		g.assertCommits(g.reps[:2]...)
+		g.silence(every, both...)
+		g.assertCommits(g.reps...)
+	})
+	t.Run("beside a snapshot", func(t *testing.T) {
+		g := startProxied(t, 2, 1)
+		lead := g.leader()
+		big := queue.Document{Version: 1, Text: make([]byte, maxLogBytes+1)}
+		g.docs = 1
+		_, err := g.reps[lead].rep.Do(t.Context(), state.Command{Queue: &queue.Command{Document: &big}})
+		assert.NilError(t, err)
+		g.silence(every, both...)
+		g.assertCommits(g.reps...)
+	})
+}
+
+// assertFewLinks waits until silent connections are given up by both ends: no more
+// are open than one for each pair of replicas and direction.
+func assertFewLinks(t *testing.T, g *proxied) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for key, p := range g.links {
+			if n := p.Open(); n > 1 {
+				return poll.Continue("%d links from %d to %d at %v", n, key[0], key[1], steady.Now())
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(joinLimit))
+}
