Bound the silence of every connection between our processes, at both ends

Cause: a connection that a device on the way has forgotten stays open at both ends and carries nothing. Replicas wrote into such links and read from them without a bound; agents and entries read theirs without one where they had accepted them. Change: wire.Liveness, given to every Dial and Accept: an end that has sent nothing for a tick sends an empty message, an end that reads and has no byte for three ticks gives the connection up (ErrSilent, counted by kind). A replica that gives up an accepted link suspects its peer, as at a reset; the dialling end dials anew, each try for at most two limits. A process of an earlier version sends no keep-alives: control processes of both versions would drop each other's links every election timeout, so they are to be changed over at one time.

--- a/agent/front.go
+++ b/agent/front.go
@@ -225,7 +225,7 @@
 
 // session answers probes and fences of one entry.
 func (f *front) session(w http.ResponseWriter, r *http.Request) {
-	conn, err := wire.Accept[wire.ToEntry, wire.ToAgent](w, r)
+	conn, err := wire.Accept[wire.ToEntry, wire.ToAgent](w, r, wire.ProbeSession)
 	if err != nil {
 		f.log.Warn().Err(err).Msg("entry_refused")
 		return
--- a/control/control.go
+++ b/control/control.go
@@ -65,7 +65,7 @@
 		return nil, err
 	}
 	ring := timeline.NewRing(cfg.Name, cfg.Place, timelineSize, steady.Now)
-	peers := replica.NewPeers(cfg.self(store.Identity().ID), cfg.addrs(), cfg.Dial, log)
+	peers := replica.NewPeers(cfg.self(store.Identity().ID), cfg.addrs(), cfg.Dial, cfg.ElectionTimeout, log)
 	rep, err := replica.New(replica.Config{
 		ElectionTimeout: cfg.ElectionTimeout, Heartbeat: cfg.Heartbeat,
 		SnapshotEvery: cfg.SnapshotEvery, Seed: replica.Seed(cfg.Name),
--- a/control/hub.go
+++ b/control/hub.go
@@ -169,7 +169,7 @@
 }
 
 func (h *hub) accept(w http.ResponseWriter, r *http.Request) {
-	c, err := wire.Accept[wire.ToNode, wire.ToControl](w, r)
+	c, err := wire.Accept[wire.ToNode, wire.ToControl](w, r, wire.NodeSession)
 	if err != nil {
 		h.log.Warn().Err(err).Msg("node_refused")
 		return
--- a/entry/link.go
+++ b/entry/link.go
@@ -62,7 +62,7 @@
 }
 
 func (l *agentLink) session(ctx context.Context) error {
-	c, err := wire.Dial[wire.ToAgent, wire.ToEntry](ctx, "ws://"+l.addr+"/rudderfork/session")
+	c, err := wire.Dial[wire.ToAgent, wire.ToEntry](ctx, "ws://"+l.addr+"/rudderfork/session", wire.ProbeSession)
 	if err != nil {
 		return err
 	}
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -36,7 +36,7 @@
 }
 
 func (l *leader) accept(w http.ResponseWriter, r *http.Request) {
-	c, err := wire.Accept[wire.ToQueueNode, wire.FromNode](w, r)
+	c, err := wire.Accept[wire.ToQueueNode, wire.FromNode](w, r, wire.QueueSession)
 	if err != nil {
 		return
 	}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"rudderfork.example/rudderfork/timeline"
+	"rudderfork.example/rudderfork/wire"
 )
 
 // headerTimeout bounds how long a client may take to send its headers.
@@ -32,6 +33,7 @@
 func New(ln net.Listener, ring *timeline.Ring, ready func() error) *Server {
 	s := &Server{ln: ln, mux: http.NewServeMux(), reg: prometheus.NewRegistry()}
 	s.reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	s.reg.MustRegister(wire.Collectors()...)
 	s.mux.Handle("GET /metrics", promhttp.HandlerFor(s.reg, promhttp.HandlerOpts{}))
 	s.mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
 		if err := ready(); err != nil {
--- a/internal/faultlink/faultlink.go
+++ b/internal/faultlink/faultlink.go
@@ -5,6 +5,8 @@
 package faultlink
 
 import (
+	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -81,7 +83,8 @@
 		if err != nil {
 			return
 		}
-		to, err := net.Dial("tcp", p.target)
+		var d net.Dialer
+		to, err := d.DialContext(context.Background(), "tcp", p.target)
 		if err != nil {
 			_ = from.Close()
 			continue
@@ -145,7 +148,7 @@
 			return
 		}
 		if _, werr := dst.Write(buf[:n]); werr != nil || err != nil {
-			if err == io.EOF || werr != nil {
+			if errors.Is(err, io.EOF) || werr != nil {
 				c.close()
 			}
 			return
--- a/node/client.go
+++ b/node/client.go
@@ -96,7 +96,7 @@
 func (c *Client) Connected() bool { return c.out.Connected() }
 
 func (c *Client) session(ctx context.Context, addr string) error {
-	conn, err := wire.Dial[wire.ToControl, wire.ToNode](ctx, "ws://"+addr+"/node")
+	conn, err := wire.Dial[wire.ToControl, wire.ToNode](ctx, "ws://"+addr+"/node", wire.NodeSession)
 	if err != nil {
 		return err
 	}
--- a/node/client_test.go
+++ b/node/client_test.go
@@ -43,7 +43,7 @@
 func TestReconnectDuringHello(t *testing.T) {
 	registered := make(chan bool, 16)
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c, err := wire.Accept[wire.ToNode, wire.ToControl](w, r)
+		c, err := wire.Accept[wire.ToNode, wire.ToControl](w, r, wire.NodeSession)
 		if err != nil {
 			return
 		}
--- a/replica/peers.go
+++ b/replica/peers.go
@@ -22,18 +22,27 @@
 	redialPause = 100 * time.Millisecond
 	// joinPause is how often a process that is no member asks to be one.
 	joinPause = 300 * time.Millisecond
+	// linkKind names the links in metrics.
+	linkKind = "replica"
+	// dialLimits bounds setting up a link, in silence limits: a connection that
+	// hangs on its way is tried anew about when the network's own retry would come.
+	dialLimits = 2
 )
 
 // Peers is the links to the other replicas, one for each address. Each process
-// dials each other and sends on its own link; answers come on the other's.
+// dials each other and sends on its own link; answers come on the other's, so that
+// only keep-alives pass against the direction of a link. An end that hears nothing
+// any more gives the link up: the one that dialled dials anew, the one that
+// accepted suspects the other replica.
 //
 // The addresses are those that the process was told at its start, those of the
 // group's members, and those of processes that have dialled: a replica without a
 // log learns only so where the leader is that it has to answer.
 type Peers struct {
-	self quorum.Member
-	dial map[string]string // by member name: where to reach it, if not at its address
-	log  zerolog.Logger
+	self  quorum.Member
+	dial  map[string]string // by member name: where to reach it, if not at its address
+	alive wire.Liveness
+	log   zerolog.Logger
 
 	mu      sync.Mutex
 	told    []string
@@ -52,10 +61,12 @@
 }
 
 // NewPeers returns the links of a replica. addrs are those it is told of. dial
-// says, by member name, where a member is reached that is not at its address.
-func NewPeers(self quorum.Member, addrs []string, dial map[string]string, log zerolog.Logger) *Peers {
+// says, by member name, where a member is reached that is not at its address. A
+// link that is silent for silence is given up: an election timeout, since a leader
+// that is not heard for so long is not followed either.
+func NewPeers(self quorum.Member, addrs []string, dial map[string]string, silence time.Duration, log zerolog.Logger) *Peers {
 	return &Peers{
-		self: self, told: addrs, dial: dial, log: log,
+		self: self, told: addrs, dial: dial, alive: wire.Alive(linkKind, silence), log: log,
 		callers: map[quorum.MemberID]string{}, links: map[string]*link{}, changed: wakeup.New(),
 	}
 }
@@ -208,7 +219,7 @@
 // run keeps one link up.
 func (p *Peers) run(ctx context.Context, l *link) {
 	for ctx.Err() == nil {
-		c, err := wire.Dial[wire.Peer, wire.Peer](ctx, "ws://"+l.addr+"/peer")
+		c, err := p.connect(ctx, l.addr)
 		if err != nil {
 			l.discard()
 			steady.Pause(ctx, redialPause)
@@ -221,6 +232,12 @@
 	}
 }
 
+func (p *Peers) connect(ctx context.Context, addr string) (*wire.Conn[wire.Peer, wire.Peer], error) {
+	ctx, cancel := context.WithTimeout(ctx, dialLimits*p.alive.Limit())
+	defer cancel()
+	return wire.Dial[wire.Peer, wire.Peer](ctx, "ws://"+addr+"/peer", p.alive)
+}
+
 // discard drops what waits for a peer that cannot be reached: it is stale by
 // the time the link is back.
 func (l *link) discard() {
@@ -234,11 +251,11 @@
 }
 
 func (p *Peers) pump(ctx context.Context, l *link, c *wire.Conn[wire.Peer, wire.Peer]) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	go func() {
-		defer cancel()
-		_, _ = c.Receive(ctx) // nothing is sent this way; it ends when the link does
+		_, err := c.Receive(ctx) // nothing but keep-alives comes; it ends when the link does
+		cancel(err)
 	}()
 	self := p.self
 	if err := c.Send(ctx, wire.Peer{Self: &self}); err != nil {
@@ -249,7 +266,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return context.Cause(ctx)
 		case m := <-l.queue:
 			if err := c.Send(ctx, m); err != nil {
 				return err
@@ -271,7 +288,7 @@
 // Accept takes the links of other processes and hands what they carry to rep.
 func (p *Peers) Accept(rep *Replica) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		c, err := wire.Accept[wire.Peer, wire.Peer](w, r)
+		c, err := wire.Accept[wire.Peer, wire.Peer](w, r, p.alive)
 		if err != nil {
 			p.log.Warn().Err(err).Msg("peer_refused")
 			return
@@ -281,6 +298,7 @@
 		for {
 			m, err := c.Receive(r.Context())
 			if err != nil {
+				p.log.Info().Str("member", string(caller)).Err(err).Msg("peer_link_ended")
 				rep.Suspect(caller)
 				return
 			}
--- a/replica/peers_test.go
+++ b/replica/peers_test.go
@@ -17,6 +17,9 @@
 	"rudderfork.example/rudderfork/quorum"
 )
 
+// electionTimeout is that of the replicas under test.
+const electionTimeout = 100 * time.Millisecond
+
 // joinLimit ends a test whose group does not form; nothing rests on it.
 const joinLimit = 20 * time.Second
 
@@ -51,9 +54,9 @@
 	store, err := disk.Open(dir)
 	assert.NilError(t, err)
 	self.Voter = false
-	peers := NewPeers(self, told, dial, zerolog.Nop())
+	peers := NewPeers(self, told, dial, electionTimeout, zerolog.Nop())
 	rep, err := New(Config{
-		ElectionTimeout: 100 * time.Millisecond, Heartbeat: 20 * time.Millisecond, SnapshotEvery: 1000, Seed: Seed(self.Name), Voters: 3,
+		ElectionTimeout: electionTimeout, Heartbeat: 20 * time.Millisecond, SnapshotEvery: 1000, Seed: Seed(self.Name), Voters: 3,
 	}, store, peers, zerolog.Nop(), nobody{}, steady.Now)
 	assert.NilError(t, err)
 	l := &linked{rep: rep, peers: peers, self: self}
--- a/replica/silence_test.go
+++ b/replica/silence_test.go
@@ -19,42 +19,57 @@
 	"rudderfork.example/rudderfork/state"
 )
 
+// documentSize is of documents that fill the log until it is compacted, in bytes.
+const documentSize = 2 << 20
+
+// commandLimit ends a try to commit a command where an answer was lost.
+const commandLimit = time.Second
+
 // proxied is a group of replicas each of which reaches each other through a proxy
 // of its own.
 type proxied struct {
-	t     *testing.T
-	reps  []*linked
-	links map[[2]int]*faultlink.Proxy // by the one that dials and the one dialled
-	docs  uint64                      // versions proposed
+	t        *testing.T
+	founders int
+	lns      []net.Listener
+	members  []quorum.Member
+	reps     []*linked                   // that were started
+	links    map[[2]int]*faultlink.Proxy // by the one that dials and the one dialled
+	docs     uint64                      // versions proposed
 }
 
-// startProxied runs founders that form a group, and joiners that are told of them.
+// startProxied runs founders that form a group. Joiners are only prepared.
 func startProxied(t *testing.T, founders, joiners int) *proxied {
 	t.Helper()
-	g := &proxied{t: t, links: map[[2]int]*faultlink.Proxy{}}
-	all := founders + joiners
-	lns := make([]net.Listener, all)
-	members := make([]quorum.Member, all)
-	for i := range all {
+	g := &proxied{t: t, founders: founders, links: map[[2]int]*faultlink.Proxy{}}
+	for i := range founders + joiners {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(t, err)
 		name := fmt.Sprintf("r%d", i)
-		lns[i] = ln
-		members[i] = quorum.Member{ID: MemberID(name, Founding), Name: name, Addr: ln.Addr().String(), Voter: i < founders}
+		g.lns = append(g.lns, ln)
+		g.members = append(g.members, quorum.Member{
+			ID: MemberID(name, Founding), Name: name, Addr: ln.Addr().String(), Voter: i < founders,
+		})
 	}
-	for i := range all {
-		id := disk.Identity{ID: members[i].ID}
-		var told []string
-		if i < founders {
-			id.Members = members[:founders]
-		} else {
-			told = []string{g.proxy(i, 0, members[0]), g.proxy(i, 1, members[1])}
-		}
-		g.reps = append(g.reps, runLinked(t, lns[i], members[i], id, told, g.dial(i, members)))
+	for range founders {
+		g.startNext()
 	}
 	return g
 }
 
+// startNext runs the next replica: a founder, or a joiner that is told of two.
+func (g *proxied) startNext() {
+	g.t.Helper()
+	i := len(g.reps)
+	id := disk.Identity{ID: g.members[i].ID}
+	var told []string
+	if i < g.founders {
+		id.Members = g.members[:g.founders]
+	} else {
+		told = []string{g.proxy(i, 0, g.members[0]), g.proxy(i, 1, g.members[1])}
+	}
+	g.reps = append(g.reps, runLinked(g.t, g.lns[i], g.members[i], id, told, g.dial(i, g.members)))
+}
+
 // proxy returns the address of the proxy that one replica dials another by.
 func (g *proxied) proxy(from, to int, m quorum.Member) string {
 	key := [2]int{from, to}
@@ -104,12 +119,18 @@
 // assertCommits asserts that a command is committed, by whoever leads, and that
 // every replica that runs comes to hold it.
 func (g *proxied) assertCommits(running ...*linked) {
+	g.t.Helper()
+	g.assertCommitsText(nil, running...)
+}
+
+// assertCommitsText does so with a command that carries a text.
+func (g *proxied) assertCommitsText(text []byte, running ...*linked) {
 	g.t.Helper()
 	g.docs++
-	d := queue.Document{Version: g.docs}
+	d := queue.Document{Version: g.docs, Text: text}
 	poll.WaitOn(g.t, func(poll.LogT) poll.Result {
 		for _, l := range running {
-			ctx, cancel := context.WithTimeout(g.t.Context(), time.Second)
+			ctx, cancel := context.WithTimeout(g.t.Context(), commandLimit)
 			_, err := l.rep.Do(ctx, state.Command{Queue: &queue.Command{Document: &d}})
 			cancel()
 			if err == nil {
@@ -196,17 +217,18 @@
 	})
 	t.Run("beside a change of members", func(t *testing.T) {
 		g := startProxied(t, 2, 2)
-		g.assertCommits(g.reps[:2]...)
+		g.assertCommits(g.reps...)
+		g.startNext()
+		g.startNext()
 		g.silence(every, both...)
 		g.assertCommits(g.reps...)
 	})
 	t.Run("beside a snapshot", func(t *testing.T) {
 		g := startProxied(t, 2, 1)
-		lead := g.leader()
-		big := queue.Document{Version: 1, Text: make([]byte, maxLogBytes+1)}
-		g.docs = 1
-		_, err := g.reps[lead].rep.Do(t.Context(), state.Command{Queue: &queue.Command{Document: &big}})
-		assert.NilError(t, err)
+		for range maxLogBytes/documentSize + 2 {
+			g.assertCommitsText(make([]byte, documentSize), g.reps...)
+		}
+		g.startNext()
 		g.silence(every, both...)
 		g.assertCommits(g.reps...)
 	})
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -46,7 +46,7 @@
 func (l *leader) seeds() []string { return []string{strings.TrimPrefix(l.srv.URL, "http://")} }
 
 func (l *leader) accept(w http.ResponseWriter, r *http.Request) {
-	c, err := wire.Accept[wire.ToQueueNode, wire.FromNode](w, r)
+	c, err := wire.Accept[wire.ToQueueNode, wire.FromNode](w, r, wire.QueueSession)
 	if err != nil {
 		return
 	}
--- a/scheduler/session.go
+++ b/scheduler/session.go
@@ -47,7 +47,7 @@
 
 // Accept takes the sessions of fronts and agents.
 func (s *Scheduler) Accept(w http.ResponseWriter, r *http.Request) {
-	c, err := wire.Accept[wire.ToQueueNode, wire.FromNode](w, r)
+	c, err := wire.Accept[wire.ToQueueNode, wire.FromNode](w, r, wire.QueueSession)
 	if err != nil {
 		s.log.Warn().Err(err).Msg("queue_session_refused")
 		return
--- a/session/session.go
+++ b/session/session.go
@@ -151,7 +151,7 @@
 func (c *Client) open(ctx context.Context, addr string) (*wire.Conn[wire.FromNode, wire.ToQueueNode], *wire.QueueWelcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
-	conn, err := wire.Dial[wire.FromNode, wire.ToQueueNode](ctx, "ws://"+addr+"/queues")
+	conn, err := wire.Dial[wire.FromNode, wire.ToQueueNode](ctx, "ws://"+addr+"/queues", wire.QueueSession)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -4,12 +4,18 @@
 // A message is a struct of pointers of which one is set, so that a reader that
 // does not know a newer kind sees an empty message and can pass over it. Field
 // keys are small integers and never change their meaning.
+//
+// Every connection bounds the silence of its other end (Liveness).
 package wire
 
 import (
+	"bytes"
 	"context"
+	"fmt"
+	"io"
 	"math"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -36,13 +42,19 @@
 }()
 
 // Conn is a connection that carries messages of type Out one way and of type
-// In the other. One goroutine may receive while others send.
+// In the other. One goroutine may receive while others send. Somebody has to
+// receive all the time, also where no messages are expected: silence is only
+// noticed while the connection is read.
 type Conn[Out, In any] struct {
-	ws *websocket.Conn
+	ws     *websocket.Conn
+	alive  Liveness
+	watch  watch
+	ticker *time.Timer
+	silent atomic.Bool // it was given up for silence
 }
 
 // Dial connects to url, which starts with ws://.
-func Dial[Out, In any](ctx context.Context, url string) (c *Conn[Out, In], err error) {
+func Dial[Out, In any](ctx context.Context, url string, alive Liveness) (c *Conn[Out, In], err error) {
 	defer errs.Annotate(&err, "dial %s", url)
 	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
@@ -53,19 +65,41 @@
 	if resp.Body != nil {
 		_ = resp.Body.Close()
 	}
-	ws.SetReadLimit(MaxMessage)
-	return &Conn[Out, In]{ws}, nil
+	return newConn[Out, In](ws, alive), nil
 }
 
 // Accept upgrades a request.
-func Accept[Out, In any](w http.ResponseWriter, r *http.Request) (c *Conn[Out, In], err error) {
+func Accept[Out, In any](w http.ResponseWriter, r *http.Request, alive Liveness) (c *Conn[Out, In], err error) {
 	defer errs.Annotate(&err, "accept")
 	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
 	if err != nil {
 		return nil, err
 	}
+	return newConn[Out, In](ws, alive), nil
+}
+
+func newConn[Out, In any](ws *websocket.Conn, alive Liveness) *Conn[Out, In] {
 	ws.SetReadLimit(MaxMessage)
-	return &Conn[Out, In]{ws}, nil
+	c := &Conn[Out, In]{ws: ws, alive: alive}
+	// The timer starts once it stands in its field, where tick looks for it.
+	c.ticker = time.AfterFunc(math.MaxInt64, c.tick)
+	c.ticker.Reset(alive.tick)
+	return c
+}
+
+// tick gives the connection up if it has been silent, and keeps it alive.
+func (c *Conn[Out, In]) tick() {
+	silent, idle := c.watch.tick()
+	if silent {
+		c.silent.Store(true)
+		silentTotal.WithLabelValues(c.alive.kind).Inc()
+		c.Close()
+		return
+	}
+	c.ticker.Reset(c.alive.tick) // before the write, which may wait for the peer
+	if idle && c.write(context.Background(), keepAlive) != nil {
+		c.Close()
+	}
 }
 
 // Send writes one message.
@@ -75,16 +109,27 @@
 	if err != nil {
 		return err
 	}
+	c.watch.send()
+	return c.write(ctx, data)
+}
+
+func (c *Conn[Out, In]) write(ctx context.Context, data []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
 	return c.ws.Write(ctx, websocket.MessageBinary, data)
 }
 
-// Receive reads one message. After an error the connection is closed.
+// Receive reads one message. After an error the connection is closed; ErrSilent
+// says why where the other end sent nothing any more.
 func (c *Conn[Out, In]) Receive(ctx context.Context) (m In, err error) {
 	defer errs.Annotate(&err, "receive")
-	_, data, err := c.ws.Read(ctx)
-	if err != nil {
+	c.watch.read(true)
+	defer c.watch.read(false)
+	data, err := c.read(ctx)
+	switch {
+	case c.silent.Load():
+		return m, fmt.Errorf("%w for %s", ErrSilent, c.alive.Limit())
+	case err != nil:
 		return m, err
 	}
 	if err := decoder.Unmarshal(data, &m); err != nil {
@@ -94,6 +139,40 @@
 	return m, nil
 }
 
+// read returns the next message that is no keep-alive.
+func (c *Conn[Out, In]) read(ctx context.Context) ([]byte, error) {
+	for {
+		_, r, err := c.ws.Reader(ctx)
+		if err != nil {
+			return nil, err
+		}
+		c.watch.hear()
+		data, err := io.ReadAll(hearing{r, &c.watch})
+		if err != nil {
+			return nil, err
+		}
+		if !bytes.Equal(data, keepAlive) {
+			return data, nil
+		}
+	}
+}
+
+// hearing notes each piece of a long message as a sign of life: on a slow link a
+// snapshot takes longer than the silence limit.
+type hearing struct {
+	r io.Reader
+	w *watch
+}
+
+// Read implements io.Reader.
+func (h hearing) Read(p []byte) (n int, err error) {
+	n, err = h.r.Read(p)
+	if n > 0 {
+		h.w.hear()
+	}
+	return n, err
+}
+
 // ReceiveWithin reads one message, and fails if none comes in time.
 func (c *Conn[Out, In]) ReceiveWithin(ctx context.Context, d time.Duration) (m In, err error) {
 	ctx, cancel := context.WithTimeout(ctx, d)
@@ -102,4 +181,7 @@
 }
 
 // Close ends the connection at once.
-func (c *Conn[Out, In]) Close() { _ = c.ws.CloseNow() }
+func (c *Conn[Out, In]) Close() {
+	c.ticker.Stop()
+	_ = c.ws.CloseNow()
+}
