Drop the kept connections to a service when one of them gave no answer

Cause: connections that the network has forgotten stay in the pool, and each costs the call that takes it its whole time-out, one after another. Ruled out: a time-out of idle connections (they fall silent whatever their age); probes of idle ones (a call more for each, on every VM). Before: TestSilentPool failed, the second call of 4 kept connections waited out 30 s. Left: an entry keeps connections to all agents in one pool, so a request that runs into its deadline there does not renew it; only a silent session does.

--- a/agent/forward.go
+++ b/agent/forward.go
@@ -36,6 +36,7 @@
 	adm.started = steady.Now()
 	resp, err := s.hc.RoundTrip(req)
 	if err != nil {
+		relay.Renew(s.hc, err)
 		f.forwardFailed(w, r, c, err)
 		return
 	}
--- a/entry/link.go
+++ b/entry/link.go
@@ -8,6 +8,7 @@
 
 	"rudderfork.example/rudderfork"
 	"rudderfork.example/rudderfork/internal/steady"
+	"rudderfork.example/rudderfork/relay"
 	"rudderfork.example/rudderfork/state"
 	"rudderfork.example/rudderfork/wire"
 )
@@ -47,9 +48,13 @@
 // run keeps the session up until ctx ends.
 func (l *agentLink) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := l.session(ctx); err != nil && ctx.Err() == nil {
+		err := l.session(ctx)
+		if err != nil && ctx.Err() == nil {
 			l.report(rudderfork.Load{Down: true})
 		}
+		if errors.Is(err, wire.ErrSilent) {
+			relay.Renew(l.fleet.hc, err) // requests' connections most likely fell silent too
+		}
 		steady.Pause(ctx, redialPause)
 	}
 }
