Close an agent's connections only when no request can be on its way

Cause: a stopping agent closed its server as soon as it counted nothing in progress. Two things are not in that count. (1) A request that an entry has written and the agent has not read: the close cuts it off, and the entry, which cannot tell that it never ran, answers 502 "the connection to vm1 broke before an answer came", ran: unknown. (2) An answer whose handler has returned: net/http writes the rest of it after that, and the count is down already; the same 502, of a request that did run. Refusals were not counted at all.

Ruled out: an answer of 502 by the standard client's own repeat (the body has no GetBody and the key is hidden).

Change: the agent tells entries on their sessions that it stops (ToEntry.Stopping). An entry chooses it no more, whichever the picker, and once none of its requests is between that choice and the first byte of an answer says so (ToAgent.Quiet). The agent goes on serving and refusing, the last answer on each connection with "Connection: close", until every answer was written to its end, every entry with a session is quiet, and nothing has come on any connection for 0.5 s; the span is for entries without a session. quietLimit, 10 s, bounds the wait for an entry that stands still or is of an older release; it is logged.

Conclusion: a planned stop of an agent cuts off no request of an entry that it has a session with. An entry's stop closes idle connections of callers as before.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -36,6 +36,11 @@
 	headerTimeout = 5 * time.Second
 	// quietPause is how often a stopping agent looks whether it is idle.
 	quietPause = 50 * time.Millisecond
+	// quietLimit bounds how long an agent with nothing in progress waits for
+	// entries to say that they send no more. An entry may hold a request that it
+	// has chosen this agent for while it asks control for the claim, twice for 3 s
+	// at most (claimTimeout there); the rest is for the way.
+	quietLimit = 10 * time.Second
 )
 
 // Process is an agent, ready to serve.
@@ -70,7 +75,7 @@
 	p.client = node.NewClient(cfg.Control, cfg.Beat, p.table, p, log)
 	p.front = newFront(cfg, p.boot, p.table, log, ring)
 	p.tasks = newTasks(cfg, p.client, p.front, log, ring)
-	p.srv = &http.Server{Handler: p.front.handler(), ReadHeaderTimeout: headerTimeout}
+	p.srv = &http.Server{Handler: p.front.handler(), ReadHeaderTimeout: headerTimeout, ConnState: p.front.conns.note}
 	adm := admin.New(adminLn, ring, p.ready)
 	adm.Registry().MustRegister(newCollector(p))
 	p.sup = daemon.Supervisor("agent", log)
@@ -93,26 +98,45 @@
 }
 
 // Run serves until ctx ends. Then it takes no new requests, finishes those in
-// progress, feeds included, and only then ends. Tasks go on at the worker until
-// their lease ends; an agent that is back by then takes them up again.
+// progress, feeds included, waits until entries send no more, and only then
+// closes connections and ends. Tasks go on at the worker until their lease ends;
+// an agent that is back by then takes them up again.
 func (p *Process) Run(ctx context.Context) (err error) {
 	defer errs.Annotate(&err, "agent %s", p.cfg.Name)
 	return daemon.Run(ctx, p.sup, p.srv, p.ln, func(context.Context) error {
 		p.drain()
-		_ = p.srv.Close() // nothing is in progress
+		_ = p.srv.Close() // nothing is in progress or on its way
 		p.log.Info().Msg("stopped")
 		return nil
 	})
 }
 
-// drain waits until nothing is in progress, or the settings' limit has passed.
+// drain waits until nothing is in progress, or the settings' limit has passed;
+// and then until no request can be on its way, or quietLimit has passed. A
+// connection that is closed earlier may hold a request that was never read, of
+// which its entry cannot tell whether it ran.
 func (p *Process) drain() {
 	p.log.Info().Msg("stopping")
 	p.front.leave("the agent is stopping")
-	limit := time.Now().Add(p.cfg.DrainLimit)
-	for p.front.inProgress() > 0 && time.Now().Before(limit) {
+	limit := steady.Now().Add(p.cfg.DrainLimit)
+	if !await(p.front.idle, limit) {
+		p.log.Warn().Int("in_progress", p.front.inProgress()).Msg("stopped_with_requests")
+		return
+	}
+	if !await(p.front.quiet, steady.Now().Add(quietLimit)) {
+		p.log.Warn().Msg("stopped_before_entries_were_quiet")
+	}
+}
+
+// await looks again and again whether cond holds; false if it does not by limit.
+func await(cond func() bool, limit time.Time) bool {
+	for !cond() {
+		if steady.Now().After(limit) {
+			return false
+		}
 		time.Sleep(quietPause)
 	}
+	return true
 }
 
 // Hello implements node.Handler.
--- a/agent/forward.go
+++ b/agent/forward.go
@@ -47,6 +47,7 @@
 	}
 	resp.Header.Del(problem.Header) // only agents and entries vouch
 	w.Header().Set(relay.HeaderLoad, relay.EncodeLoad(f.load(s)))
+	f.setLast(w)
 	cp := c.answered(resp)
 	if cp == nil {
 		relay.WriteAnswer(w, resp, nil)
--- a/agent/front.go
+++ b/agent/front.go
@@ -26,6 +26,8 @@
 	log      zerolog.Logger
 	rec      rudderfork.Recorder
 	services map[rudderfork.Service]*service
+	entries  *entries
+	conns    *conns
 
 	mu       sync.Mutex
 	stopping string // why; "" if not
@@ -38,6 +40,7 @@
 	f := &front{
 		cfg: cfg, boot: boot, table: t, log: log, rec: rec,
 		services: map[rudderfork.Service]*service{}, claims: claim.New(),
+		entries: newEntries(), conns: newConns(),
 	}
 	for _, u := range cfg.Upstreams {
 		f.services[u.Service] = newService(u, t)
@@ -73,11 +76,13 @@
 	}
 }
 
-// leave makes the agent refuse new requests.
+// leave makes the agent refuse new requests for good, and tells the entries. It
+// must be called once.
 func (f *front) leave(why string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.stopping = why
+	close(f.entries.stopping)
 }
 
 func (f *front) setDraining(v bool) {
@@ -103,6 +108,25 @@
 	return f.progress
 }
 
+// idle reports whether nothing is in progress: no request is served, and all
+// answers were written to the last byte.
+func (f *front) idle() bool { return f.inProgress() == 0 && f.conns.idle() }
+
+// quiet reports, of a front that is left, whether no request can be on its way:
+// every entry with a session has said so, and one without has sent nothing for
+// long enough.
+func (f *front) quiet() bool { return f.entries.allQuiet() && f.conns.settled(steady.Now()) }
+
+// setLast lets the answer be the last one on its connection if the agent is
+// stopping, so that no request can follow it there.
+func (f *front) setLast(w http.ResponseWriter) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stopping != "" {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // enter counts a request in, unless the agent is leaving. Both happen under one
 // lock, so that a stop that has seen no request in progress misses none.
 func (f *front) enter() (why string) {
@@ -130,6 +154,7 @@
 	p.RetryAt = retryAt
 	p.Request = r.Header.Get(relay.HeaderRequest)
 	p.Version = f.table.Revision()
+	f.setLast(w)
 	problem.Write(w, p)
 	f.event("refused", r, detail)
 }
@@ -231,6 +256,14 @@
 		return
 	}
 	defer conn.Close()
+	f.entries.add(conn)
+	defer f.entries.remove(conn)
+	go func() {
+		if err := f.entries.tell(r.Context(), conn); err != nil {
+			f.log.Warn().Err(err).Msg("entry_not_told")
+			conn.Close() // it opens another, and is told there
+		}
+	}()
 	for {
 		m, err := conn.Receive(r.Context())
 		if err != nil {
@@ -245,6 +278,9 @@
 			}
 		case m.Fence != nil:
 			out.Fenced = f.fence(*m.Fence)
+		case m.Quiet:
+			f.entries.setQuiet(conn)
+			continue
 		default:
 			continue
 		}
--- a/entry/claimed.go
+++ b/entry/claimed.go
@@ -46,12 +46,13 @@
 	var last *attempt
 	var cl *claimed
 	for range maxAttempts {
-		vm, why, ok := c.pool.pick(tried)
+		vm, link, why, ok := c.pick(tried)
 		if !ok {
 			break
 		}
 		next, done := c.obtain(ask, vm)
 		if done {
+			link.sent()
 			c.pool.done(vm, 0, false)
 			return // answered
 		}
@@ -60,6 +61,7 @@
 		c.event("claimed", fmt.Sprintf("token %d for %s: %s", cl.claim.Token, vm, why))
 		crash.Point(crash.EntryClaimed)
 		last = c.send(vm, cl)
+		link.sent()
 		tried = append(tried, vm)
 		if last.resp != nil {
 			c.answerClaimed(last, cl)
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"time"
 
@@ -151,12 +152,13 @@
 	var tried []rudderfork.VMID
 	var last *attempt
 	for range maxAttempts {
-		vm, why, ok := c.pool.pick(tried)
+		vm, link, why, ok := c.pick(tried)
 		if !ok {
 			break
 		}
 		c.event("chosen", string(vm)+": "+why)
 		a := c.send(vm, nil)
+		link.sent()
 		tried = append(tried, vm)
 		if a.resp != nil {
 			c.answer(a, nil)
@@ -171,6 +173,22 @@
 	c.giveUp(last)
 }
 
+// pick chooses an upstream whose agent is not stopping. The request counts as on
+// its way there until link.sent is called; link may be nil.
+func (c *call) pick(tried []rudderfork.VMID) (vm rudderfork.VMID, link *agentLink, why string, ok bool) {
+	tried = slices.Clone(tried)
+	for {
+		if vm, why, ok = c.pool.pick(tried); !ok {
+			return vm, nil, why, false
+		}
+		if link = c.h.fleet.link(vm); link.take() {
+			return vm, link, why, true
+		}
+		c.pool.done(vm, 0, false)
+		tried = append(tried, vm)
+	}
+}
+
 // maxAttempts bounds how often one request is tried.
 const maxAttempts = 3
 
--- a/entry/link.go
+++ b/entry/link.go
@@ -34,8 +34,11 @@
 
 	calls *wire.Calls[wire.Fenced]
 
-	mu  sync.Mutex
-	out chan wire.ToAgent // nil without a connection
+	mu       sync.Mutex
+	out      chan wire.ToAgent // nil without a connection
+	stopping bool              // the agent said so: no request goes there
+	asked    bool              // in this session, to say when none is on its way
+	sending  int               // requests between the choice of this agent and its answer
 }
 
 func newAgentLink(f *fleet, i wire.UpstreamInfo, cancel context.CancelFunc) *agentLink {
@@ -59,6 +62,63 @@
 	}
 }
 
+// take counts a request for which the agent was chosen, until sent is called; ok
+// is false if the agent is stopping. Without a link nothing is known against it.
+func (l *agentLink) take() (ok bool) {
+	if l == nil {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.stopping {
+		return false
+	}
+	l.sending++
+	return true
+}
+
+// sent notes that the agent has begun to answer a request, or that the request
+// is given up or will not be sent.
+func (l *agentLink) sent() {
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sending--
+	l.sayQuiet()
+}
+
+// stop notes that the agent is stopping.
+func (l *agentLink) stop() {
+	l.report(rudderfork.Load{Leaving: true})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stopping, l.asked = true, true
+	l.sayQuiet()
+}
+
+// restarted notes that an agent that serves is at the address (again).
+func (l *agentLink) restarted() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stopping = false
+}
+
+// sayQuiet tells an agent that asked once that no request is on its way. l.mu is
+// held.
+func (l *agentLink) sayQuiet() {
+	if !l.asked || l.sending > 0 {
+		return
+	}
+	l.asked = false
+	select {
+	case l.out <- wire.ToAgent{Quiet: true}:
+	default:
+		l.fleet.log.Warn().Str("node_vm", string(l.vm)).Msg("quiet_not_said") // it ends without
+	}
+}
+
 // report tells the pickers of all services here.
 func (l *agentLink) report(load rudderfork.Load) {
 	for _, p := range l.fleet.poolsOf(l.names) {
@@ -82,13 +142,20 @@
 		defer cancel()
 		l.write(ctx, c, out)
 	}()
+	stopping := false // it said so in this session
 	for {
 		m, err := l.receive(ctx, c)
 		if err != nil {
 			return err
 		}
 		switch {
+		case m.Stopping:
+			stopping = true
+			l.stop()
 		case m.Load != nil:
+			if load := m.Load.Load; !stopping && !load.Leaving && !load.Down {
+				l.restarted()
+			}
 			if p := l.fleet.lookup(m.Load.Service); p != nil {
 				p.observe(l.vm, m.Load.Load)
 			}
@@ -141,7 +208,7 @@
 func (l *agentLink) close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.out = nil
+	l.out, l.asked = nil, false
 	l.calls.End()
 }
 
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -192,12 +192,20 @@
 type ToAgent struct {
 	Probe *Probe `cbor:"1,keyasint,omitempty"`
 	Fence *Fence `cbor:"2,keyasint,omitempty"`
+
+	// Quiet answers ToEntry.Stopping: no request of this entry is on its way to
+	// the agent, and none will be sent.
+	Quiet bool `cbor:"3,keyasint,omitempty"`
 }
 
 // ToEntry answers it.
 type ToEntry struct {
 	Load   *LoadReport `cbor:"1,keyasint,omitempty"`
 	Fenced *Fenced     `cbor:"2,keyasint,omitempty"`
+
+	// Stopping comes unasked: the agent is to end and takes no more requests.
+	// Loads that come after it in the same session may be older.
+	Stopping bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Probe asks for the present load.
