Test the hello to a process that has stepped down (failing)

The test is such a process: a follower in the term for which it has begun its duties. It welcomes, and would drop the session with the first message. The setting up of a replica and of its listener is split from newSiteWith, so that a group of two can be had; no assertion of another test changed.

--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -58,27 +58,42 @@
 func newSite(t *testing.T, adviser rudderfork.Adviser) *site { return newSiteWith(t, adviser, lease) }
 
 func newSiteWith(t *testing.T, adviser rudderfork.Adviser, lease time.Duration) *site {
+	rep := newReplica(t, self)
 	s := &site{t: t, ctx: t.Context()}
+	s.sched = New(Settings{Lease: lease, KeepStatus: time.Minute}, rep, adviser, zerolog.Nop(), alone{})
+	s.addr = listen(t, s.sched)
+	s.front = front.New("front", s.seeds, zerolog.Nop())
+	s.serve(rep, s.sched, s.front)
+	return s
+}
+
+// self is the replica under test.
+var self = quorum.Member{ID: "c#1", Name: "c", Voter: true}
+
+// newReplica returns a replica of a group; no message of it arrives anywhere.
+func newReplica(t *testing.T, group ...quorum.Member) *replica.Replica {
+	t.Helper()
 	dir := filepath.Join(t.TempDir(), "data")
-	self := quorum.Member{ID: "c#1", Name: "c", Voter: true}
-	assert.NilError(t, disk.Format(dir, disk.Identity{ID: self.ID, Members: []quorum.Member{self}}))
+	assert.NilError(t, disk.Format(dir, disk.Identity{ID: self.ID, Members: group}))
 	store, err := disk.Open(dir)
 	assert.NilError(t, err)
 	rep, err := replica.New(replica.Config{ElectionTimeout: 50 * time.Millisecond, Heartbeat: 10 * time.Millisecond, SnapshotEvery: 1000},
 		store, alone{}, zerolog.Nop(), alone{}, steady.Now)
 	assert.NilError(t, err)
-	s.sched = New(Settings{Lease: lease, KeepStatus: time.Minute}, rep, adviser, zerolog.Nop(), alone{})
+	return rep
+}
+
+// listen serves a scheduler's sessions, and returns where.
+func listen(t *testing.T, sched *Scheduler) (addr string) {
+	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	s.addr = ln.Addr().String()
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /queues", s.sched.Accept)
+	mux.HandleFunc("GET /queues", sched.Accept)
 	srv := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	go func() { _ = srv.Serve(ln) }()
 	t.Cleanup(func() { _ = srv.Close() })
-	s.front = front.New("front", s.seeds, zerolog.Nop())
-	s.serve(rep, s.sched, s.front)
-	return s
+	return ln.Addr().String()
 }
 
 func (s *site) seeds() []string { return []string{s.addr} }
@@ -465,3 +480,28 @@
 	assert.Assert(t, !s.sched.leads(term-1))
 	assert.Assert(t, !s.sched.leads(term+1))
 }
+
+// TestOpenAfterStepDown says hello to a process that has stepped down, without a
+// new term, while its duties have not ended. It takes no session that it would
+// drop with the first message.
+func TestOpenAfterStepDown(t *testing.T) {
+	peer := quorum.Member{ID: "d#1", Name: "d", Addr: "d.example:1", Voter: true}
+	s := &site{t: t, ctx: t.Context()}
+	rep := newReplica(t, self, peer)
+	s.serve(rep)
+	const term = 5
+	rep.Step(s.ctx, quorum.Message{Type: quorum.MsgAppend, From: peer.ID, To: self.ID, Term: term})
+	s.until("the replica follows", func() bool { return rep.Status().Term == term })
+	s.sched = New(Settings{Lease: lease, KeepStatus: time.Minute}, rep, nil, zerolog.Nop(), alone{})
+	s.sched.startTerm(term)
+	addr := listen(t, s.sched)
+
+	c, err := wire.Dial[wire.FromNode, wire.ToQueueNode](s.ctx, "ws://"+addr+"/queues")
+	assert.NilError(t, err)
+	defer c.Close()
+	assert.NilError(t, c.Send(s.ctx, wire.FromNode{Hello: &wire.QueueHello{Version: wire.Version, Process: "front"}}))
+	m, err := c.ReceiveWithin(s.ctx, waitLimit)
+	assert.NilError(t, err)
+	assert.Assert(t, m.Welcome == nil, "welcomed in term %d", term)
+	assert.DeepEqual(t, m.Redirect.Members, []string{self.Addr, peer.Addr})
+}
