Take sessions only while the process leads

A leader that loses its quorum steps down in the same term, and its duties may wait up to 3 s for a commit that will not come; until then it welcomed nodes and dropped them with their first message, up to four times each.

Ruled out: ending the duties at once instead. They end as soon as their commit does; a session must not depend on it, as session.run does not.

Change: open asks whether the replica leads now, and in the term of the duties. Others get the redirect that they got from any follower. A process may still step down right after; session.run ends that session with its first message, as before.

--- a/scheduler/session.go
+++ b/scheduler/session.go
@@ -86,12 +86,14 @@
 	return m.Hello, wire.CheckVersion(m.Hello.Process, m.Hello.Version)
 }
 
-// open takes a session in, if this process leads and its duties have begun.
+// open takes a session in, if this process leads now and its duties have begun in
+// the present term. That they have not ended shows nothing: they may be waiting
+// for a commit that will not come.
 func (s *Scheduler) open(ses *session) bool {
-	term := s.rep.Status().Term // before mu: View takes the replica's lock first
+	st := s.rep.Status() // before mu: View takes the replica's lock first
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.term == 0 || s.term != term {
+	if !st.Leads() || s.term != st.Term {
 		return false
 	}
 	ses.term = s.term
