Give the tests' connections a liveness

Cause: two tests of the planned stop and of a leader that stepped down were written before every connection got one. Conclusion: no change of what they assert.

--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -171,7 +171,7 @@
 }
 
 func (c *control) accept(w http.ResponseWriter, r *http.Request) {
-	conn, err := wire.Accept[wire.ToNode, wire.ToControl](w, r)
+	conn, err := wire.Accept[wire.ToNode, wire.ToControl](w, r, wire.NodeSession)
 	if err != nil {
 		return
 	}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -496,7 +496,7 @@
 	s.sched.startTerm(term)
 	addr := listen(t, s.sched)
 
-	c, err := wire.Dial[wire.FromNode, wire.ToQueueNode](s.ctx, "ws://"+addr+"/queues")
+	c, err := wire.Dial[wire.FromNode, wire.ToQueueNode](s.ctx, "ws://"+addr+"/queues", wire.QueueSession)
 	assert.NilError(t, err)
 	defer c.Close()
 	assert.NilError(t, c.Send(s.ctx, wire.FromNode{Hello: &wire.QueueHello{Version: wire.Version, Process: "front"}}))
