Silence links between real processes, and time the first edit after it

Cause: the proofs' links could only cut every connection of a way, and healing closed them, which hid connections that stay silent.

--- a/bench/sections.go
+++ b/bench/sections.go
@@ -28,5 +28,6 @@
 		{"idle", live(Idle)},
 		{"urgent", live(Urgent)},
 		{"path", live(Path)},
+		{"silence", live(Silence)},
 	}
 }
--- a/internal/faultlink/faultlink.go
+++ b/internal/faultlink/faultlink.go
@@ -6,8 +6,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -24,11 +22,11 @@
 
 // Proxy passes connections on to a target until it is closed.
 type Proxy struct {
-	ln     net.Listener
-	target string
-	done   sync.WaitGroup
+	ln   net.Listener
+	done sync.WaitGroup
 
 	mu     sync.Mutex
+	target string
 	conns  map[*conn]bool
 	closed bool
 }
@@ -47,6 +45,28 @@
 // Addr returns where the proxy takes connections.
 func (p *Proxy) Addr() string { return p.ln.Addr().String() }
 
+// Target returns where the proxy leads.
+func (p *Proxy) Target() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.target
+}
+
+// Lead points the proxy at another target; connections made before are closed.
+func (p *Proxy) Lead(target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = target
+	p.closeAll()
+}
+
+// closeAll closes all connections. The caller holds mu.
+func (p *Proxy) closeAll() {
+	for c := range p.conns {
+		c.close()
+	}
+}
+
 // Silence makes all open connections silent in the given directions.
 func (p *Proxy) Silence(dirs ...Direction) {
 	p.mu.Lock()
@@ -70,9 +90,7 @@
 	_ = p.ln.Close()
 	p.mu.Lock()
 	p.closed = true
-	for c := range p.conns {
-		c.close()
-	}
+	p.closeAll()
 	p.mu.Unlock()
 	p.done.Wait()
 }
@@ -84,7 +102,7 @@
 			return
 		}
 		var d net.Dialer
-		to, err := d.DialContext(context.Background(), "tcp", p.target)
+		to, err := d.DialContext(context.Background(), "tcp", p.Target())
 		if err != nil {
 			_ = from.Close()
 			continue
@@ -148,9 +166,7 @@
 			return
 		}
 		if _, werr := dst.Write(buf[:n]); werr != nil || err != nil {
-			if errors.Is(err, io.EOF) || werr != nil {
-				c.close()
-			}
+			c.close()
 			return
 		}
 	}
--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -153,12 +154,27 @@
 		}
 		c.links[key] = l
 		if p := c.procs[to]; p != nil && p.Listen() != "" {
-			_ = l.lead(p.Listen()) // the target runs, so this is a new link
+			l.lead(p.Listen())
 		}
 	}
 	return l
 }
 
+// Silence makes the open connections between processes whose names begin with one
+// of the prefixes silent for good, while new ones work.
+func (c *Cluster) Silence(prefixes ...string) {
+	among := func(name string) bool {
+		return slices.ContainsFunc(prefixes, func(p string) bool { return strings.HasPrefix(name, p) })
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for key, l := range c.links {
+		if from, to, _ := strings.Cut(key, ">"); among(from) && among(to) {
+			l.Silence()
+		}
+	}
+}
+
 // Isolate cuts every link of a process in both directions.
 func (c *Cluster) Isolate(name string) { c.eachLinkOf(name, (*Link).Cut) }
 
@@ -214,9 +230,7 @@
 	defer c.mu.Unlock()
 	for key, l := range c.links {
 		if strings.HasSuffix(key, ">"+name) {
-			if err := l.lead(p.Listen()); err != nil {
-				return err
-			}
+			l.lead(p.Listen())
 		}
 	}
 	return nil
--- a/internal/harness/link.go
+++ b/internal/harness/link.go
@@ -7,11 +7,16 @@
 
 	toxiproxy "github.com/Shopify/toxiproxy/v2"
 	"github.com/rs/zerolog"
+
+	"rudderfork.example/rudderfork/internal/faultlink"
 )
 
-// Link is a proxied way from one process to another.
+// Link is a proxied way from one process to another. Two proxies stand in a row:
+// one for faults of the way itself, which strike every connection, and one that
+// makes open connections silent while new ones work.
 type Link struct {
 	proxy *toxiproxy.Proxy
+	tail  *faultlink.Proxy
 }
 
 // nowhere is where a link leads before its target has started.
@@ -20,24 +25,31 @@
 var server = toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
 
 func newLink(name string) (*Link, error) {
-	p := toxiproxy.NewProxy(server, name, "127.0.0.1:0", nowhere)
+	tail, err := faultlink.New(nowhere)
+	if err != nil {
+		return nil, err
+	}
+	p := toxiproxy.NewProxy(server, name, "127.0.0.1:0", tail.Addr())
 	if err := p.Start(); err != nil {
+		tail.Close()
 		return nil, err
 	}
-	return &Link{p}, nil
+	return &Link{p, tail}, nil
 }
 
 // Addr returns the address at which the link takes connections.
 func (l *Link) Addr() string { return l.proxy.Listen }
 
 // lead points the link at a target; connections made before are closed.
-func (l *Link) lead(target string) error {
-	if l.proxy.Upstream == target {
-		return nil
+func (l *Link) lead(target string) {
+	if l.tail.Target() != target {
+		l.tail.Lead(target)
 	}
-	return l.proxy.Update(&toxiproxy.Proxy{Listen: l.proxy.Listen, Upstream: target, Enabled: true})
 }
 
+// Silence makes the open connections silent both ways, for good. New ones work.
+func (l *Link) Silence() { l.tail.Silence(faultlink.Forth, faultlink.Back) }
+
 // Cut drops all bytes both ways, in silence.
 func (l *Link) Cut() { l.CutOneWay(true); l.CutOneWay(false) }
 
