Hold which numbers of voters bear two lost disks

Cause: the incident's cause was a count: with three or four voters, those that are left after two lost disks are no majority. Only the way from five was tested.

Change: TestVotersThatBearLosses takes each pair of three, four, five and six voters' disks, starts every other replica again, has it campaign and hands it the vote of everyone who lives, the two empty replicas' too. No time is asserted.

Conclusion: no patience would have ended the incident.

--- a/quorum/losses_test.go
+++ b/quorum/losses_test.go
@@ -152,6 +152,50 @@
 	}
 }
 
+// TestVotersThatBearLosses loses each pair of voters' disks and ends the others, which
+// keep theirs. With three or four voters those that are left are no majority: though
+// each of them and both empty replicas grant their votes, nobody is elected, whoever
+// asks, so that nothing is served or repaired for good. Five bear it.
+func TestVotersThatBearLosses(t *testing.T) {
+	for _, x := range []struct {
+		voters int
+		bear   bool
+	}{{3, false}, {4, false}, {wantedVoters, true}, {wantedVoters + 1, true}} {
+		t.Run(fmt.Sprint(x.voters), func(t *testing.T) {
+			for a := range x.voters {
+				for b := range a {
+					g := newGroup(t, x.voters, uint64(10*a+b))
+					g.commit("acked")
+					g.wipe(g.order[a])
+					g.wipe(g.order[b])
+					assert.Equal(t, g.elects(), x.bear, "voters %d and %d have lost their disks", a, b)
+				}
+			}
+		})
+	}
+}
+
+// elects reports whether some replica would lead that is ended, started again and
+// granted the vote of each replica that lives.
+func (g *group) elects() (some bool) {
+	for _, id := range g.order {
+		r := g.replicas[id]
+		if r.frozen {
+			continue
+		}
+		g.crash(id)
+		g.start(id)
+		r.node.campaign(Candidate, g.now)
+		for _, from := range g.order {
+			if from != id && !g.replicas[from].frozen {
+				r.node.Step(Message{Type: MsgVoteReply, From: from, To: id, Term: r.node.Term()}, g.now)
+			}
+		}
+		some = some || r.node.Role() == Leader
+	}
+	return some
+}
+
 // TestQuorumDuringRepair holds that a group never needs more answers while it is
 // repaired than it needs whole: with two of five lost, the three that are left
 // must be enough at each step.
