Go dark at each point of the work, and with clocks minutes apart

Not held: that all replicas end between saving a vote or an entry and telling it, or after telling it; that a replica is just joining, or a standby taking a vote; that clocks differ by minutes after the restart.

Change: TestDarkInFlight ends all replicas at each of 120 points of an election, of commands, of a join and of a standby's promotion, loses two disks and holds that all that was ever committed is there and the group is whole. checkTold holds in every test of the group that a vote or an acknowledgement is on disk before it is told. TestClocksAfterDark draws clocks up to ten minutes early or late.

--- a/quorum/losses_test.go
+++ b/quorum/losses_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -135,23 +136,162 @@
 			g.wipe(g.order[2])
 			g.wipe(g.order[3])
 			g.tendAll(5 * steps)
-			for _, id := range g.order {
-				if !g.replicas[id].frozen {
-					g.crash(id)
-				}
-			}
-			g.net = nil
-			for _, id := range g.order {
-				if !g.replicas[id].frozen {
-					g.start(id)
-				}
-			}
+			g.goDark()
+			g.powerOn()
 			g.tendAll(800)
 			g.assertWhole("acked")
 		})
 	}
 }
 
+// goDark ends all replicas at once; what is on its way is lost.
+func (g *group) goDark() {
+	for _, id := range g.order {
+		g.crash(id)
+	}
+	g.net = nil
+}
+
+// powerOn starts the replicas whose disks are not lost.
+func (g *group) powerOn() {
+	for _, id := range g.order {
+		if !g.replicas[id].frozen {
+			g.start(id)
+		}
+	}
+}
+
+// darkAfter returns a hook that ends all replicas when one has come that often to a
+// point between two steps of its work, and done, which tells whether it has.
+func (g *group) darkAfter(points int) (crash, done func() bool) {
+	dark := false
+	crash = func() bool {
+		if points--; points == 0 {
+			dark = true
+			g.goDark()
+		}
+		return dark
+	}
+	return crash, func() bool { return dark }
+}
+
+// runIntoDark runs the group until the hook has ended it, with the leader tending it
+// as wanted, and returns the commands that were acknowledged meanwhile.
+func (g *group) runIntoDark(points int, tend bool) (acked []string) {
+	crash, done := g.darkAfter(points)
+	for i := 0; !done(); i++ {
+		if l := g.leader(); l != nil && i%2 == 0 {
+			l.node.Propose(fmt.Appendf(nil, "flight-%d", i), g.clock(l.id))
+			g.ready(l, crash)
+		}
+		if l := g.leader(); l != nil && tend {
+			g.tend(l, g.outsider(l), wantedVoters)
+		}
+		g.step(crash)
+	}
+	g.net = nil // what a step still put on its way
+	for _, e := range g.committed {
+		if e.Kind == EntryCommand {
+			acked = append(acked, string(e.Data))
+		}
+	}
+	return acked
+}
+
+// TestDarkInFlight ends all replicas at each point between two steps of their work:
+// votes and acknowledgements are on disk and not told, or told and on their way. Two
+// disks are lost with it.
+func TestDarkInFlight(t *testing.T) {
+	const points = 120
+	t.Run("commands", func(t *testing.T) {
+		for n := 1; n <= points; n++ {
+			g := newGroup(t, wantedVoters, uint64(300+n))
+			g.commit("acked")
+			g.loseInDark(n, false)
+		}
+	})
+	t.Run("an election", func(t *testing.T) {
+		for n := 1; n <= points; n++ {
+			g := newGroup(t, wantedVoters, uint64(500+n))
+			g.commit("acked")
+			g.goDark()
+			g.powerOn()
+			g.loseInDark(n, false)
+		}
+	})
+	t.Run("a replica joining", func(t *testing.T) {
+		for n := 1; n <= points; n++ {
+			g := newGroup(t, wantedVoters, uint64(700+n))
+			g.commit("acked")
+			g.wipe(g.order[n%wantedVoters])
+			g.loseInDark(n, true)
+		}
+	})
+	t.Run("a standby taking a vote", func(t *testing.T) {
+		for n := 1; n <= points; n++ {
+			g := newGroup(t, wantedVoters, uint64(900+n))
+			for i := range 2 {
+				g.add(MemberID(fmt.Sprintf("n%d#1", i)), Snapshot{})
+			}
+			g.commit("acked")
+			g.tendAll(200)
+			gone := g.order[n%wantedVoters]
+			g.crash(gone)
+			g.replicas[gone].frozen = true
+			g.tendAll(20 + 2*n)
+			g.replicas[gone].frozen = false // its disk is kept
+			g.loseInDark(n, true)
+		}
+	})
+}
+
+// loseInDark ends all replicas at a point of their work, loses disks up to two in
+// all, and holds that everything acknowledged is there after the restart.
+func (g *group) loseInDark(point int, tend bool) {
+	g.t.Helper()
+	acked := g.runIntoDark(point, tend)
+	lost := 0
+	for _, r := range g.replicas {
+		if r.frozen {
+			lost++
+		}
+	}
+	for i := 0; lost < 2; i++ {
+		id := g.order[(point+2*i)%wantedVoters]
+		if g.replicas[id].frozen {
+			continue
+		}
+		g.wipe(id)
+		lost++
+	}
+	g.powerOn()
+	g.tendAll(800)
+	g.assertWhole(acked...)
+}
+
+// TestClocksAfterDark has replicas come back from the dark with clocks that are minutes
+// early or late, by themselves and against each other, and two disks lost.
+func TestClocksAfterDark(t *testing.T) {
+	for seed := range uint64(20) {
+		g := newGroup(t, wantedVoters, 1100+seed)
+		g.commit("acked")
+		g.goDark()
+		for i, id := range g.order {
+			g.skew[id] = time.Duration(g.rng.Int64N(int64(20*time.Minute))) - 10*time.Minute
+			if i < 2 {
+				g.wipe(id)
+			}
+		}
+		g.powerOn()
+		g.tendAll(800)
+		g.assertWhole("acked")
+		l := g.waitLeader()
+		for _, m := range l.node.Members() {
+			assert.Assert(t, !l.node.silent(m.ID, silentTimeouts, g.clock(l.id)), "seed %d: %s counts as silent", seed, m.ID)
+		}
+	}
+}
+
 // TestVotersThatBearLosses loses each pair of voters' disks and ends the others, which
 // keep theirs. With three or four voters those that are left are no majority: though
 // each of them and both empty replicas grant their votes, nobody is elected, whoever
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -29,6 +29,7 @@
 	order    []MemberID
 	net      []Message
 	cut      map[[2]MemberID]bool
+	skew     map[MemberID]time.Duration // how far a replica's clock is ahead
 	loss     float64
 
 	committed map[uint64]Entry    // by index, as first applied anywhere
@@ -39,7 +40,7 @@
 func newGroup(t *testing.T, n int, seed uint64) *group {
 	g := &group{
 		t: t, rng: rand.New(rand.NewPCG(seed, 9)), now: time.Unix(1000, 0), replicas: map[MemberID]*replica{},
-		cut: map[[2]MemberID]bool{}, committed: map[uint64]Entry{}, leaders: map[uint64]MemberID{},
+		cut: map[[2]MemberID]bool{}, skew: map[MemberID]time.Duration{}, committed: map[uint64]Entry{}, leaders: map[uint64]MemberID{},
 	}
 	for i := range n {
 		id := MemberID(fmt.Sprintf("c%d#1", i+1))
@@ -61,9 +62,12 @@
 	r := g.replicas[id]
 	r.applied = nil
 	r.node = New(Config{ID: id, ElectionTimeout: 100 * time.Millisecond, Heartbeat: 20 * time.Millisecond, Seed: g.rng.Uint64()},
-		r.hard, r.snap, append([]Entry(nil), r.entries...), g.now)
+		r.hard, r.snap, append([]Entry(nil), r.entries...), g.clock(id))
 }
 
+// clock is the time as a replica has it.
+func (g *group) clock(id MemberID) time.Time { return g.now.Add(g.skew[id]) }
+
 func (g *group) crash(id MemberID) { g.replicas[id].node = nil }
 
 // ready does the work that a node asks for. crash, if not nil, may stop it
@@ -86,7 +90,8 @@
 			return
 		}
 		g.net = append(g.net, rd.Messages...)
-		r.node.Persisted(rd, g.now)
+		g.checkTold(r, rd)
+		r.node.Persisted(rd, g.clock(r.id))
 		g.apply(r, es)
 	}
 	g.checkLeader(r)
@@ -115,6 +120,26 @@
 	}
 }
 
+// checkTold holds that what a replica promises is on its disk before anybody hears of
+// it: a vote, and the entries that it acknowledges. Nothing that goes out early
+// promises anything.
+func (g *group) checkTold(r *replica, rd Ready) {
+	for _, m := range rd.Early {
+		assert.Assert(g.t, m.Type == MsgAppend || m.Type == MsgSnapshot, "%s sends type %d before it is on disk", r.id, m.Type)
+	}
+	for _, m := range rd.Messages {
+		switch {
+		case m.Reject:
+		case m.Type == MsgVoteReply:
+			assert.Equal(g.t, r.hard, HardState{Term: m.Term, Vote: m.To}, "the vote of %s", r.id)
+		case m.Type == MsgAppendReply:
+			assert.Equal(g.t, r.hard.Term, m.Term, "the term of %s", r.id)
+			last := r.snap.Index + uint64(len(r.entries))
+			assert.Assert(g.t, m.Match <= last, "%s acknowledges %d and has %d", r.id, m.Match, last)
+		}
+	}
+}
+
 func (g *group) checkLeader(r *replica) {
 	if r.node == nil || r.node.Role() != Leader {
 		return
@@ -141,13 +166,13 @@
 			g.net = append(g.net, m) // twice
 		}
 		if r := g.replicas[m.To]; r != nil && r.node != nil && !r.frozen {
-			r.node.Step(m, g.now)
+			r.node.Step(m, g.clock(m.To))
 			g.ready(r, crash)
 		}
 	}
 	for _, id := range g.order {
-		if r := g.replicas[id]; r.node != nil && !r.frozen && !g.now.Before(r.node.NextDeadline()) {
-			r.node.Tick(g.now)
+		if r := g.replicas[id]; r.node != nil && !r.frozen && !g.clock(id).Before(r.node.NextDeadline()) {
+			r.node.Tick(g.clock(id))
 			g.ready(r, crash)
 		}
 	}
@@ -186,7 +211,7 @@
 	if l == nil {
 		return 0, false
 	}
-	index, _, ok = l.node.Propose([]byte(data), g.now)
+	index, _, ok = l.node.Propose([]byte(data), g.clock(l.id))
 	g.ready(l, nil)
 	return index, ok
 }
@@ -325,10 +350,10 @@
 func (g *group) tend(l *replica, joining Member, wanted int) {
 	next, ok := l.node.Join(joining)
 	if !ok {
-		next, ok = l.node.Repair(wanted, g.now)
+		next, ok = l.node.Repair(wanted, g.clock(l.id))
 	}
 	if ok {
-		l.node.ProposeMembers(next, g.now)
+		l.node.ProposeMembers(next, g.clock(l.id))
 	}
 	g.ready(l, nil)
 }
