--- a/quorum/losses_test.go
+++ b/quorum/losses_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -269,6 +270,60 @@
 	g.assertWhole(acked...)
 }
 
+// TestDarkWhileReplacing loses any two disks while all others lose power, at each step of
+// putting a standby in the place of a voter that is silent and keeps its disk: there are
+// two lost disks as ever, so that the group must come back when the silent one does.
+func TestDarkWhileReplacing(t *testing.T) {
+	const steps, standbys = 12, 2
+	const machines = wantedVoters + standbys
+	for step := range steps {
+		for a := range machines {
+			for b := range a {
+				t.Run(fmt.Sprintf("%d/%d-%d", step, a, b), func(t *testing.T) {
+					g, silent := replacing(t, standbys)
+					g.tendAll(step)
+					g.goDark()
+					g.replicas[silent].frozen = false
+					g.wipe(g.order[a])
+					g.wipe(g.order[b])
+					g.powerOn()
+					g.tendAll(800)
+					g.assertWhole("acked")
+				})
+			}
+		}
+	}
+}
+
+// replacing returns a group with standbys that has just begun to replace a follower,
+// which is cut off.
+func replacing(t *testing.T, standbys int) (g *group, silent MemberID) {
+	t.Helper()
+	g = newGroup(t, wantedVoters, 13)
+	for i := range standbys {
+		g.add(MemberID(fmt.Sprintf("n%d#1", i)), Snapshot{})
+	}
+	g.commit("acked")
+	g.tendAll(200)
+	l := g.waitLeader()
+	members := l.node.Members()
+	assert.Equal(t, len(members), wantedVoters+standbys)
+	for _, id := range l.node.voters() {
+		if id != l.id {
+			silent = id
+		}
+	}
+	g.replicas[silent].frozen = true
+	for range 400 {
+		if !slices.Equal(g.waitLeader().node.Members(), members) {
+			return g, silent
+		}
+		g.tendAll(1)
+	}
+	t.Fatal("a silent voter is not replaced")
+	return nil, ""
+}
+
 // TestClocksAfterDark has replicas come back from the dark with clocks that are minutes
 // early or late, by themselves and against each other, and two disks lost.
 func TestClocksAfterDark(t *testing.T) {
