Promote a silent voter's successor first

Cause: quorum.Repair put a silent voter out before its successor came in. Two f voters were left meanwhile, whose majority does not bear f lost disks; and the silent one, whose disk was kept, counted no longer. (A voter whose disk is lost is another matter: it is one of the f already, and goes first as before.)

Ruled out: promoting first always. With f voters silent it needs an answer of every replica left; the code's own note said so.

Change: if all other voters and the successor have answered within one election timeout, the successor comes first; else the voter goes first as before. If the silent one is back between the two steps the group keeps one voter more until one is silent or lost; six bear two as five do.

Conclusion: with one voter silent no step leaves fewer voters than wanted. With f of them silent at once the moment remains, and f more disks lost in it would be 2f lost machines.

--- a/quorum/losses_test.go
+++ b/quorum/losses_test.go
@@ -295,6 +295,36 @@
 	}
 }
 
+// TestSilentTogether cuts two voters and all standbys off at once. A standby that went
+// together with the voters must not be counted on: three of five go on all the while.
+func TestSilentTogether(t *testing.T) {
+	const standbys = 2
+	for seed := range uint64(60) {
+		g := newGroup(t, wantedVoters, 1300+seed)
+		for i := range standbys {
+			g.add(MemberID(fmt.Sprintf("n%d#1", i)), Snapshot{})
+		}
+		g.commit("acked")
+		g.tendAll(200 + int(seed))
+		left := g.waitLeader().node.voters()
+		left = slices.DeleteFunc(left, func(id MemberID) bool { return id == g.waitLeader().id })[:wantedVoters/2]
+		left = append(left, g.waitLeader().id)
+		for _, id := range g.order {
+			g.replicas[id].frozen = !slices.Contains(left, id)
+		}
+		for i := range 20 {
+			g.tendAll(10)
+			g.commit(fmt.Sprintf("meanwhile-%d", i))
+		}
+		for _, id := range g.order {
+			g.replicas[id].frozen = false
+		}
+		g.tendAll(400)
+		l := g.waitLeader()
+		assert.Assert(t, l.node.Voters() >= wantedVoters, "seed %d: members %v", seed, l.node.Members())
+	}
+}
+
 // replacing returns a group with standbys that has just begun to replace a follower,
 // which is cut off.
 func replacing(t *testing.T, standbys int) (g *group, silent MemberID) {
--- a/quorum/members.go
+++ b/quorum/members.go
@@ -67,6 +67,9 @@
 	// silentTimeouts is how many election timeouts a voter may be silent before a
 	// standby takes its place. A killed process is back within a second or two.
 	silentTimeouts = 3
+	// freshTimeouts is how many of them a replica may be silent that is counted on for
+	// the next step. What is lost together with a silent voter is not.
+	freshTimeouts = 1
 	// forgetTimeouts is how many of them a replica without a vote may be silent
 	// before it is forgotten. One that lives asks to join again.
 	forgetTimeouts = 60
@@ -77,10 +80,17 @@
 // that number follow as standbys, without a vote.
 //
 // A voter whose disk is lost never comes back under its ID: it goes as soon as a
-// replica of the same name follows. A silent one goes when a standby can take its
-// place. The voter goes first and its successor is promoted afterwards, so that an
-// odd group needs as many answers as before at each step: with 2f+1 voters, f of
+// replica of the same name follows, and its successor is promoted afterwards, so that
+// an odd group needs as many answers as before at each step: with 2f+1 voters, f of
 // them lost, promoting first would need an answer of each replica that is left.
+//
+// A silent one may have kept its disk, and counts once it is back. Were it to go
+// first, 2f voters would be left for a moment, of which the loss of f disks leaves no
+// majority, for good. So its successor comes first if all others have answered just
+// now: 2f+2 voters need f+2 answers, and 2f+1 of them are there. With more than one
+// silent the voter goes first, so that the group can go on meanwhile. Should the silent
+// one be back between the two steps, the group keeps one voter more, which bears as
+// much.
 func (n *Node) Repair(size int, now time.Time) (next []Member, ok bool) {
 	voters := n.Voters()
 	standby := n.standby(now)
@@ -92,8 +102,13 @@
 	case standby >= 0 && (size == 0 || voters < size || lost >= 0):
 		return n.promoted(standby), true
 	}
-	if silent := n.silentMember(true, silentTimeouts, now); silent >= 0 && (spare || size > 0 && odd && standby >= 0) {
-		return n.without(silent, now)
+	if silent := n.silentMember(true, silentTimeouts, now); silent >= 0 {
+		switch {
+		case spare:
+			return n.without(silent, now)
+		case size > 0 && odd && standby >= 0:
+			return n.replaced(silent, standby, now)
+		}
 	}
 	if gone := n.silentMember(false, forgetTimeouts, now); gone >= 0 {
 		return n.without(gone, now)
@@ -129,6 +144,15 @@
 	})
 }
 
+// replaced returns the first step of putting a standby in a silent voter's place.
+func (n *Node) replaced(silent, standby int, now time.Time) (next []Member, ok bool) {
+	next = n.promoted(standby)
+	if n.answering(next, freshTimeouts, now) == n.Voters() { // all but the silent one
+		return next, true
+	}
+	return n.without(silent, now)
+}
+
 // promoted returns the members with a vote for the one at place i.
 func (n *Node) promoted(i int) []Member {
 	next := slices.Clone(n.log.members())
@@ -140,17 +164,24 @@
 // voters would answer to go on.
 func (n *Node) without(i int, now time.Time) (next []Member, ok bool) {
 	next = slices.Delete(slices.Clone(n.log.members()), i, i+1)
-	voters, answering := 0, 0
+	voters := 0
 	for _, m := range next {
-		if !m.Voter {
-			continue
+		if m.Voter {
+			voters++
 		}
-		voters++
-		if !n.silent(m.ID, silentTimeouts, now) {
-			answering++
+	}
+	return next, n.answering(next, silentTimeouts, now) > voters/2
+}
+
+// answering returns how many voters among members have answered within that many
+// election timeouts.
+func (n *Node) answering(members []Member, timeouts int, now time.Time) (count int) {
+	for _, m := range members {
+		if m.Voter && !n.silent(m.ID, timeouts, now) {
+			count++
 		}
 	}
-	return next, answering > voters/2
+	return count
 }
 
 // silent reports whether another replica has not answered for that many election
