End in the middle of the first format of a folder (fails)

Format refuses a folder with any file in it. A process that is killed or loses power between writing identity.tmp and renaming it leaves one, and every later start ends with "the folder is not empty": the machine's replica never comes back.

Change: TestFormatCutShort leaves identity.tmp in four lengths.

--- a/disk/disk_test.go
+++ b/disk/disk_test.go
@@ -103,6 +103,26 @@
 	})
 }
 
+// TestFormatCutShort has a process end in the middle of the first format of its folder:
+// what it left must not keep the next one from formatting it.
+func TestFormatCutShort(t *testing.T) {
+	whole, err := appendRecord(nil, Identity{ID: "c1#1", Group: "test", Members: members})
+	assert.NilError(t, err)
+	for _, n := range []int{0, headerSize / 2, len(whole) / 2, len(whole)} {
+		dir := filepath.Join(t.TempDir(), "data")
+		assert.NilError(t, os.Mkdir(dir, dirMode))
+		assert.NilError(t, os.WriteFile(filepath.Join(dir, "identity.tmp"), whole[:n], fileMode))
+		assert.Assert(t, Empty(dir))
+		_, err := Open(dir)
+		assert.Assert(t, errors.Is(err, ErrEmpty), "%d bytes were written: %v", n, err)
+		assert.NilError(t, Format(dir, Identity{ID: "c1#2"}), "%d bytes were written", n)
+		s, err := Open(dir)
+		assert.NilError(t, err)
+		assert.Equal(t, s.Identity().ID, quorum.MemberID("c1#2"))
+		assert.NilError(t, s.Close())
+	}
+}
+
 // filled returns a folder with a snapshot and ten entries, closed.
 func filled(t *testing.T) (dir string) {
 	t.Helper()
