Format a folder in which a format was cut short

Ruled out: removing all that is there, which could be a folder whose identity was lost; a log beside a missing identity stays corrupt.

Change: Format passes over identity.tmp, which its own write truncates. Figures: TestFormatCutShort fails before, passes after. Conclusion: a machine that ends during its first second comes back.

--- a/disk/disk.go
+++ b/disk/disk.go
@@ -43,6 +43,9 @@
 	maxRecord  = 64 << 20 // bytes; a longer length is corruption
 	dirMode    = 0o755
 	fileMode   = 0o644
+
+	identityFile = "identity"
+	tmpSuffix    = ".tmp" // of a file that is being written
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -75,7 +78,7 @@
 }
 
 // Format writes the identity of a new replica into dir, which must be empty or
-// missing.
+// missing, but for what a Format that was cut short has left.
 func Format(dir string, id Identity) (err error) {
 	defer errs.Annotate(&err, "format %s", filepath.Base(dir))
 	if err := os.MkdirAll(dir, dirMode); err != nil {
@@ -85,18 +88,20 @@
 	if err != nil {
 		return err
 	}
-	if len(names) > 0 {
-		return errors.New("the folder is not empty")
+	for _, n := range names {
+		if n.Name() != identityFile+tmpSuffix {
+			return fmt.Errorf("the folder is not empty: it has %s", n.Name())
+		}
 	}
 	if err := syncDir(filepath.Dir(dir)); err != nil {
 		return err
 	}
-	return writeSealed(filepath.Join(dir, "identity"), id)
+	return writeSealed(filepath.Join(dir, identityFile), id)
 }
 
 // Empty reports whether dir was never formatted.
 func Empty(dir string) bool {
-	_, err := os.Stat(filepath.Join(dir, "identity"))
+	_, err := os.Stat(filepath.Join(dir, identityFile))
 	return errors.Is(err, fs.ErrNotExist)
 }
 
@@ -112,7 +117,7 @@
 func Open(dir string) (s *Store, err error) {
 	defer errs.Annotate(&err, "open %s", filepath.Base(dir))
 	s = &Store{dir: dir}
-	if err := readSealed(filepath.Join(dir, "identity"), &s.identity); err != nil {
+	if err := readSealed(filepath.Join(dir, identityFile), &s.identity); err != nil {
 		if errors.Is(err, fs.ErrNotExist) && !s.anyLog() {
 			return nil, ErrEmpty
 		}
--- a/disk/file.go
+++ b/disk/file.go
@@ -35,7 +35,7 @@
 // writeAtomic writes path so that after a crash it holds all of buf or what it
 // held before.
 func writeAtomic(path string, buf []byte) error {
-	tmp := path + ".tmp"
+	tmp := path + tmpSuffix
 	f, err := os.OpenFile(tmp, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
 	if err != nil {
 		return err
--- a/disk/load.go
+++ b/disk/load.go
@@ -189,7 +189,7 @@
 	}
 	for _, n := range names {
 		g, ok := generation(n.Name())
-		if ok && g != gen || strings.HasSuffix(n.Name(), ".tmp") {
+		if ok && g != gen || strings.HasSuffix(n.Name(), tmpSuffix) {
 			if err := os.Remove(filepath.Join(s.dir, n.Name())); err != nil {
 				return err
 			}
