--- a/disk/file.go
+++ b/disk/file.go
@@ -66,9 +66,12 @@
 	return d.Sync()
 }
 
+// fdatasync is replaced by tests that lose power.
+var fdatasync = syscall.Fdatasync
+
 // datasync syncs the file's data and the metadata needed to read it.
 func datasync(f *os.File) error {
-	return os.NewSyscallError("fdatasync", syscall.Fdatasync(int(f.Fd())))
+	return os.NewSyscallError("fdatasync", fdatasync(int(f.Fd())))
 }
 
 func asCorrupt(err error) error { return fmt.Errorf("%w: %w", ErrCorrupt, err) }
