Sync what a killed process has written before it counts

Ruled out: cutting off all beyond the mark: the mark is not synced itself and may be too low after a loss of power, so that what was acknowledged would go.

Change: Open syncs the log once it is cut to whole records, before it is marked as synced and handed out. openLog marks nothing itself any more.

One sync more at a start. Conclusion: a kill and then a loss of power count as one loss of power.

--- a/disk/disk.go
+++ b/disk/disk.go
@@ -199,6 +199,9 @@
 	if err := s.openLog(gen, int64(len(buf))); err != nil {
 		return err
 	}
+	if err := s.markTail(); err != nil {
+		return err
+	}
 	s.removeGeneration(old)
 	return nil
 }
@@ -212,10 +215,7 @@
 		_ = s.log.Close() // an old generation; nothing in it matters any more
 	}
 	s.log, s.gen, s.size = f, gen, size
-	if err := syncDir(s.dir); err != nil {
-		return err
-	}
-	return s.markTail()
+	return syncDir(s.dir)
 }
 
 func (s *Store) removeGeneration(gen uint64) {
--- a/disk/load.go
+++ b/disk/load.go
@@ -33,7 +33,10 @@
 		return err
 	}
 	if gen == 0 {
-		return s.openLog(1, 0)
+		if err := s.openLog(1, 0); err != nil {
+			return err
+		}
+		return s.markTail()
 	}
 	if err := s.loadSnapshot(gen); err != nil {
 		return err
@@ -52,6 +55,14 @@
 	if err := s.log.Truncate(size); err != nil {
 		return err
 	}
+	// A process that was killed before its sync has left records that are read, and
+	// that a loss of power would still take.
+	if err := datasync(s.log); err != nil {
+		return err
+	}
+	if err := s.markTail(); err != nil {
+		return err
+	}
 	return s.removeOthers(gen)
 }
 
