Let a replica tell who answered its campaigns and when it heard each other

Cause: a group without a leader for good could not be told from one whose connections are silent: a campaign that fails left no trace but its first change of role. Ruled out: taking it from the messages outside the core, which would judge terms a second time. Change: quorum.Node remembers when each replica was last heard (bounded), how many campaigns it began, and who granted or refused the running one and the one before; all are forgotten with a leader. No decision rests on it; the core stays without I/O. Also LastTerm.

--- a/quorum/election.go
+++ b/quorum/election.go
@@ -4,6 +4,9 @@
 
 // campaign asks for votes; as PreCandidate only whether others would give one.
 func (n *Node) campaign(role Role, now time.Time) {
+	if role == PreCandidate || n.transferred {
+		n.view.begin()
+	}
 	n.role = role
 	n.leader = ""
 	n.votes = map[MemberID]bool{n.cfg.ID: true}
--- a/quorum/leader.go
+++ b/quorum/leader.go
@@ -8,6 +8,7 @@
 func (n *Node) becomeLeader(now time.Time) {
 	n.role = Leader
 	n.leader = n.cfg.ID
+	n.view.end()
 	n.heir = ""
 	n.heardAt = now
 	n.peers = map[MemberID]*progress{}
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -51,6 +51,8 @@
 	// heir is whom this leader hands its part to, until heirUntil.
 	heir      MemberID
 	heirUntil time.Time
+
+	view view
 }
 
 // progress is what a leader knows of another replica.
@@ -72,7 +74,7 @@
 		cfg: cfg, hard: hs,
 		rng:    rand.New(rand.NewPCG(cfg.Seed, 1)),
 		log:    newLog(snap, entries),
-		commit: snap.Index, applied: snap.Index,
+		commit: snap.Index, applied: snap.Index, view: newView(),
 	}
 	n.stable = n.log.last()
 	n.resetElection(now)
@@ -100,6 +102,10 @@
 // Last returns the index of the last entry.
 func (n *Node) Last() uint64 { return n.log.last() }
 
+// LastTerm returns the term of the last entry. The longer log of a later term wins
+// an election.
+func (n *Node) LastTerm() uint64 { return n.log.lastTerm() }
+
 // SnapshotIndex returns the index of the newest snapshot.
 func (n *Node) SnapshotIndex() uint64 { return n.log.snap.Index }
 
@@ -171,6 +177,7 @@
 	if m.To != n.cfg.ID {
 		return // meant for an earlier life of this replica's name
 	}
+	n.hear(m, now)
 	if m.Term > n.hard.Term && !n.stepHigherTerm(m, now) {
 		return
 	}
@@ -232,6 +239,9 @@
 	}
 	n.role = Follower
 	n.leader = leader
+	if leader != "" {
+		n.view.end()
+	}
 	n.heir = ""
 	n.peers = nil
 	n.votes = nil
