Export what a replica knows of its group, and the sessions held

Cause: the metrics of control processes said nothing of the group but, on the product's own ones, its commit index: no leader, no term, no voters. Ruled out: asking the goroutine that owns the node, which waits for the disk; the collector reads what is published, with the times of the others' words copied ten times a second at most. Change: replica.Collector (leader known, leaderless seconds, term, role, campaigns, commit and last index, age of each member's word, voters, wanted, needed and present, age of the newest change of the document), registered by both kinds of control process; rudderfork_queue_sessions in the scheduler's.

--- a/control/control.go
+++ b/control/control.go
@@ -84,7 +84,7 @@
 	hub := newHub(cfg, rep, grants, learned, log, ring)
 	lead := newLeader(cfg, rep, hub, planner, log, ring)
 	adm := admin.New(adminLn, ring, func() error { return nil })
-	adm.Registry().MustRegister(newCollector(rep, hub))
+	adm.Registry().MustRegister(newCollector(rep, hub), replica.NewCollector(rep))
 
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /peer", peers.Accept(rep))
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -283,6 +283,9 @@
 		return err
 	}
 	r.mu.Lock()
+	if version(st) != version(r.state) {
+		r.docAt = time.Time{} // a snapshot does not say when its document changed
+	}
 	r.state = st
 	r.mu.Unlock()
 	r.snapAt = s.Index
@@ -325,9 +328,9 @@
 	if err := cbor.Unmarshal(e.Data, &c); err != nil {
 		return res, fmt.Errorf("entry %d: %w", e.Index, err)
 	}
-	doc := r.state.Queues().Document()
+	before := version(r.state)
 	res = r.state.Apply(e.Index, c)
-	if r.state.Queues().Document() != doc {
+	if version(r.state) != before {
 		r.docAt = rudderfork.FromMillis(c.At)
 	}
 	return res, nil
--- a/scheduler/metrics.go
+++ b/scheduler/metrics.go
@@ -38,5 +38,14 @@
 // Collectors returns the scheduler's metrics, for a registry.
 func (s *Scheduler) Collectors() []prometheus.Collector {
 	m := s.met
-	return []prometheus.Collector{m.commit, m.plan, m.starts, m.copies, m.stops, m.lost, m.left, m.ends, m.asks, m.answer}
+	sessions := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: "rudderfork", Subsystem: "queue", Name: "sessions", Help: "Fronts and agents connected here.",
+	}, s.sessionCount)
+	return []prometheus.Collector{sessions, m.commit, m.plan, m.starts, m.copies, m.stops, m.lost, m.left, m.ends, m.asks, m.answer}
+}
+
+func (s *Scheduler) sessionCount() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return float64(len(s.sessions))
 }
