Serve metrics on a port of our own too, and name it in the deploy file

Change: rudder-platform ROLE -metrics-port N listens there beside the internal address, for /metrics alone; the three roles have 9464 and metrics = "9464/metrics".

--- a/cmd/rudder-platform/main.go
+++ b/cmd/rudder-platform/main.go
@@ -7,8 +7,10 @@
 	"context"
 	"flag"
 	"fmt"
+	"net"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 
 	"github.com/google/subcommands"
@@ -21,9 +23,9 @@
 
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
-	subcommands.Register(&role{"entry", "take jobs from clients (edge machines)", platform.NewEntry}, "")
-	subcommands.Register(&role{"agent", "run the tasks of one machine (side machines)", platform.NewAgent}, "")
-	subcommands.Register(&role{"control", "hold a replica of the state, and lead (core machines)", platform.NewControl}, "")
+	for _, r := range roles() {
+		subcommands.Register(r, "")
+	}
 	subcommands.Register(&check{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
@@ -33,6 +35,20 @@
 type role struct {
 	name, synopsis string
 	build          func(cfg platform.Settings, log zerolog.Logger) (*platform.Process, error)
+	metricsPort    uint // 0 for none
+}
+
+func newRole(name, synopsis string, build func(platform.Settings, zerolog.Logger) (*platform.Process, error)) *role {
+	return &role{name: name, synopsis: synopsis, build: build}
+}
+
+// roles returns the subcommands that run a program.
+func roles() []*role {
+	return []*role{
+		newRole("entry", "take jobs from clients (edge machines)", platform.NewEntry),
+		newRole("agent", "run the tasks of one machine (side machines)", platform.NewAgent),
+		newRole("control", "hold a replica of the state, and lead (core machines)", platform.NewControl),
+	}
 }
 
 // Name implements subcommands.Command.
@@ -42,10 +58,12 @@
 func (r *role) Synopsis() string { return r.synopsis }
 
 // Usage implements subcommands.Command.
-func (r *role) Usage() string { return r.name + ": " + r.synopsis + "\n" }
+func (r *role) Usage() string { return r.name + " [-metrics-port N]: " + r.synopsis + "\n" }
 
 // SetFlags implements subcommands.Command.
-func (r *role) SetFlags(*flag.FlagSet) {}
+func (r *role) SetFlags(f *flag.FlagSet) {
+	f.UintVar(&r.metricsPort, "metrics-port", 0, "serve metrics on this port too, beside the internal address; 0 for none")
+}
 
 // Execute implements subcommands.Command.
 func (r *role) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -57,6 +75,9 @@
 	if err != nil {
 		return cli.Fail(os.Stderr, err, cli.ExitSettings)
 	}
+	if r.metricsPort != 0 {
+		cfg.Metrics = net.JoinHostPort(cfg.IP, strconv.FormatUint(uint64(r.metricsPort), 10))
+	}
 	log, flush := logging.NewBounded(os.Stdout, cfg.Node, cfg.Place)
 	defer flush()
 	p, err := r.build(cfg, log)
--- /dev/null
+++ b/cmd/rudder-platform/main_test.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+
+	"gopkg.in/ini.v1"
+	"gotest.tools/v3/assert"
+)
+
+// deployFile has the words that the platform starts each program with. Its lines are
+// such that an ini reader takes them.
+const deployFile = "../../deploy/system.toml"
+
+// TestDeployFile starts, as far as the command line goes, what the deploy file runs.
+func TestDeployFile(t *testing.T) {
+	deploy, err := ini.Load(deployFile)
+	assert.NilError(t, err)
+	for _, r := range roles() {
+		t.Run(r.Name(), func(t *testing.T) {
+			section := deploy.Section("roles." + r.Name())
+			words := strings.Fields(section.Key("run").String())
+			assert.Assert(t, len(words) >= 2, "run is %q", words)
+			assert.Equal(t, words[1], r.Name())
+			f := flag.NewFlagSet(r.Name(), flag.ContinueOnError)
+			f.SetOutput(io.Discard)
+			r.SetFlags(f)
+			assert.NilError(t, f.Parse(words[2:]))
+			assert.Equal(t, f.NArg(), 0)
+			assert.Equal(t, section.Key("metrics").String(), fmt.Sprintf("%d/metrics", r.metricsPort))
+		})
+	}
+}
