--- a/replica/losses_test.go
+++ b/replica/losses_test.go
@@ -82,6 +82,9 @@
 	s.joined = joined
 }
 
+// Addrs implements Sender: replicas here have no addresses.
+func (s *socket) Addrs() []string { return nil }
+
 func (s *socket) isJoined() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
