Deliver heartbeats of lives that are over to an agent without memory (fails)

Cause: the users' pages now say that a heartbeat delayed by a cut may arrive after its sender has crashed and a new life has registered at the same address. An agent that has just started remembers no life, and the names of lives do not tell their order.

What fails on this code: TestLateDescriptions (runner) in four of its five subtests: the old life is taken as present and told to the leader, whose registration ends what the new life runs; the new one's farewell subtest holds.

--- /dev/null
+++ b/runner/late_test.go
@@ -0,0 +1,166 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/internal/steady"
+	"rudderfork.example/rudderfork/queue"
+	"rudderfork.example/rudderfork/standin/executor"
+	"rudderfork.example/rudderfork/wire"
+)
+
+// The two lives of the tests' executor. Their names do not tell which is older.
+const (
+	oldLife = "life-b"
+	newLife = "life-a"
+)
+
+// askedExecutor remembers as which lives it was asked for its account.
+type askedExecutor struct {
+	*executor.Executor
+	mu    sync.Mutex
+	asked []string
+	mute  bool // it leaves looks unanswered
+}
+
+// Look implements rudderfork.Executor.
+func (e *askedExecutor) Look(ctx context.Context, life string, req rudderfork.LookRequest) (rudderfork.Look, error) {
+	look, err := e.Executor.Look(ctx, life, req)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.asked = append(e.asked, life)
+	if e.mute {
+		return rudderfork.Look{}, errors.New("no answer")
+	}
+	return look, err
+}
+
+func (e *askedExecutor) setMute(mute bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.mute = mute
+}
+
+// wasAsked reports whether a call as this life was answered.
+func (e *askedExecutor) wasAsked(life string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Contains(e.asked, life)
+}
+
+// lateWorld is an agent without memory, beside an executor in its second life.
+type lateWorld struct {
+	t    *testing.T
+	exec *askedExecutor
+	a    *Agent
+	ses  *leaderSession
+}
+
+func newLateWorld(t *testing.T) *lateWorld {
+	l := newLeader(t)
+	w := &lateWorld{t: t, exec: &askedExecutor{Executor: executor.New(newLife, executor.Config{Now: steady.Now})}}
+	w.a = New("vm1", l.seeds, w.exec, zerolog.Nop())
+	for _, s := range w.a.Services() {
+		go func() { _ = s.Serve(t.Context()) }() // it ends with the test
+	}
+	w.ses = l.next()
+	t.Cleanup(w.ses.close)
+	return w
+}
+
+func (w *lateWorld) describe(life string, draining bool) {
+	w.a.Describe(queue.VM{ID: "vm1", Life: life, Service: "desk"}, draining, 0)
+}
+
+// late has a heartbeat of the old life arrive, and waits until the agent has
+// found out about it.
+func (w *lateWorld) late() {
+	w.t.Helper()
+	w.describe(oldLife, true)
+	w.until("the executor is asked as the old life", func() bool { return w.exec.wasAsked(oldLife) })
+}
+
+func (w *lateWorld) until(what string, ok func() bool) {
+	w.t.Helper()
+	poll.WaitOn(w.t, func(poll.LogT) poll.Result {
+		if ok() {
+			return poll.Success()
+		}
+		return poll.Continue("waiting until %s", what)
+	}, poll.WithTimeout(waitLimit))
+}
+
+// checkBeats holds that the leader hears of the new life alone, n times, and that
+// it does not drain.
+func (w *lateWorld) checkBeats(n int) {
+	w.t.Helper()
+	for range n {
+		b := w.ses.until(isBeat).Beat
+		assert.Equal(w.t, b.VM.Life, newLife)
+		assert.Assert(w.t, !b.Draining, "the old life drained")
+		w.ses.send(wire.ToQueueNode{Pong: 1}) // an agent leaves a silent leader
+	}
+}
+
+// TestLateDescriptions has an agent that remembers nothing hear of two lives of
+// its executor, of which one is over.
+func TestLateDescriptions(t *testing.T) {
+	t.Run("the old life's first", func(t *testing.T) {
+		w := newLateWorld(t)
+		w.late()
+		w.describe(newLife, false)
+		w.checkBeats(2)
+	})
+	t.Run("the new one's first", func(t *testing.T) {
+		w := newLateWorld(t)
+		w.describe(newLife, false)
+		w.checkBeats(1)
+		w.describe(oldLife, true)
+		w.describe(oldLife, true)
+		w.checkBeats(3)
+		assert.Equal(t, w.a.Life(), newLife)
+	})
+	t.Run("both while the executor does not answer", func(t *testing.T) {
+		w := newLateWorld(t)
+		w.exec.setMute(true)
+		w.describe(newLife, false)
+		w.late()
+		w.exec.setMute(false)
+		w.until("the new life is known", func() bool { return w.a.Life() == newLife })
+		w.checkBeats(2)
+	})
+	t.Run("a farewell of the old one", func(t *testing.T) {
+		w := newLateWorld(t)
+		w.describe(newLife, false)
+		w.checkBeats(1)
+		w.a.Gone(oldLife)
+		w.late()
+		w.a.Gone(oldLife)
+		w.checkBeats(2)
+		w.a.mu.Lock()
+		defer w.a.mu.Unlock()
+		assert.Assert(t, !w.a.leaving)
+		assert.Equal(t, len(w.a.reports), 0)
+	})
+	t.Run("a farewell that comes before the life is confirmed", func(t *testing.T) {
+		w := newLateWorld(t)
+		w.exec.setMute(true)
+		w.describe(newLife, false)
+		w.a.Gone(newLife)
+		w.exec.setMute(false)
+		w.until("the new life is known", func() bool { return w.a.Life() == newLife })
+		w.exec.Restart("")
+		left := w.ses.until(func(m wire.FromNode) bool { return m.Ends != nil }).Ends
+		assert.Assert(t, left.Left)
+		assert.Equal(t, left.Ends.Life, newLife)
+	})
+}
