Ask the executor which of its lives is the present one

Cause: the registry took the newest life it heard of for the present one and any life that another had followed for past. An agent without memory knows no order: hearing the old life late, it registered that (which ends what the new one runs, though its executor works on it), or passed over the new one's heartbeats for good.

Ruled out: call_seq rises within one life only. clock_ms is the life's own steady clock, which says nothing once a description is late. The time of day at a first heartbeat is the agent's arrival time, which is what the cut has changed. Remembering past lives on disk helps only with lives that the agent has met.

Change: a description of a life that is not the known one counts only once the executor has answered a look meant for that life; any other life answers that it is another, and then the life is remembered as over. The agent asks about one life after the other, so that the one confirmed last is the newest; without an answer it neither takes nor drops the life, and asks again while heartbeats come. An executor's answer was needed before for a lease (Mute), so nothing waits for more than it did but the registration, by one call on the machine.

TestReportsAreBounded takes the description directly, since it has no executor to ask.

--- a/runner/life.go
+++ b/runner/life.go
@@ -1,32 +1,148 @@
 package runner
 
 import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
 	"time"
 
+	"rudderfork.example/rudderfork"
 	"rudderfork.example/rudderfork/internal/steady"
 	"rudderfork.example/rudderfork/queue"
 )
 
+const (
+	// askSpan is how long after a description the executor is asked whether it is
+	// of its present life: a few of its heartbeats, each of which renews it.
+	askSpan = 3 * time.Second
+	// maxLives bounds the lives that wait to be confirmed, and those remembered as
+	// over: far above how many can have a heartbeat under way.
+	maxLives = 64
+)
+
+// description is what a life of the executor says of itself.
+type description struct {
+	vm       queue.VM
+	draining bool
+	leaveAt  time.Time // while it drains: not before
+	askUntil time.Time
+	farewell bool // came before the life was confirmed
+}
+
 // Describe takes the executor's description of itself. leave is the time that
 // is left at least while it drains.
+//
+// A description may arrive late, when its life is over and another has begun, and
+// names of lives have no order. So one of a life that is not the known one counts
+// only once the executor has answered a call that is meant for that life.
 func (a *Agent) Describe(vm queue.VM, draining bool, leave time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if vm.Life == a.left {
-		return // it was under way while that life left
+	now := steady.Now()
+	d := description{vm: vm, draining: draining, leaveAt: now.Add(leave), askUntil: now.Add(askSpan)}
+	switch {
+	case slices.Contains(a.over, vm.Life):
+	case a.known && a.keeper.Life() == vm.Life:
+		a.take(d)
+	case len(a.described) < maxLives || a.described[vm.Life] != nil:
+		if old := a.described[vm.Life]; old != nil {
+			d.farewell = old.farewell
+		}
+		a.described[vm.Life] = &d
+		a.askUp.Set()
+	}
+}
+
+// confirmLoop asks the executor about the lives that have described themselves.
+// It asks about one after the other, so that the life confirmed last is the
+// newest.
+func (a *Agent) confirmLoop(ctx context.Context) error {
+	timer := time.NewTimer(failPause)
+	defer timer.Stop()
+	for {
+		for _, life := range a.unconfirmed() {
+			a.confirm(ctx, life)
+		}
+		timer.Reset(failPause)
+		var again <-chan time.Time
+		if len(a.unconfirmed()) > 0 {
+			again = timer.C
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-a.askUp:
+		case <-again:
+		}
+	}
+}
+
+// unconfirmed returns the lives to ask about, and drops those that have not
+// described themselves for long.
+func (a *Agent) unconfirmed() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := steady.Now()
+	maps.DeleteFunc(a.described, func(_ string, d *description) bool { return now.After(d.askUntil) })
+	return slices.Sorted(maps.Keys(a.described))
+}
+
+// confirm asks the executor for its account as one life. Any other life says so.
+// Without an answer the life is neither taken nor given up.
+func (a *Agent) confirm(ctx context.Context, life string) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := a.exec.Look(ctx, life, rudderfork.LookRequest{Fence: a.fence()})
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	d := a.described[life]
+	switch {
+	case d == nil: // it has left meanwhile
+	case errors.Is(err, rudderfork.ErrOtherLife):
+		a.log.Info().Str("life", life).Msg("executor_life_over")
+		a.noteOver(life)
+	case err != nil:
+		a.log.Info().Str("life", life).Err(err).Msg("executor_life_unconfirmed")
+	default:
+		delete(a.described, life)
+		a.take(*d)
+		a.leaving = d.farewell
+	}
+}
+
+func (a *Agent) fence() uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.keeper.Fence()
+}
+
+// noteOver remembers that a life is over: it never comes back. The caller holds
+// mu.
+func (a *Agent) noteOver(life string) {
+	delete(a.described, life)
+	if life == "" || slices.Contains(a.over, life) {
+		return
 	}
-	changed := !a.known || !a.vm.Same(vm) || a.draining != draining
-	if a.keeper.Life() != vm.Life {
-		a.log.Info().Str("life", vm.Life).Str("before", a.keeper.Life()).Stringer("capacity", vm.Capacity).
-			Strs("labels", vm.Labels).Msg("executor_life")
-		a.keeper.Reset(vm.Life)
+	a.over = append(a.over, life)
+	a.over = a.over[max(0, len(a.over)-maxLives):]
+}
+
+// take takes what the present life says of itself. The caller holds mu.
+func (a *Agent) take(d description) {
+	changed := !a.known || !a.vm.Same(d.vm) || a.draining != d.draining
+	if before := a.keeper.Life(); before != d.vm.Life {
+		a.log.Info().Str("life", d.vm.Life).Str("before", before).Stringer("capacity", d.vm.Capacity).
+			Strs("labels", d.vm.Labels).Msg("executor_life")
+		a.noteOver(before)
+		a.keeper.Reset(d.vm.Life)
 		a.forget()
 	}
-	if a.draining != draining {
-		a.log.Info().Bool("draining", draining).Dur("leave", leave).Msg("executor_draining")
+	if a.draining != d.draining {
+		a.log.Info().Bool("draining", d.draining).Time("leave", d.leaveAt).Msg("executor_draining")
 	}
-	a.vm, a.known, a.draining, a.leaveAt = vm, true, draining, steady.Now().Add(leave)
-	a.keeper.SetDraining(draining)
+	a.vm, a.known, a.draining, a.leaveAt = d.vm, true, d.draining, d.leaveAt
+	a.keeper.SetDraining(d.draining)
 	if changed {
 		a.beatUp.Set()
 		a.kicked.Set()
@@ -41,10 +157,14 @@
 }
 
 // Gone notes the executor's farewell. It ends now, but has perhaps ends to list
-// that nobody has seen: they are looked for until it answers no more.
+// that nobody has seen: they are looked for until it answers no more. One of
+// another life than the known one changes nothing of that.
 func (a *Agent) Gone(life string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if d := a.described[life]; d != nil {
+		d.farewell = true
+	}
 	if a.keeper.Life() != life || a.leaving {
 		return
 	}
@@ -55,9 +175,9 @@
 // depart tells the leader that the life has left, so that its work begins
 // elsewhere without waiting for the lease. The caller holds mu.
 func (a *Agent) depart() {
-	a.left = a.keeper.Life()
-	a.log.Info().Str("life", a.left).Msg("executor_gone")
-	a.send(report{ends: queue.Ends{VM: a.vm.ID, Life: a.left}, left: true})
+	life := a.keeper.Life()
+	a.log.Info().Str("life", life).Msg("executor_gone")
+	a.send(report{ends: queue.Ends{VM: a.vm.ID, Life: life}, left: true})
 	a.lost()
 }
 
@@ -72,8 +192,10 @@
 	a.lost()
 }
 
-// lost forgets the executor until it describes itself anew. The caller holds mu.
+// lost forgets the executor, whose life is over, until another describes itself.
+// The caller holds mu.
 func (a *Agent) lost() {
+	a.noteOver(a.keeper.Life())
 	a.keeper.Reset("")
 	a.forget()
 	a.known = false
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -1,9 +1,10 @@
 // Package runner is the process beside a VM's executor: it carries out what
 // package runs decides, tells the leader how the VM is, and paces fillers.
 //
-// Three loops share one Keeper. The look loop asks the executor for its account
-// and waits there for ends; the call loop sends starts and stops; the beat loop
-// sends heartbeats, each of which brings a lease back.
+// Four loops share one Keeper. The confirm loop finds out which life the executor
+// is in; the look loop asks it for its account and waits there for ends; the call
+// loop sends starts and stops; the beat loop sends heartbeats, each of which brings
+// a lease back.
 package runner
 
 import (
@@ -59,13 +60,15 @@
 
 	kicked wakeup.Signal // the call loop has something to do
 	beatUp wakeup.Signal // a heartbeat is due at once
+	askUp  wakeup.Signal // a life has described itself that is not confirmed
 
 	mu        sync.Mutex
 	keeper    *runs.Keeper
 	vm        queue.VM
-	known     bool   // vm describes a life of the executor
-	leaving   bool   // the executor has said farewell, and ends
-	left      string // life that has left, and never comes back
+	known     bool                    // vm describes a life of the executor
+	leaving   bool                    // the executor has said farewell, and ends
+	described map[string]*description // lives that the executor has not confirmed yet
+	over      []string                // lives that never come back, the newest last
 	draining  bool
 	leaveAt   time.Time
 	seenAt    time.Time // when the executor last answered a look
@@ -88,8 +91,8 @@
 // New returns an agent that drives exec.
 func New(process string, seeds func() []string, exec rudderfork.Executor, log zerolog.Logger) *Agent {
 	a := &Agent{
-		exec: exec, log: log, met: newMetrics(), kicked: wakeup.New(), beatUp: wakeup.New(),
-		keeper: runs.New(), pressures: map[interference.Pair]float64{}, reports: map[uint64]report{},
+		exec: exec, log: log, met: newMetrics(), kicked: wakeup.New(), beatUp: wakeup.New(), askUp: wakeup.New(),
+		described: map[string]*description{}, keeper: runs.New(), pressures: map[interference.Pair]float64{}, reports: map[uint64]report{},
 	}
 	a.session = session.New(process, seeds, a, log)
 	a.forget()
@@ -114,7 +117,7 @@
 
 // Services returns the agent's loops, for a supervisor.
 func (a *Agent) Services() []suture.Service {
-	return []suture.Service{a.session, loop{"look", a.lookLoop}, loop{"calls", a.callLoop}, loop{"beat", a.beatLoop}}
+	return []suture.Service{a.session, loop{"confirm", a.confirmLoop}, loop{"look", a.lookLoop}, loop{"calls", a.callLoop}, loop{"beat", a.beatLoop}}
 }
 
 // loop is a supervised loop.
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -140,7 +140,7 @@
 // takes note of anything.
 func TestReportsAreBounded(t *testing.T) {
 	a := New("vm1", func() []string { return nil }, nil, zerolog.Nop())
-	a.Describe(queue.VM{ID: "vm1", Life: "life-1"}, false, 0)
+	a.take(description{vm: queue.VM{ID: "vm1", Life: "life-1"}})
 	lost := rudderfork.RunRef{Task: "j.0.0.1", Run: 1}
 	a.keeper.Order(wire.Orders{Full: true, Life: "life-1", Start: []wire.RunOrder{{RunRef: lost}}})
 	account := rudderfork.Look{
