Take a VM's heartbeats from its agent's latest session only

Cause: the leader matched heartbeats to a VM by its name, and took the newest arrival for the newest state. A heartbeat held up in a session that the agent had left registered an old life over the present one.

Ruled out: the sender's clock in a heartbeat (Sent) is of one process and starts anew with the next. A list of a VM's past lives in the state does not know a life whose first heartbeat is the late one. Ending the earlier session at the hello of the later one would let a late hello of a dead agent end the live one's.

Change: sessions are numbered as they are opened. The first heartbeat in a session proves that the agent lived after the welcome and so after it had left all earlier ones; from then on heartbeats in those are refused, and end them, also once the later session has ended. A VM is registered from one session at a time, so that registrations reach the log in the order of the sessions. A lease is granted only for the life that the session has registered.

Conclusion: with the agent's confirmed lives, heartbeats reach the state in the order in which they were sent.

--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -52,6 +52,11 @@
 type vmInfo struct {
 	lease   runs.Grantor
 	session *session
+	// spoken is the number of the latest session in which the VM's agent has sent a
+	// heartbeat; registering says that one of them registers the VM.
+	spoken      uint64
+	registering bool
+
 	beatAt  time.Time
 	beat    wire.VMBeat
 	rows    map[queue.TaskKey]*runInfo
--- a/scheduler/late_test.go
+++ b/scheduler/late_test.go
@@ -198,3 +198,21 @@
 		s.checkPresent(again, epoch)
 	})
 }
+
+// TestRegistrationsInOrder has a heartbeat arrive while the VM is registered from
+// another session: it waits for its turn.
+func TestRegistrationsInOrder(t *testing.T) {
+	s := newSite(t, nil)
+	p := s.speak()
+	setRegistering := func(on bool) {
+		s.sched.mu.Lock()
+		defer s.sched.mu.Unlock()
+		s.sched.fleet.vm(lateVM).registering = on
+	}
+	setRegistering(true)
+	grant := p.beat(newLife)
+	assert.Equal(t, grant.Epoch, uint64(0))
+	assert.Equal(t, grant.LeaseMS, int64(0))
+	setRegistering(false)
+	assert.Equal(t, p.beat(newLife).Epoch, uint64(1))
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -57,6 +57,7 @@
 	term     uint64 // for which sessions are taken; 0 while not leading
 	fleet    *fleet
 	sessions map[*session]bool
+	opened   uint64 // sessions until now
 }
 
 // New returns a scheduler over a replica.
--- a/scheduler/session.go
+++ b/scheduler/session.go
@@ -30,6 +30,7 @@
 	s      *Scheduler
 	conn   *wire.Conn[wire.ToQueueNode, wire.FromNode]
 	hello  wire.QueueHello
+	number uint64 // rises with each session that is opened
 	term   uint64
 	cancel context.CancelFunc
 	out    chan wire.ToQueueNode
@@ -96,7 +97,8 @@
 	if !st.Leads() || s.term != st.Term {
 		return false
 	}
-	ses.term = s.term
+	s.opened++
+	ses.number, ses.term = s.opened, s.term
 	s.sessions[ses] = true
 	return true
 }
--- a/scheduler/vm.go
+++ b/scheduler/vm.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"rudderfork.example/rudderfork"
@@ -84,9 +85,38 @@
 	return ""
 }
 
+// errOutlived means that the VM's agent has spoken in a later session.
+var errOutlived = errors.New("the VM's agent has a later session")
+
+// claim notes that the VM's agent has spoken in the session, unless it has in a
+// later one: then what comes here was held up on its way, and may be of a life that
+// is over.
+//
+// Sessions are in the order of their agents' lives. An agent leaves its session
+// before it opens the next, and speaks only after the leader's welcome: the first
+// heartbeat in a session was sent after the session was opened here, by an agent
+// that was in no earlier one any more.
+func (ses *session) claim(id rudderfork.VMID) error {
+	ses.s.mu.Lock()
+	defer ses.s.mu.Unlock()
+	v := ses.s.fleet.vm(id)
+	if ses.outlived(v) {
+		return errOutlived
+	}
+	v.spoken = ses.number
+	return nil
+}
+
+// outlived reports whether the VM's agent has spoken in a later session. The caller
+// holds mu.
+func (ses *session) outlived(v *vmInfo) bool { return ses.number < v.spoken }
+
 // beat takes a VM's heartbeat, registers the VM where that is needed, and
 // grants it a lease.
 func (ses *session) beat(ctx context.Context, b wire.VMBeat) error {
+	if err := ses.claim(b.VM.ID); err != nil {
+		return err
+	}
 	if !b.Mute {
 		if err := ses.register(ctx, b.VM); err != nil {
 			return err
@@ -100,10 +130,14 @@
 	grant := wire.VMGrant{Sent: b.Sent, Life: b.VM.Life, Epoch: ses.epoch}
 	s.mu.Lock()
 	v := s.fleet.vm(b.VM.ID)
+	if ses.outlived(v) {
+		s.mu.Unlock()
+		return errOutlived // while the VM was registered
+	}
 	fresh := v.session != ses
 	v.session = ses
 	v.take(b, now)
-	if !b.Mute && ses.epoch != 0 {
+	if !b.Mute && ses.epoch != 0 && ses.life == b.VM.Life {
 		grant.LeaseMS = v.lease.Grant(time.Unix(0, st.ContactNS), now, s.cfg.Lease).Milliseconds()
 	}
 	s.mu.Unlock()
@@ -136,9 +170,14 @@
 
 // register commits the VM's description if it is new.
 func (ses *session) register(ctx context.Context, vm queue.VM) error {
-	if ses.registered(vm) || !ses.mayRegister(vm.ID) {
+	if ses.registered(vm) {
+		return nil
+	}
+	v, ok := ses.mayRegister(vm.ID)
+	if !ok {
 		return nil
 	}
+	defer ses.endRegistration(v)
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
 	if _, err := ses.s.do(ctx, queue.Command{Register: &vm}); err != nil {
@@ -157,18 +196,30 @@
 
 // mayRegister reports whether a VM may be registered, and gives it time to fetch
 // its first lease. While its loss is being committed it may not: a lease granted
-// after that would outlive the runs it was granted for.
-func (ses *session) mayRegister(id rudderfork.VMID) (ok bool) {
+// after that would outlive the runs it was granted for. Nor while it is registered
+// from another session, so that registrations are committed in the order of the
+// sessions. The registration is to be followed by endRegistration.
+func (ses *session) mayRegister(id rudderfork.VMID) (v *vmInfo, ok bool) {
 	ses.s.rep.View(func(st *state.State) {
 		ses.s.mu.Lock()
 		defer ses.s.mu.Unlock()
-		v, known := ses.s.fleet.vm(id), st.Queues().VM(id)
-		ok = !v.lease.Expiring() || known == nil || !known.Live
+		v = ses.s.fleet.vm(id)
+		known := st.Queues().VM(id)
+		ok = !ses.outlived(v) && !v.registering && (!v.lease.Expiring() || known == nil || !known.Live)
 		if ok {
+			v.registering = true
 			v.lease.Assume(steady.Now().Add(ses.s.cfg.Lease))
 		}
 	})
-	return ok
+	return v, ok
+}
+
+// endRegistration lets the VM be registered again. A command without an answer may
+// be committed yet, but before any that is proposed from now on.
+func (ses *session) endRegistration(v *vmInfo) {
+	ses.s.mu.Lock()
+	defer ses.s.mu.Unlock()
+	v.registering = false
 }
 
 // registered reports whether the state knows the VM as it describes itself, and
