Let no other life of a replica join while one answers

Cause: a request to join named a life that the group did not hold, and was taken for the newest of its name; the one that the group held then counted as lost.

Ruled out: an order in the IDs (the time of day jumps, and a fresh disk remembers no number); the order of links at the leader (a new leader has seen none); remembering IDs that were replaced (does not know a life that never got in).

Change: a request is refused while another life of the name has answered within the least election timeout, 500 ms on the platform. A replica has one life at a time and asks every 300 ms, so a fresh disk may wait until its old life has been silent that long, counted from its crash.

Figures: TestLateJoin fails before and passes after; quorum (with TestLostDisk, TestTwoLosses, TestQuorumDuringRepair) and replica pass under the race detector. Conclusion: what a replica says late changes nothing of its later life.

--- a/quorum/late_test.go
+++ b/quorum/late_test.go
@@ -56,7 +56,7 @@
 		l := g.waitLeader()
 		self, ok := l.node.Member(l.id)
 		assert.Assert(t, ok)
-		_, ok = l.node.Join(Member{ID: missedLife, Name: self.Name})
+		_, ok = l.node.Join(Member{ID: missedLife, Name: self.Name}, g.clock(l.id))
 		assert.Assert(t, !ok)
 	})
 	t.Run("before the present life has a vote", func(t *testing.T) {
@@ -68,14 +68,14 @@
 		// It joins, and has caught up, before its old life has lost its vote.
 		for range 400 {
 			l := g.waitLeader()
-			if next, ok := l.node.Join(Member{ID: presentLife, Name: "c3"}); ok {
+			if next, ok := l.node.Join(Member{ID: presentLife, Name: "c3"}, g.clock(l.id)); ok {
 				l.node.ProposeMembers(next, g.now)
 			}
 			g.ready(l, nil)
 			g.step(nil)
 		}
 		l := g.waitLeader()
-		next, ok := l.node.Join(Member{ID: missedLife, Name: "c3"})
+		next, ok := l.node.Join(Member{ID: missedLife, Name: "c3"}, g.clock(l.id))
 		assert.Assert(t, !ok, "%v", next)
 		_, follows := l.node.Member(presentLife)
 		assert.Assert(t, follows)
--- a/quorum/losses_test.go
+++ b/quorum/losses_test.go
@@ -499,7 +499,7 @@
 			g.step(nil)
 			continue
 		}
-		next, ok := l.node.Join(g.outsider(l))
+		next, ok := l.node.Join(g.outsider(l), g.clock(l.id))
 		why := ReasonJoined
 		if !ok {
 			next, why, ok = l.node.Repair(wantedVoters, g.now)
--- a/quorum/members.go
+++ b/quorum/members.go
@@ -50,10 +50,14 @@
 
 // Join returns the members with m added as a non-voting replica; ok is false
 // if it is there already. Earlier non-voting lives of the same name go.
-func (n *Node) Join(m Member) (next []Member, ok bool) {
+//
+// A request to join may arrive late, when its life is over and a later one is a
+// member, and IDs have no order. So ok is false also while another life of the name
+// answers: a replica has one life at a time, and asks until it is a member.
+func (n *Node) Join(m Member, now time.Time) (next []Member, ok bool) {
 	m.Voter = false
 	for _, o := range n.log.members() {
-		if o.ID == m.ID {
+		if o.ID == m.ID || o.Name == m.Name && !n.silent(o.ID, overTimeouts, now) {
 			return nil, false
 		}
 		if o.Name != m.Name || o.Voter {
@@ -70,6 +74,10 @@
 	// freshTimeouts is how many of them a replica may be silent that is counted on for
 	// the next step. What is lost together with a silent voter is not.
 	freshTimeouts = 1
+	// overTimeouts is how many of them a life must have been silent before another
+	// of its name may join. A leader hears of a life that lives several times in
+	// one.
+	overTimeouts = 1
 	// forgetTimeouts is how many of them a replica without a vote may be silent
 	// before it is forgotten. One that lives asks to join again.
 	forgetTimeouts = 60
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -348,7 +348,7 @@
 
 // tend has a leader bring in a replica that asks to join, and repair the group.
 func (g *group) tend(l *replica, joining Member, wanted int) {
-	next, ok := l.node.Join(joining)
+	next, ok := l.node.Join(joining, g.clock(l.id))
 	if !ok {
 		next, _, ok = l.node.Repair(wanted, g.clock(l.id))
 	}
@@ -369,7 +369,7 @@
 		for k := range 50 {
 			l.node.Propose(fmt.Appendf(nil, "load-%d-%d", i, k), g.now)
 		}
-		if next, ok := l.node.Join(Member{ID: "c3#2", Name: "c3"}); ok {
+		if next, ok := l.node.Join(Member{ID: "c3#2", Name: "c3"}, g.clock(l.id)); ok {
 			l.node.ProposeMembers(next, g.now)
 		} else if next, _, ok := l.node.Repair(0, g.now); ok && i%10 == 0 {
 			l.node.ProposeMembers(next, g.now)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -430,12 +430,15 @@
 
 // join takes a replica in that asks for it, or tells why not; it asks again.
 func (r *Replica) join(m quorum.Member) {
-	next, absent := r.node.Join(m)
+	next, ok := r.node.Join(m, r.now())
+	_, member := r.node.Member(m.ID)
 	switch {
 	case r.node.Role() != quorum.Leader:
 		r.report.NotJoined(m, r.node, joinNotLeader, r.now())
-	case !absent:
+	case member:
 		r.report.NotJoined(m, r.node, joinMember, r.now())
+	case !ok:
+		r.report.NotJoined(m, r.node, joinLifeAnswers, r.now())
 	case !r.node.Settled():
 		r.report.NotJoined(m, r.node, joinUnsettled, r.now())
 	case !r.changeMembers(next, quorum.ReasonJoined):
--- a/replica/report.go
+++ b/replica/report.go
@@ -32,6 +32,8 @@
 	joinMember    = "already_member"   // it asks because it knows no leader
 	joinUnsettled = "leader_unsettled" // the leader has not committed in its term
 	joinChanging  = "members_changing" // an earlier change is not committed
+	// joinLifeAnswers says that the group hears another life of the same replica.
+	joinLifeAnswers = "other_life_answers"
 )
 
 // reporter writes what a replica knows of its group: at its start, at each change of
@@ -184,7 +186,7 @@
 	}
 	p.askers[key] = now.Add(askPause)
 	event := "join_refused"
-	if why == joinUnsettled || why == joinChanging {
+	if why == joinUnsettled || why == joinChanging || why == joinLifeAnswers {
 		event = "join_deferred"
 	}
 	p.log.Info().Str("member", string(m.ID)).Str("addr", m.Addr).Str("reason", why).
--- a/scheduler/late_test.go
+++ b/scheduler/late_test.go
@@ -33,7 +33,7 @@
 	s.t.Helper()
 	p := &speaker{s: s, started: map[rudderfork.RunRef]bool{}, stopped: map[rudderfork.RunRef]bool{}}
 	s.until("a session is opened", func() bool {
-		c, err := wire.Dial[wire.FromNode, wire.ToQueueNode](s.ctx, "ws://"+s.addr+"/queues")
+		c, err := wire.Dial[wire.FromNode, wire.ToQueueNode](s.ctx, "ws://"+s.addr+"/queues", wire.QueueSession)
 		if err != nil {
 			return false
 		}
