Take no orders of an earlier epoch, nor of a leader that was outranked

Cause: a full list of any other epoch than the present one counted as the next epoch's, and a session with a leader that a later one had followed counted as any other.

Ruled out: leaving it to the fencing token: calls carry the highest token that the agent has met, so an executor cannot tell whose order it was.

Change: orders of an epoch below the present one are not taken, since epochs of a VM only rise. While the session is with a leader of a lower term than one met before, neither orders nor grants are taken; the lease that stands runs on.

Conclusion: the agent follows the newest epoch of the newest leader that it has met.

--- a/runs/keeper.go
+++ b/runs/keeper.go
@@ -46,7 +46,8 @@
 type Keeper struct {
 	life   string
 	epoch  uint64
-	term   uint64 // of the leader whose orders are obeyed; the fencing token
+	term   uint64 // highest of a leader that was met; the fencing token
+	led    uint64 // term of the leader that the session is with
 	synced bool   // the full list of the epoch has come
 	grant  time.Time
 	leave  bool // the executor is draining: nothing more is started
@@ -79,7 +80,7 @@
 // Reset forgets everything: the executor has another life, which runs nothing.
 func (k *Keeper) Reset(life string) {
 	*k = Keeper{
-		life: life, term: k.term,
+		life: life, term: k.term, led: k.led,
 		orders: map[rudderfork.TaskID]*order{}, strays: map[rudderfork.RunRef]*order{},
 	}
 }
@@ -94,12 +95,16 @@
 func (k *Keeper) SetDraining(leave bool) { k.leave = leave }
 
 // SetTerm notes the term of the leader that the session is with.
-func (k *Keeper) SetTerm(term uint64) { k.term = max(k.term, term) }
+func (k *Keeper) SetTerm(term uint64) { k.led, k.term = term, max(k.term, term) }
+
+// outranked reports whether the session is with a leader that a later one has
+// followed and that does not know it yet.
+func (k *Keeper) outranked() bool { return k.led < k.term }
 
 // Grant takes a lease that ends at the given time. It counts only for the life
 // of the executor that it was given to, and for the epoch whose orders are here.
 func (k *Keeper) Grant(life string, epoch uint64, until time.Time) {
-	if life == k.life && k.synced && epoch == k.epoch && until.After(k.grant) {
+	if !k.outranked() && life == k.life && k.synced && epoch == k.epoch && until.After(k.grant) {
 		k.grant = until
 	}
 }
@@ -121,9 +126,10 @@
 }
 
 // Order takes orders of control. Those that were under way while the executor
-// got a new life are for runs that are over.
+// got a new life are for runs that are over, and so are those of an earlier epoch:
+// epochs of a VM only rise. A leader that was outranked may not know what runs.
 func (k *Keeper) Order(o wire.Orders) {
-	if o.Life != k.life {
+	if k.outranked() || o.Life != k.life || o.Epoch < k.epoch {
 		return
 	}
 	if o.Full {
