Draw schedules of late heartbeats, farewells and ends over crashes

Cause: the tests of late messages each hold one order of them.

Change: TestLateModel drives a real agent and a stand-in executor through drawn schedules: the executor crashes, leaves, or crashes just after it has answered; its calls arrive late, out of order and again; the agent restarts without memory, reopens its session, and what it sent arrives late. Neither agent nor leader may go back to an earlier life, nothing but a later life may end the present one's run, and in the end both know the present life. The leader is the replicated state under the scheduler's rule of sessions.

--- /dev/null
+++ b/runner/late_model_test.go
@@ -0,0 +1,309 @@
+package runner
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/queue"
+	"rudderfork.example/rudderfork/standin/executor"
+	"rudderfork.example/rudderfork/wire"
+)
+
+// TestMain fixes the seed, number and length of the drawn schedules, unless the
+// command line sets them.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "27", "rapid.checks": "500", "rapid.steps": "80"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// modelVM is the VM of the model.
+const modelVM = rudderfork.VMID("vm1")
+
+// lateModel is an executor that crashes and leaves, the agent beside it, and what
+// the leader has committed, with all that is on its way between them. The leader
+// takes heartbeats as package scheduler does: from the agent's latest session only.
+type lateModel struct {
+	t    *rapid.T
+	exec *executor.Executor
+	life int  // of the executor, counted from 0
+	mute bool // it leaves looks unanswered
+	dies bool // it crashes as soon as it has answered a look
+	air  []executorCall
+
+	a        *Agent
+	known    int // newest life that this agent has known, or -1
+	sessions []agentSession
+
+	spoken     int // latest session with a heartbeat
+	state      *queue.State
+	registered int // life that is committed, or -1
+}
+
+// executorCall is a heartbeat or a farewell of a life.
+type executorCall struct {
+	life     int
+	farewell bool
+}
+
+// agentSession is what was sent in one session and has not arrived.
+type agentSession struct {
+	agent *Agent
+	box   []wire.FromNode
+	sent  map[uint64]bool // reports
+}
+
+// lifeName names a life. The names do not tell the order.
+func lifeName(i int) string { return fmt.Sprintf("i-%03d", (i+1)*619%1000) }
+
+func newLateModel(t *rapid.T) *lateModel {
+	m := &lateModel{t: t, state: queue.New(), registered: -1}
+	m.exec = executor.New(lifeName(0), executor.Config{
+		Now: func() time.Time { return time.Unix(1000, 0) },
+		Fate: func(string) executor.Fate {
+			if m.mute {
+				return executor.Unheard
+			}
+			return executor.Answered
+		},
+	})
+	m.apply(queue.Command{Document: &queue.Document{
+		Version: 1, Queues: []queue.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "desk", MaxAttempts: 9}},
+		Pools: []queue.Pool{{Service: "desk"}},
+	}})
+	m.apply(queue.Command{Submit: &queue.Submit{Host: "h", Path: "/q/feed", Spec: queue.Spec{
+		Steps: []queue.Step{{Count: 1, Lasting: true}},
+	}}})
+	m.restartAgent(t)
+	return m
+}
+
+func (m *lateModel) apply(c queue.Command) { m.state.Apply(c, 1) }
+
+// Look implements rudderfork.Executor for the agent.
+func (m *lateModel) Look(ctx context.Context, life string, req rudderfork.LookRequest) (rudderfork.Look, error) {
+	look, err := m.exec.Look(ctx, life, req)
+	if m.dies {
+		m.dies = false
+		m.crash(m.t)
+	}
+	return look, err
+}
+
+// Start implements rudderfork.Executor.
+func (m *lateModel) Start(ctx context.Context, life string, s rudderfork.RunStart) (rudderfork.StartOutcome, error) {
+	return m.exec.Start(ctx, life, s)
+}
+
+// Stop implements rudderfork.Executor.
+func (m *lateModel) Stop(ctx context.Context, life string, r rudderfork.RunRef, fence uint64) error {
+	return m.exec.Stop(ctx, life, r, fence)
+}
+
+// Pace implements rudderfork.Executor.
+func (m *lateModel) Pace(ctx context.Context, life string, r rudderfork.RunRef, percent int, fence uint64) error {
+	return m.exec.Pace(ctx, life, r, percent, fence)
+}
+
+func (m *lateModel) crash(*rapid.T) {
+	m.life++
+	m.exec.Restart(lifeName(m.life))
+}
+
+func (m *lateModel) leave(t *rapid.T) {
+	m.air = append(m.air, executorCall{m.life, true})
+	m.crash(t)
+}
+
+func (m *lateModel) heartbeat(*rapid.T) { m.air = append(m.air, executorCall{life: m.life}) }
+
+// arrive has any of the executor's calls reach the agent, perhaps not for the last
+// time.
+func (m *lateModel) arrive(t *rapid.T) {
+	if len(m.air) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.air)-1).Draw(t, "call")
+	c := m.air[i]
+	if !rapid.Bool().Draw(t, "again") {
+		m.air = slices.Delete(m.air, i, i+1)
+	}
+	if c.farewell {
+		m.a.Gone(lifeName(c.life))
+		return
+	}
+	m.a.Describe(queue.VM{ID: modelVM, Life: lifeName(c.life), Service: "desk"}, false, 0)
+}
+
+// confirm has the agent ask about one of the lives that it heard of.
+func (m *lateModel) confirm(t *rapid.T) {
+	if lives := m.a.unconfirmed(); len(lives) > 0 {
+		m.a.confirm(context.Background(), rapid.SampledFrom(lives).Draw(t, "life"))
+	}
+}
+
+func (m *lateModel) look(*rapid.T) {
+	req, life, ok := m.a.nextLook()
+	if !ok {
+		return
+	}
+	look, err := m.a.look(context.Background(), life, req)
+	if err != nil {
+		m.a.lookFailed(life, err)
+		return
+	}
+	m.a.looked(context.Background(), life, look, time.Unix(1000, 0))
+}
+
+// restartAgent puts an agent without memory in place. What it has sent is on its
+// way yet.
+func (m *lateModel) restartAgent(t *rapid.T) {
+	m.a = New(string(modelVM), func() []string { return nil }, m, zerolog.Nop())
+	m.known = -1
+	m.reopen(t)
+}
+
+// reopen begins another session.
+func (m *lateModel) reopen(*rapid.T) {
+	m.sessions = append(m.sessions, agentSession{agent: m.a, sent: map[uint64]bool{}})
+}
+
+// send sends the agent's reports and a heartbeat.
+func (m *lateModel) send(*rapid.T) {
+	ses := &m.sessions[len(m.sessions)-1]
+	for _, id := range slices.Sorted(maps.Keys(m.a.reports)) {
+		if !ses.sent[id] {
+			ses.sent[id] = true
+			ses.box = append(ses.box, m.a.reports[id].message(id))
+		}
+	}
+	if b, ok := m.a.beat(); ok {
+		ses.box = append(ses.box, wire.FromNode{Beat: &b})
+	}
+}
+
+// deliver brings the leader the next message of any session.
+func (m *lateModel) deliver(t *rapid.T) {
+	m.take(rapid.IntRange(0, len(m.sessions)-1).Draw(t, "session"))
+}
+
+func (m *lateModel) take(i int) {
+	ses := &m.sessions[i]
+	if len(ses.box) == 0 {
+		return
+	}
+	msg := ses.box[0]
+	ses.box = ses.box[1:]
+	switch {
+	case msg.Ends != nil:
+		m.apply(queue.Command{Ends: &msg.Ends.Ends})
+		if msg.Ends.Left {
+			m.apply(queue.Command{Lost: &queue.Lost{VM: modelVM, Life: msg.Ends.Ends.Life}})
+		}
+		if i == len(m.sessions)-1 {
+			ses.agent.Handle(wire.ToQueueNode{Noted: &wire.Noted{Seq: msg.Ends.Seq}})
+		}
+	case i < m.spoken:
+		ses.box = nil // the leader ends the session
+	default:
+		m.spoken = i
+		m.register(msg.Beat.VM)
+	}
+}
+
+// register commits a life that is new and starts the feed there.
+func (m *lateModel) register(vm queue.VM) {
+	if known := m.state.VM(modelVM); known != nil && known.Live && known.Same(vm) {
+		return
+	}
+	m.apply(queue.Command{Register: &vm})
+	m.apply(queue.Command{Starts: []queue.Start{{Task: queue.TaskKey{Job: "feed"}, VM: modelVM, Life: vm.Life}}})
+}
+
+// index returns the place of a life among all, or -1 for none.
+func (m *lateModel) index(life string) int {
+	for i := range m.life + 1 {
+		if lifeName(i) == life {
+			return i
+		}
+	}
+	return -1
+}
+
+// check holds that neither agent nor leader goes back to an earlier life, and that
+// nothing but a later life ends what runs in the present one.
+func (m *lateModel) check(t *rapid.T) {
+	known := m.index(m.a.Life())
+	if known >= 0 {
+		assert.Assert(t, known >= m.known, "the agent went from life %d back to %d", m.known, known)
+		m.known = known
+	}
+	vm := m.state.VM(modelVM)
+	if vm == nil {
+		return
+	}
+	registered := m.index(vm.Life)
+	assert.Assert(t, registered >= m.registered, "the leader went from life %d back to %d", m.registered, registered)
+	m.registered = registered
+	if registered == m.life {
+		assert.Assert(t, vm.Live, "the present life counts as lost")
+		assert.Equal(t, len(vm.Runs()), 1, "the present life's run was ended")
+	}
+}
+
+// calm lets what the present life says arrive, and then all that is late.
+func (m *lateModel) calm(t *rapid.T) {
+	m.mute, m.dies = false, false
+	m.a.Describe(queue.VM{ID: modelVM, Life: lifeName(m.life), Service: "desk"}, false, 0)
+	for _, life := range m.a.unconfirmed() {
+		m.a.confirm(context.Background(), life)
+	}
+	m.look(t)
+	m.send(t)
+	for i := len(m.sessions) - 1; i >= 0; i-- {
+		for len(m.sessions[i].box) > 0 {
+			m.take(i)
+			m.check(t)
+		}
+	}
+	for _, c := range m.air {
+		m.a.Describe(queue.VM{ID: modelVM, Life: lifeName(c.life), Service: "desk"}, false, 0)
+	}
+	for _, life := range m.a.unconfirmed() {
+		m.a.confirm(context.Background(), life)
+	}
+	m.check(t)
+	assert.Equal(t, m.known, m.life)
+	assert.Equal(t, m.registered, m.life)
+}
+
+// TestLateModel delays, reorders and repeats what an executor's lives tell their
+// agent, and delays what the agent tells the leader, over crashes and farewells of
+// the executor and restarts of the agent.
+func TestLateModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newLateModel(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"": m.check, "crash": m.crash, "leave": m.leave, "heartbeat": m.heartbeat,
+			"arrive": m.arrive, "arrive too": m.arrive, "confirm": m.confirm, "confirm too": m.confirm, "look": m.look,
+			"restart the agent": m.restartAgent, "reopen": m.reopen, "send": m.send,
+			"deliver": m.deliver, "deliver too": m.deliver,
+			"mute": func(*rapid.T) { m.mute = !m.mute }, "dies": func(*rapid.T) { m.dies = true },
+		})
+		m.calm(t)
+	})
+}
