Let heartbeats and ends of earlier sessions arrive late in the model of runs

Cause: TestModel dropped what was on its way when a session closed, so it could not show what a late heartbeat does to tasks.

Change: what was sent in a closed session is kept and arrives later, unless the leader has changed; the leader takes heartbeats from the latest session only, as package scheduler does, and answers no session that has ended.

--- a/runs/model_test.go
+++ b/runs/model_test.go
@@ -57,7 +57,10 @@
 	keeper *runs.Keeper
 	ended  uint64 // ends acknowledged to the executor
 
-	open     bool // the session
+	open     bool     // the session
+	number   int      // of the session
+	spoken   int      // latest session whose heartbeat the leader has heard
+	late     []func() // sent to this leader in earlier sessions, and not arrived
 	epoch    uint64
 	sent     map[rudderfork.RunRef]bool
 	toAgent  []func()
@@ -139,7 +142,10 @@
 	v.closeSession()
 }
 
+// closeSession ends the session. What was sent in it may yet arrive.
 func (v *vm) closeSession() {
+	v.late = append(v.late, v.toLeader...)
+	v.number++
 	v.open, v.epoch = false, 0
 	v.sent = map[rudderfork.RunRef]bool{}
 	v.toAgent, v.toLeader = nil, nil
@@ -181,6 +187,8 @@
 		v.closeSession()
 	case 15, 16, 17, 18, 19, 20:
 		v.exec.Flush()
+	case 21, 22, 23, 24, 25, 26:
+		deliver(&v.late)
 	}
 }
 
@@ -194,6 +202,7 @@
 	}
 	for _, v := range s.vms {
 		v.closeSession()
+		v.late, v.spoken = nil, v.number // it was sent to the leader before
 	}
 }
 
@@ -271,12 +280,17 @@
 		v.open = true
 		v.keeper.SetTerm(v.s.term)
 	}
-	sent, life := v.s.now, v.keeper.Life()
-	v.post(&v.toLeader, func() { v.leaderBeat(sent, life) })
+	sent, life, number := v.s.now, v.keeper.Life(), v.number
+	v.post(&v.toLeader, func() { v.leaderBeat(number, sent, life) })
 }
 
-// leaderBeat is the leader's handling of a heartbeat, as in package scheduler.
-func (v *vm) leaderBeat(sent time.Time, life string) {
+// leaderBeat is the leader's handling of a heartbeat in a session, as in package
+// scheduler.
+func (v *vm) leaderBeat(number int, sent time.Time, life string) {
+	if number < v.spoken {
+		return
+	}
+	v.spoken = number
 	s, g := v.s, v.s.grantor(v.id)
 	desc := queue.VM{ID: v.id, Life: life, Service: "desk", Capacity: rudderfork.Resources{CPUMilli: 2000}}
 	known := s.state.VM(v.id)
@@ -361,7 +375,7 @@
 	if len(ends) == 0 {
 		return
 	}
-	life := v.keeper.Life()
+	life, number := v.keeper.Life(), v.number
 	v.post(&v.toLeader, func() {
 		res := v.s.apply(queue.Command{Ends: &queue.Ends{VM: v.id, Life: life, List: ends}})
 		for i, e := range ends {
@@ -369,6 +383,9 @@
 				v.s.done[rudderfork.TaskID(e.Task.String())] = true
 			}
 		}
+		if v.number != number {
+			return // nobody is there to be told
+		}
 		v.post(&v.toAgent, func() {
 			if v.keeper.Life() == life {
 				v.keeper.Noted(ends)
@@ -398,7 +415,8 @@
 )
 
 // TestModel drives leader, agents and executors through lost, doubled and late
-// orders, changes of the leader, restarts, freezes and cuts. What holds at every
+// orders, late heartbeats and ends of earlier sessions, changes of the leader,
+// restarts, freezes and cuts. What holds at every
 // step stands in began; in the end every job must be done.
 func TestModel(t *testing.T) {
 	for seed := range uint64(seeds) {
