Hold what a replica's earlier life says late against its present one

Cause: links and ends of connections were not held by a test.

Change: TestLateCaller (an earlier life that dials does not get what is meant for the present one, at whatever address) and a subtest of TestLateReplies (the end of an earlier life's connection makes nobody campaign). Both pass on the code as it was: callers are remembered by the member ID, which has the life in it. Conclusion: nothing to mend there.

--- a/quorum/late_test.go
+++ b/quorum/late_test.go
@@ -108,6 +108,13 @@
 		}
 		assert.Equal(t, l.node.Role(), Leader)
 	})
+	t.Run("the end of its connection makes nobody campaign", func(t *testing.T) {
+		n := g.replicas[presentLife].node
+		campaign := n.NextDeadline()
+		n.Suspect(foundingLife, g.now)
+		assert.Equal(t, n.NextDeadline(), campaign)
+		assert.Assert(t, n.leaderAlive(g.now))
+	})
 	t.Run("a vote counts for no other life", func(t *testing.T) {
 		n := g.replicas[presentLife].node
 		n.resetElection(g.now)
--- a/replica/peers_test.go
+++ b/replica/peers_test.go
@@ -123,3 +123,29 @@
 	e := startLinked(t, "e", false, a.self.Addr, d.self.Addr, c.self.Addr)
 	waitVoters(t, e, c, d, e)
 }
+
+// TestLateCaller has a replica's earlier life heard of after a later one has joined:
+// neither is sent what is meant for the other.
+func TestLateCaller(t *testing.T) {
+	self := quorum.Member{ID: MemberID("a", Founding), Name: "a", Addr: "127.0.0.1:1"}
+	now := quorum.Member{ID: MemberID("b", "now"), Name: "b", Addr: "127.0.0.1:2", Voter: true}
+	before := quorum.Member{ID: MemberID("b", "before"), Name: "b", Addr: "127.0.0.1:3"}
+	p := NewPeers(self, nil, nil, zerolog.Nop())
+	p.noteCaller(now)
+	p.SetGroup([]quorum.Member{self, now}, true)
+	p.noteCaller(before)
+	p.mu.Lock()
+	p.reconcile()
+	p.mu.Unlock()
+	p.Send(quorum.Message{To: now.ID})
+	checkWaiting := func(addr string, want int) {
+		t.Helper()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		assert.Equal(t, len(p.links[addr].queue), want, "for %s", addr)
+	}
+	checkWaiting(now.Addr, 1)
+	checkWaiting(before.Addr, 0)
+	p.Send(quorum.Message{To: before.ID})
+	checkWaiting(now.Addr, 1)
+}
