Take an agent's registration and heartbeats from its latest connection only

Cause: the product's own agents say in the hello of a session what they are; the leader committed each as it came, and extended the lease for heartbeats in any session.

Ruled out: the boot in the hello: it tells processes apart and not their order.

Change: connections are numbered before they are answered. An agent leaves its connection before it opens the next and says hello only once that is answered, so a hello in an earlier connection than that of the latest registration is late: it is refused, as are heartbeats there. Registrations of a VM are committed one after the other.

--- a/control/hub.go
+++ b/control/hub.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net/http"
 	"slices"
@@ -46,6 +47,14 @@
 	expiring map[rudderfork.VMID]bool
 	sessions map[*session]bool
 	nodes    map[string]Node // by process
+	opened   uint64          // connections until now
+	agents   map[rudderfork.VMID]*agentTurn
+}
+
+// agentTurn says which connection of a VM's agent is the latest.
+type agentTurn struct {
+	number      uint64 // of the latest that has registered the VM
+	registering bool
 }
 
 // Node is what control knows of an entry or agent.
@@ -66,6 +75,7 @@
 	return &hub{
 		cfg: cfg, rep: rep, learned: l, log: log, rec: rec, grants: g,
 		expiring: map[rudderfork.VMID]bool{}, sessions: map[*session]bool{}, nodes: map[string]Node{},
+		agents: map[rudderfork.VMID]*agentTurn{},
 	}
 }
 
@@ -81,6 +91,7 @@
 	h.grants.Reset(vms, now)
 	clear(h.expiring)
 	clear(h.nodes)
+	clear(h.agents)
 }
 
 // closeAll closes all sessions.
@@ -169,6 +180,7 @@
 }
 
 func (h *hub) accept(w http.ResponseWriter, r *http.Request) {
+	number := h.number()
 	c, err := wire.Accept[wire.ToNode, wire.ToControl](w, r, wire.NodeSession)
 	if err != nil {
 		h.log.Warn().Err(err).Msg("node_refused")
@@ -185,7 +197,7 @@
 		_ = c.Send(r.Context(), wire.ToNode{Redirect: redirect}) // it redials either way
 		return
 	}
-	h.serve(r.Context(), c, *hello)
+	h.serve(r.Context(), c, number, *hello)
 }
 
 func (h *hub) barrier(ctx context.Context) error {
@@ -194,8 +206,62 @@
 	return h.rep.Barrier(ctx)
 }
 
-func (h *hub) serve(ctx context.Context, c *wire.Conn[wire.ToNode, wire.ToControl], hello wire.Hello) {
-	s := newSession(h, c, hello)
+// number numbers a connection, before it is answered.
+func (h *hub) number() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.opened++
+	return h.opened
+}
+
+var (
+	// errOutlived means that the VM's agent has registered in a later connection.
+	errOutlived = errors.New("the VM's agent has a later session")
+	// errRegistering means that it is doing so in another one.
+	errRegistering = errors.New("the VM's agent is being registered in another session")
+)
+
+// beginRegistration takes a VM's registration in a connection, unless its agent
+// has registered in a later one: then the hello was held up on its way, and may be
+// of a process that has ended. Registrations of a VM are committed one after the
+// other; this one is to be followed by endRegistration.
+//
+// Connections are in the order of the agent's processes, since an agent leaves its
+// connection before it opens the next, and says hello only once that is answered.
+func (h *hub) beginRegistration(vm rudderfork.VMID, number uint64) (turn *agentTurn, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	turn = h.agents[vm]
+	if turn == nil {
+		turn = &agentTurn{}
+		h.agents[vm] = turn
+	}
+	switch {
+	case number < turn.number:
+		return nil, errOutlived
+	case turn.registering:
+		return nil, errRegistering
+	}
+	turn.number, turn.registering = number, true
+	return turn, nil
+}
+
+func (h *hub) endRegistration(turn *agentTurn) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	turn.registering = false
+}
+
+// outlived reports whether a VM's agent has registered in a later connection.
+func (h *hub) outlived(vm rudderfork.VMID, number uint64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	turn := h.agents[vm]
+	return turn != nil && number < turn.number
+}
+
+func (h *hub) serve(ctx context.Context, c *wire.Conn[wire.ToNode, wire.ToControl], number uint64, hello wire.Hello) {
+	s := newSession(h, c, number, hello)
 	if err := s.register(ctx); err != nil {
 		h.log.Warn().Err(err).Str("node", hello.Process).Msg("node_refused")
 		return
--- a/control/late_test.go
+++ b/control/late_test.go
@@ -32,6 +32,7 @@
 
 func (alone) Send(quorum.Message)            {}
 func (alone) SetGroup([]quorum.Member, bool) {}
+func (alone) Addrs() []string                { return nil }
 
 // leading is a hub on a group of one.
 type leading struct {
@@ -85,7 +86,7 @@
 // dial connects; nothing is said yet.
 func (l *leading) dial(boot string) *agentLink {
 	l.t.Helper()
-	c, err := wire.Dial[wire.ToControl, wire.ToNode](l.t.Context(), l.url)
+	c, err := wire.Dial[wire.ToControl, wire.ToNode](l.t.Context(), l.url, wire.NodeSession)
 	assert.NilError(l.t, err)
 	l.t.Cleanup(c.Close)
 	return &agentLink{l, boot, c}
--- a/control/session.go
+++ b/control/session.go
@@ -24,12 +24,13 @@
 // session is the connection of one entry or agent. What it pushes is always the
 // whole of what is newer than what it last sent, so nothing has to be queued.
 type session struct {
-	hub   *hub
-	conn  *wire.Conn[wire.ToNode, wire.ToControl]
-	hello wire.Hello
-	epoch rudderfork.Token // 0 without a lease
-	out   chan wire.ToNode
-	woken wakeup.Signal
+	hub    *hub
+	number uint64 // of the connection
+	conn   *wire.Conn[wire.ToNode, wire.ToControl]
+	hello  wire.Hello
+	epoch  rudderfork.Token // 0 without a lease
+	out    chan wire.ToNode
+	woken  wakeup.Signal
 
 	mu   sync.Mutex
 	sent pushed
@@ -54,9 +55,9 @@
 	return m.Hello, wire.CheckVersion(m.Hello.Process, m.Hello.Version)
 }
 
-func newSession(h *hub, c *wire.Conn[wire.ToNode, wire.ToControl], hello wire.Hello) *session {
+func newSession(h *hub, c *wire.Conn[wire.ToNode, wire.ToControl], number uint64, hello wire.Hello) *session {
 	s := &session{
-		hub: h, conn: c, hello: hello, sent: pushed{table: hello.Have},
+		hub: h, number: number, conn: c, hello: hello, sent: pushed{table: hello.Have},
 		out: make(chan wire.ToNode, outQueue), woken: wakeup.New(),
 	}
 	s.woken.Set()
@@ -68,6 +69,11 @@
 	if s.hello.Register == nil {
 		return nil
 	}
+	turn, err := s.hub.beginRegistration(s.hello.Place.VM, s.number)
+	if err != nil {
+		return err
+	}
+	defer s.hub.endRegistration(turn)
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
 	res, err := s.hub.rep.Do(ctx, state.Command{Register: s.hello.Register})
@@ -108,6 +114,9 @@
 		if err != nil {
 			return err
 		}
+		if m.Beat != nil && s.epoch != 0 && s.hub.outlived(s.hello.Place.VM, s.number) {
+			return errOutlived
+		}
 		s.handle(ctx, m)
 	}
 }
--- a/replica/peers_test.go
+++ b/replica/peers_test.go
@@ -130,7 +130,7 @@
 	self := quorum.Member{ID: MemberID("a", Founding), Name: "a", Addr: "127.0.0.1:1"}
 	now := quorum.Member{ID: MemberID("b", "now"), Name: "b", Addr: "127.0.0.1:2", Voter: true}
 	before := quorum.Member{ID: MemberID("b", "before"), Name: "b", Addr: "127.0.0.1:3"}
-	p := NewPeers(self, nil, nil, zerolog.Nop())
+	p := NewPeers(self, nil, nil, electionTimeout, zerolog.Nop())
 	p.noteCaller(now)
 	p.SetGroup([]quorum.Member{self, now}, true)
 	p.noteCaller(before)
