Let the stand-in executor hold calls back for a time

Cause: the stand-in carries a postponed call out only when a test says Flush, all at once; an executor that does so seconds late, each call by itself and after newer ones, could not be played on driven time.

Ruled out: a goroutine with a timer for each call, since tests drive the time.

Change: Config.Delay gives how long a postponed call is held back; it is carried out by the first look or call after that, on the executor's given time. Config.Forgets leaves no trace of a stop that came before its run, for tests of what holds even then. Without either nothing changes.

--- a/standin/executor/executor.go
+++ b/standin/executor/executor.go
@@ -34,7 +34,7 @@
 	Answered  Fate = iota
 	Unheard        // it is not carried out, and not answered
 	Lost           // it is carried out, and not answered
-	Postponed      // it is not answered, and carried out with the next Flush
+	Postponed      // it is not answered, and carried out once its Delay is over, or with the next Flush
 )
 
 // Executor is one VM's stand-in. It is safe for concurrent use.
@@ -54,12 +54,20 @@
 	ended    []rudderfork.EndRow
 	seq      uint64
 	fate     func(call string) Fate
-	late     []func()
+	delay    func(call string) time.Duration
+	forgets  bool
+	late     []lateCall
 	sizes    func(payload string) rudderfork.Resources
 	onStart  func(rudderfork.RunRef)
 	onFinish func(rudderfork.RunRef, string)
 }
 
+// lateCall is a call that is held back.
+type lateCall struct {
+	at time.Time // when it is carried out; zero means only by Flush
+	do func()
+}
+
 // run is one run at work.
 type run struct {
 	ref     rudderfork.RunRef
@@ -82,6 +90,11 @@
 	Sizes func(payload string) rudderfork.Resources
 	// Fate decides what becomes of each call; nil means that all are answered.
 	Fate func(call string) Fate
+	// Delay tells how long a postponed call is held back; nil means until Flush.
+	Delay func(call string) time.Duration
+	// Forgets breaks the contract in one thing: a stop of a run that is not there
+	// leaves no trace, so that a start that is held back still begins it.
+	Forgets bool
 	// OnStart and OnFinish hear of each run's begin and end, under the lock.
 	OnStart  func(rudderfork.RunRef)
 	OnFinish func(r rudderfork.RunRef, how string)
@@ -90,8 +103,8 @@
 // New returns an executor with a life.
 func New(life string, cfg Config) *Executor {
 	e := &Executor{
-		now: cfg.Now, rate: cfg.Rate, room: cfg.Room, fate: cfg.Fate, sizes: cfg.Sizes,
-		onStart: cfg.OnStart, onFinish: cfg.OnFinish,
+		now: cfg.Now, rate: cfg.Rate, room: cfg.Room, fate: cfg.Fate, delay: cfg.Delay, forgets: cfg.Forgets,
+		sizes: cfg.Sizes, onStart: cfg.OnStart, onFinish: cfg.OnFinish,
 	}
 	if e.rate == 0 {
 		e.rate = 1
@@ -141,7 +154,24 @@
 	late := e.late
 	e.late = nil
 	for i := len(late) - 1; i >= 0; i-- {
-		late[i]()
+		late[i].do()
+	}
+}
+
+// catchUp carries out the calls whose delay is over, as the executor's other calls
+// and looks come by. The caller holds mu.
+func (e *Executor) catchUp() {
+	now := e.now()
+	var due []lateCall
+	e.late = slices.DeleteFunc(e.late, func(c lateCall) bool {
+		ready := !c.at.IsZero() && !now.Before(c.at)
+		if ready {
+			due = append(due, c)
+		}
+		return ready
+	})
+	for _, c := range due {
+		c.do()
 	}
 }
 
@@ -149,6 +179,7 @@
 func (e *Executor) Running() (refs []rudderfork.RunRef) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.catchUp()
 	e.advance()
 	for _, r := range e.running {
 		refs = append(refs, r.ref)
@@ -200,6 +231,7 @@
 func (e *Executor) call(name, life string, do func()) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.catchUp()
 	e.advance()
 	if life != e.life {
 		return rudderfork.ErrOtherLife
@@ -211,12 +243,16 @@
 		do()
 		return ErrNoAnswer
 	case Postponed:
-		e.late = append(e.late, func() {
+		c := lateCall{do: func() {
 			e.advance()
 			if life == e.life {
 				do()
 			}
-		})
+		}}
+		if e.delay != nil {
+			c.at = e.now().Add(e.delay(name))
+		}
+		e.late = append(e.late, c)
 		return ErrNoAnswer
 	case Answered:
 	}
@@ -286,10 +322,12 @@
 			return
 		}
 		e.fence = fence
-		e.barred[ref.Task] = max(e.barred[ref.Task], ref.Run)
 		if r := e.running[ref.Task]; r != nil && r.ref.Run <= ref.Run {
 			e.end(r, "stopped")
+		} else if e.forgets {
+			return
 		}
+		e.barred[ref.Task] = max(e.barred[ref.Task], ref.Run)
 	})
 }
 
@@ -335,6 +373,7 @@
 func (e *Executor) account() (look rudderfork.Look) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.catchUp()
 	e.advance()
 	look.ClockMS = e.clock()
 	look.Ended = append(look.Ended, e.ended...)
