Test starts that are carried out late, and those of an earlier agent

Cause: nothing held what becomes of a run that begins after its stop was confirmed or its end reported, nor what a new agent may conclude about a run whose start an earlier agent has sent.

These fail on the present code, for real faults: - TestLateStart: a run that an account lists after its stop was confirmed is never stopped again (Keeper.due passes over a confirmed order, and checkStray over one that is known); nor is one whose end was reported, until that report is noted, which without a leader may take for ever. - TestLateStart: while a call is under way RetryAt names a time that is over, so that the call loop turns once a millisecond until the call ends. - TestEarlierAgent: a new agent that gets the orders of one that crashed takes the refusal of its own first try, or a draining executor, for the end of the run, and reports it without a stop. The earlier agent's start may be held back, and begin beside the run that the leader starts next.

Ruled out: the stop without an answer; it is sent again 100 ms later until there is one (this subtest passes).

--- a/runs/keeper_test.go
+++ b/runs/keeper_test.go
@@ -191,6 +191,121 @@
 	})
 }
 
+// listed is an account that lists runs at work.
+func listed(runs ...uint32) (look rudderfork.Look) {
+	for _, run := range runs {
+		look.Running = append(look.Running, rudderfork.RunRow{RunRef: ref(run)})
+	}
+	return look
+}
+
+// checkStops holds that a stop of the run is all that is due.
+func checkStops(t *testing.T, k *Keeper, run uint32, now time.Time) {
+	t.Helper()
+	c := onlyCall(t, k, now)
+	assert.Equal(t, c.Ref, ref(run))
+	assert.Assert(t, c.Start == nil, "run %d is started", run)
+}
+
+// TestLateStart has a run begin that was thought to be over: a start of it was
+// held back.
+func TestLateStart(t *testing.T) {
+	stopOrder := wire.Orders{Life: "life-1", Epoch: 1, Stop: []rudderfork.RunRef{ref(1)}}
+	t.Run("after its stop was confirmed it is stopped again", func(t *testing.T) {
+		k := ready(1)
+		onlyCall(t, k, t0)
+		k.Started(ref(1), 0, errLost, t0)
+		k.Order(stopOrder)
+		checkStops(t, k, 1, t0.Add(time.Second))
+		k.Stopped(ref(1), nil, t0.Add(time.Second))
+		checkNothingDue(t, k, t0.Add(time.Second))
+		checkEnds(t, k.Looked(listed(1), t0.Add(2*time.Second)))
+		checkStops(t, k, 1, t0.Add(2*time.Second))
+	})
+	t.Run("an account that is older than the stop says nothing", func(t *testing.T) {
+		k := ready(1)
+		k.Order(stopOrder)
+		checkStops(t, k, 1, t0)
+		k.Stopped(ref(1), nil, t0.Add(time.Second))
+		checkEnds(t, k.Looked(listed(1), t0))
+		checkNothingDue(t, k, t0.Add(time.Second))
+	})
+	t.Run("after its end was reported it is stopped, noted or not", func(t *testing.T) {
+		k := ready(1)
+		k.Order(stopOrder)
+		checkStops(t, k, 1, t0)
+		k.Stopped(ref(1), nil, t0)
+		checkEnds(t, k.Looked(rudderfork.Look{}, t0.Add(time.Second)), queue.EndGone)
+		checkEnds(t, k.Looked(listed(1), t0.Add(2*time.Second)))
+		checkStops(t, k, 1, t0.Add(2*time.Second))
+		k.Stopped(ref(1), nil, t0.Add(2*time.Second))
+		k.Noted([]queue.End{{Task: queue.TaskKey{Job: "j"}, Run: 1}})
+		k.Looked(listed(1), t0.Add(3*time.Second))
+		checkStops(t, k, 1, t0.Add(3*time.Second))
+	})
+	t.Run("a stop without an answer is sent until there is one", func(t *testing.T) {
+		k := ready(1)
+		k.Order(stopOrder)
+		now := t0
+		for range 5 {
+			checkStops(t, k, 1, now)
+			k.Stopped(ref(1), errLost, now)
+			at, ok := k.RetryAt()
+			assert.Assert(t, ok)
+			now = at
+		}
+	})
+	t.Run("while a call is under way there is nothing to try again", func(t *testing.T) {
+		k := ready(1)
+		onlyCall(t, k, t0)
+		k.Started(ref(1), 0, errLost, t0)
+		onlyCall(t, k, t0.Add(time.Second))
+		_, ok := k.RetryAt()
+		assert.Assert(t, !ok)
+	})
+}
+
+// TestEarlierAgent gives a new agent the orders of one before it, whose calls may
+// still be held back.
+func TestEarlierAgent(t *testing.T) {
+	fullList := func() *Keeper {
+		k := New()
+		k.Reset("life-1")
+		k.SetClock(10_000, t0)
+		k.Order(wire.Orders{Life: "life-1", Epoch: 1, Full: true, Start: []wire.RunOrder{{RunRef: ref(1)}}})
+		k.Grant("life-1", 1, t0.Add(5*time.Second))
+		return k
+	}
+	t.Run("a start that is refused is over only by a stop", func(t *testing.T) {
+		k := fullList()
+		onlyCall(t, k, t0)
+		assert.Assert(t, k.Started(ref(1), rudderfork.StartNoRoom, nil, t0) == nil)
+		checkStops(t, k, 1, t0)
+		k.Stopped(ref(1), nil, t0)
+		checkEnds(t, k.Looked(rudderfork.Look{}, t0.Add(time.Second)), queue.EndGone)
+	})
+	t.Run("so is one that a draining executor is not sent", func(t *testing.T) {
+		k := fullList()
+		k.SetDraining(true)
+		checkStops(t, k, 1, t0)
+	})
+	t.Run("a run of a job that was cancelled meanwhile is stopped and not started", func(t *testing.T) {
+		k := fullList()
+		k.Order(wire.Orders{Life: "life-1", Epoch: 1, Stop: []rudderfork.RunRef{ref(1)}})
+		checkStops(t, k, 1, t0)
+	})
+	t.Run("a run that is not listed is stopped once it begins", func(t *testing.T) {
+		k := fullList()
+		onlyCall(t, k, t0)
+		k.Started(ref(1), rudderfork.Started, nil, t0)
+		other := rudderfork.RunRef{Task: "j.0.0.1", Run: 1}
+		k.Looked(rudderfork.Look{Running: []rudderfork.RunRow{{RunRef: ref(1)}, {RunRef: other}}}, t0.Add(time.Second))
+		c := onlyCall(t, k, t0.Add(time.Second))
+		assert.Equal(t, c.Ref, other)
+		assert.Assert(t, c.Start == nil)
+	})
+}
+
 func TestEpochs(t *testing.T) {
 	k := ready(1)
 	onlyCall(t, k, t0)
