Stop again what runs after its stop or its reported end

Cause: an order whose stop was confirmed, or whose end was reported, was never looked at again (first two faults of TestLateStart). The contract of executors says that a stop bars a start that is held back, so this takes one that is broken; but what then runs is a task of a cancelled job, for as long as its VM has a lease.

Ruled out: repeating each stop for as long as a start may be held back (twelve seconds): the looks list what runs anyway, each at most a second after the other, so a repetition without cause would only add calls.

Change: Keeper.checkRunning, in the place of checkStray, also stops again a run that an account lists which was asked for after the stop was confirmed, and one whose end was reported. One more stop a look at most.

Conclusion: the two subtests of TestLateStart pass; TestModel passes (400 schedules).

--- a/runs/keeper.go
+++ b/runs/keeper.go
@@ -321,7 +321,7 @@
 	there := map[rudderfork.RunRef]bool{}
 	for _, r := range look.Running {
 		there[r.RunRef] = true
-		k.checkStray(r.RunRef)
+		k.checkRunning(r.RunRef, asked)
 	}
 	ends = Ends(look.Ended)
 	for _, e := range look.Ended {
@@ -355,13 +355,19 @@
 	return ends
 }
 
-// checkStray stops a run that control does not want here.
-func (k *Keeper) checkStray(ref rudderfork.RunRef) {
-	if !k.synced || k.strays[ref] != nil {
-		return
-	}
-	if o := k.orders[ref.Task]; o == nil || o.Run != ref.Run {
+// checkRunning stops a run that control does not want here, as listed by an account
+// that was asked for at the given time. A start that was held back may begin a run
+// after its stop was confirmed, and after its end was reported; only an account
+// shows it. The contract says that a stop bars such a start; nothing here rests on
+// that but the end that is concluded.
+func (k *Keeper) checkRunning(ref rudderfork.RunRef, asked time.Time) {
+	o := k.orders[ref.Task]
+	switch {
+	case !k.synced || k.strays[ref] != nil:
+	case o == nil || o.Run != ref.Run || o.ended:
 		k.strays[ref] = &order{RunOrder: wire.RunOrder{RunRef: ref}, stop: true}
+	case o.stop && !o.confirmed.IsZero() && o.confirmed.Before(asked):
+		o.confirmed, o.retryAt = time.Time{}, time.Time{}
 	}
 }
 
