Wait for a call that is under way without turning idly

Cause: Keeper.RetryAt named the time of the retry also while that retry was under way. That time is over, so the agent's call loop woke once a millisecond until the call ended, 500 ms at most, and took the agent's lock each time (TestLateStart, last subtest).

Change: order.waits says for orders and strays alike whether a call is to be made again; one that is under way is not among them. Its answer wakes the loop.

Conclusion: the subtest passes. No figures of processor time were taken.

--- a/runs/keeper.go
+++ b/runs/keeper.go
@@ -237,18 +237,24 @@
 // RetryAt returns when Due may have something again without another event.
 func (k *Keeper) RetryAt() (at time.Time, ok bool) {
 	for _, o := range k.orders {
-		if !o.retryAt.IsZero() && o.confirmed.IsZero() && !o.ended && (!ok || o.retryAt.Before(at)) {
+		if o.waits() && (!ok || o.retryAt.Before(at)) {
 			at, ok = o.retryAt, true
 		}
 	}
 	for _, o := range k.strays {
-		if !o.retryAt.IsZero() && o.confirmed.IsZero() && (!ok || o.retryAt.Before(at)) {
+		if o.waits() && (!ok || o.retryAt.Before(at)) {
 			at, ok = o.retryAt, true
 		}
 	}
 	return at, ok
 }
 
+// waits reports whether a call is to be made again, at retryAt. While one is under
+// way that is over, and would have the caller turn idly.
+func (o *order) waits() bool {
+	return !o.retryAt.IsZero() && !o.inFlight && !o.ended && o.confirmed.IsZero()
+}
+
 // Started takes the answer to a start, and returns the end to report if the run
 // surely will never begin here.
 func (k *Keeper) Started(ref rudderfork.RunRef, out rudderfork.StartOutcome, err error, now time.Time) (refused *queue.End) {
