Take an earlier agent's starts for sent until a stop bars them

Cause: whether a start may yet be carried out was known only to the agent that sent it. The next agent gets the run in its full list, tries to start it, and took a refusal (no room, a ticket, a draining executor) for the end of the run.

Ruled out: a task of a cancelled job is stopped here in any case, since its stop comes with the list.

Change: what a full list brings and the keeper does not know counts as sent and unanswered: a refusal is followed by a stop, which bars the start, and the end is reported once an account shows that it is gone. Cost: one stop for each such refusal. The other tests of a refusal meant a run that no other agent has sent; ready now gives them those after the full list, as the leader does, and they hold as before.

--- a/runs/keeper.go
+++ b/runs/keeper.go
@@ -64,7 +64,7 @@
 	wire.RunOrder
 	stop      bool
 	inFlight  bool
-	unsure    bool      // a start was sent and not answered
+	unsure    bool      // a start may have been sent and not answered
 	confirmed time.Time // when the executor confirmed the start, or the stop
 	retryAt   time.Time
 	ended     bool // its end was reported
@@ -140,7 +140,9 @@
 	}
 	for _, r := range o.Start {
 		if old := k.orders[r.Task]; old == nil || old.Run < r.Run {
-			k.orders[r.Task] = &order{RunOrder: r}
+			// What a full list brings may have been sent by an agent before this
+			// one, whose start the executor may yet carry out.
+			k.orders[r.Task] = &order{RunOrder: r, unsure: o.Full}
 		}
 	}
 	for _, r := range o.Stop {
--- a/runs/keeper_test.go
+++ b/runs/keeper_test.go
@@ -21,17 +21,17 @@
 
 func ref(run uint32) rudderfork.RunRef { return rudderfork.RunRef{Task: task, Run: run} }
 
-// ready returns a keeper in its first epoch, with a lease of 5 s and a clock.
+// ready returns a keeper in its first epoch, with a lease of 5 s and a clock. The
+// runs come after the full list: no other agent has sent them.
 func ready(starts ...uint32) *Keeper {
 	k := New()
 	k.Reset("life-1")
 	k.SetTerm(3)
 	k.SetClock(10_000, t0)
-	o := wire.Orders{Life: "life-1", Epoch: 1, Full: true}
+	k.Order(wire.Orders{Life: "life-1", Epoch: 1, Full: true})
 	for _, run := range starts {
-		o.Start = append(o.Start, wire.RunOrder{RunRef: ref(run), Payload: "p"})
+		k.Order(wire.Orders{Life: "life-1", Epoch: 1, Start: []wire.RunOrder{{RunRef: ref(run), Payload: "p"}}})
 	}
-	k.Order(o)
 	k.Grant("life-1", 1, t0.Add(5*time.Second))
 	return k
 }
