Tell a cancelled job's stop with its run, whatever is planned

Cause: newOrders took stops from the leader's last plan alone, which a new leader makes only after it has opened sessions (TestOrdersOfCancelledJobs).

Ruled out: opening sessions after the first plan. A plan needs the sessions' heartbeats to be worth anything, and the stop would still wait for the plan, which waits for the commit of the starts of the one before.

Change: a run of a job whose status is final is stopped by what the state says; the plan adds the other stops, and the reason for the log.

Conclusion: TestOrdersOfCancelledJobs passes, and the package's other tests.

--- a/scheduler/vm.go
+++ b/scheduler/vm.go
@@ -34,12 +34,16 @@
 	active := map[rudderfork.RunRef]bool{}
 	for k, run := range vm.Runs() {
 		ref := k.Ref(run)
+		j := qs.Job(k.Job)
 		active[ref] = true
 		if !ses.sent[ref] {
 			ses.sent[ref] = true
-			o.Start = append(o.Start, orderOf(qs.Job(k.Job), k, ref))
+			o.Start = append(o.Start, orderOf(j, k, ref))
 		}
-		if _, stop := ses.s.fleet.stops[ref]; stop && !ses.stops[ref] {
+		// A leader that is new has sessions before its first plan. What it knows
+		// from the state goes with the start, so that the agent never makes it.
+		_, stop := ses.s.fleet.stops[ref]
+		if (stop || j.Status.Final()) && !ses.stops[ref] {
 			ses.stops[ref] = true
 			o.Stop = append(o.Stop, ref)
 		}
