Cancel jobs in the model while starts are held back and starters replaced

Cause: the model of leader, agents and executors cancelled nothing, carried late calls out only at random moments, and let an agent hear at once that a call had no answer.

Change: the model's leader tells stops as package scheduler does; lease, look pause and the patience of agents are fields of the site. TestModel's schedules keep theirs.

--- a/runs/model_test.go
+++ b/runs/model_test.go
@@ -21,7 +21,7 @@
 )
 
 const (
-	lease     = 2 * time.Second
+	leaseTime = 2 * time.Second
 	stepTime  = 20 * time.Millisecond
 	beatSteps = 5 // between two heartbeats
 	host      = "tours.example"
@@ -43,6 +43,10 @@
 	vms     []*vm
 	faulty  bool
 
+	lease     time.Duration
+	patience  time.Duration // until agents take a call for unanswered
+	lookSteps int           // between two looks
+
 	active map[rudderfork.TaskID]rudderfork.VMID // at work now, by what executors tell
 	done   map[rudderfork.TaskID]bool            // the leader has committed it
 }
@@ -63,18 +67,29 @@
 	late     []func() // sent to this leader in earlier sessions, and not arrived
 	epoch    uint64
 	sent     map[rudderfork.RunRef]bool
+	stops    map[rudderfork.RunRef]bool // sent
 	toAgent  []func()
 	toLeader []func()
+	waiting  []unanswered
 	frozen   int // steps for which the agent stands still
 	cut      int // steps for which agent and leader do not hear each other
 }
 
+// unanswered is a call that the agent still waits for.
+type unanswered struct {
+	keeper *runs.Keeper // that made it
+	life   string
+	until  time.Time
+	tell   func()
+}
+
 func newSite(t *testing.T, seed uint64, vms int) *site {
 	s := &site{
 		t: t, rng: rand.New(rand.NewPCG(seed, 11)), now: time.Unix(1000, 0), state: queue.New(), term: 1,
 		leases: map[rudderfork.VMID]*runs.Grantor{}, active: map[rudderfork.TaskID]rudderfork.VMID{}, done: map[rudderfork.TaskID]bool{},
 	}
 	s.leadAt, s.contact = s.now, s.now
+	s.lease, s.lookSteps = leaseTime, beatSteps
 	s.apply(queue.Command{Document: &queue.Document{
 		Version: 1, Queues: []queue.Queue{{Name: "q", Host: host, Prefix: "/q/", Service: "desk", MaxAttempts: 50}},
 		Pools: []queue.Pool{{Service: "desk"}},
@@ -147,10 +162,14 @@
 	v.late = append(v.late, v.toLeader...)
 	v.number++
 	v.open, v.epoch = false, 0
-	v.sent = map[rudderfork.RunRef]bool{}
+	v.forgetOrders()
 	v.toAgent, v.toLeader = nil, nil
 }
 
+func (v *vm) forgetOrders() {
+	v.sent, v.stops = map[rudderfork.RunRef]bool{}, map[rudderfork.RunRef]bool{}
+}
+
 // step advances time and lets everyone act.
 func (s *site) step(n int) {
 	s.now = s.now.Add(stepTime)
@@ -198,7 +217,7 @@
 	s.leadAt, s.contact = s.now, s.now
 	s.leases = map[rudderfork.VMID]*runs.Grantor{}
 	for _, vm := range s.state.VMs() {
-		s.grantor(vm.ID).Assume(s.now.Add(lease))
+		s.grantor(vm.ID).Assume(s.now.Add(s.lease))
 	}
 	for _, v := range s.vms {
 		v.closeSession()
@@ -216,7 +235,7 @@
 // lead does the leader's round: it gives up VMs and starts tasks.
 func (s *site) lead() {
 	for _, vm := range s.state.VMs() {
-		if vm.Live && s.grantor(vm.ID).Expire(s.now, lease) {
+		if vm.Live && s.grantor(vm.ID).Expire(s.now, s.lease) {
 			s.apply(queue.Command{Lost: &queue.Lost{VM: vm.ID, Life: vm.Life}})
 		}
 	}
@@ -251,8 +270,11 @@
 	}
 	if n%beatSteps == 0 {
 		v.beat()
+	}
+	if n%v.s.lookSteps == 0 {
 		v.look()
 	}
+	v.hangUp()
 	calls, ends := v.keeper.Due(v.s.now)
 	v.report(ends, 0)
 	for _, c := range calls {
@@ -298,17 +320,17 @@
 		if g.Expiring() && known != nil && known.Live {
 			return
 		}
-		g.Assume(s.now.Add(lease))
+		g.Assume(s.now.Add(s.lease))
 		s.apply(queue.Command{Register: &desc})
 		g.Renew()
 		known = s.state.VM(v.id)
 	}
 	if v.epoch != known.Epoch {
 		v.epoch = known.Epoch
-		v.sent = map[rudderfork.RunRef]bool{}
+		v.forgetOrders()
 		v.sendOrders(true)
 	}
-	if left := g.Grant(s.contact, s.now, lease); left > 0 {
+	if left := g.Grant(s.contact, s.now, s.lease); left > 0 {
 		epoch := known.Epoch
 		v.post(&v.toAgent, func() { v.keeper.Grant(life, epoch, sent.Add(left)) })
 	}
@@ -332,12 +354,20 @@
 			v.sent[ref] = true
 			o.Start = append(o.Start, wire.RunOrder{RunRef: ref, Payload: v.s.state.Job(k.Job).Spec.Payload})
 		}
+		if v.s.state.Job(k.Job).Status.Final() && !v.stops[ref] {
+			v.stops[ref] = true
+			o.Stop = append(o.Stop, ref)
+		}
 	}
 	for ref := range v.sent {
-		if !active[ref] {
-			delete(v.sent, ref)
+		if active[ref] {
+			continue
+		}
+		delete(v.sent, ref)
+		if !v.stops[ref] {
 			o.Stop = append(o.Stop, ref)
 		}
+		delete(v.stops, ref)
 	}
 	byTask := func(a, b rudderfork.RunRef) int {
 		return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Run, b.Run))
@@ -398,12 +428,40 @@
 func (v *vm) call(c runs.Call) {
 	ctx, life := context.Background(), v.keeper.Life()
 	if c.Start == nil {
-		v.keeper.Stopped(c.Ref, v.exec.Stop(ctx, life, c.Ref, v.keeper.Fence()), v.s.now)
+		err := v.exec.Stop(ctx, life, c.Ref, v.keeper.Fence())
+		v.answer(err, func() { v.keeper.Stopped(c.Ref, err, v.s.now) })
 		return
 	}
 	out, err := v.exec.Start(ctx, life, *c.Start)
-	if end := v.keeper.Started(c.Ref, out, err, v.s.now); end != nil {
-		v.report([]queue.End{*end}, 0)
+	v.answer(err, func() {
+		if end := v.keeper.Started(c.Ref, out, err, v.s.now); end != nil {
+			v.report([]queue.End{*end}, 0)
+		}
+	})
+}
+
+// answer hands a call's answer to the keeper: at once, or if there is none when the
+// agent gives the call up.
+func (v *vm) answer(err error, tell func()) {
+	if err == nil || v.s.patience == 0 {
+		tell()
+		return
+	}
+	v.waiting = append(v.waiting, unanswered{v.keeper, v.keeper.Life(), v.s.now.Add(v.s.patience), tell})
+}
+
+// hangUp gives up the calls that have waited for long enough.
+func (v *vm) hangUp() {
+	all := v.waiting
+	v.waiting = nil
+	for _, u := range all {
+		switch {
+		case u.keeper != v.keeper || u.life != v.keeper.Life(): // nobody waits for it any more
+		case v.s.now.Before(u.until):
+			v.waiting = append(v.waiting, u)
+		default:
+			u.tell()
+		}
 	}
 }
 
