Test that one look without an answer is no farewell's end

Cause: after its farewell an executor may serve on for seconds, if its farewell's acknowledgement was lost, and leave a look without an answer like any call. The agent then takes it for gone: it stops nothing there any more, a cancelled job's runs neither, and tells the leader that the life has left, which begins its runs elsewhere while they still run here.

--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -136,13 +136,69 @@
 	assert.DeepEqual(t, m.Learned, learned)
 }
 
+// newAgentAlone returns an agent without loops, leader and executor, whose executor
+// has described itself and was ordered to run the given runs.
+func newAgentAlone(running ...rudderfork.RunRef) *Agent {
+	a := New("vm1", func() []string { return nil }, nil, zerolog.Nop())
+	a.take(description{vm: queue.VM{ID: "vm1", Life: "life-1"}})
+	o := wire.Orders{Full: true, Life: "life-1"}
+	for _, r := range running {
+		o.Start = append(o.Start, wire.RunOrder{RunRef: r})
+	}
+	a.keeper.Order(o)
+	return a
+}
+
+// TestFarewell has an executor say farewell, and leave looks without an answer.
+func TestFarewell(t *testing.T) {
+	run := rudderfork.RunRef{Task: "j.0.0.1", Run: 1}
+	leftOf := func(a *Agent) (life string) {
+		for _, r := range a.reports {
+			if r.left {
+				life = r.ends.Life
+			}
+		}
+		return life
+	}
+	t.Run("one look without an answer does not tell that it has left", func(t *testing.T) {
+		a := newAgentAlone(run)
+		a.Gone("life-1")
+		a.lookFailed("life-1", executor.ErrNoAnswer)
+		assert.Equal(t, a.Life(), "life-1")
+		a.looked(t.Context(), "life-1", rudderfork.Look{ClockMS: 1, Running: []rudderfork.RunRow{{RunRef: run}}}, steady.Now())
+		a.lookFailed("life-1", executor.ErrNoAnswer)
+		assert.Equal(t, a.Life(), "life-1")
+		assert.Equal(t, leftOf(a), "")
+	})
+	t.Run("two in succession do", func(t *testing.T) {
+		a := newAgentAlone(run)
+		a.Gone("life-1")
+		a.lookFailed("life-1", executor.ErrNoAnswer)
+		a.lookFailed("life-1", executor.ErrNoAnswer)
+		assert.Equal(t, a.Life(), "")
+		assert.Equal(t, leftOf(a), "life-1")
+	})
+	t.Run("and one that was before the farewell counts", func(t *testing.T) {
+		a := newAgentAlone(run)
+		a.lookFailed("life-1", executor.ErrNoAnswer)
+		a.Gone("life-1")
+		a.lookFailed("life-1", executor.ErrNoAnswer)
+		assert.Equal(t, leftOf(a), "life-1")
+	})
+	t.Run("without a farewell none does", func(t *testing.T) {
+		a := newAgentAlone(run)
+		for range 5 {
+			a.lookFailed("life-1", executor.ErrNoAnswer)
+		}
+		assert.Equal(t, a.Life(), "life-1")
+	})
+}
+
 // TestReportsAreBounded looks at an executor again and again while no leader
 // takes note of anything.
 func TestReportsAreBounded(t *testing.T) {
-	a := New("vm1", func() []string { return nil }, nil, zerolog.Nop())
-	a.take(description{vm: queue.VM{ID: "vm1", Life: "life-1"}})
 	lost := rudderfork.RunRef{Task: "j.0.0.1", Run: 1}
-	a.keeper.Order(wire.Orders{Full: true, Life: "life-1", Start: []wire.RunOrder{{RunRef: lost}}})
+	a := newAgentAlone(lost)
 	account := rudderfork.Look{
 		ClockMS: 1, Running: []rudderfork.RunRow{{RunRef: lost}},
 		Ended: []rudderfork.EndRow{{Seq: 1, RunRef: rudderfork.RunRef{Task: "j.0.0.0", Run: 1}, How: "done"}},
