Take an executor for ended only after two looks without an answer

Cause: after a farewell the first look without an answer ended the life for its agent (TestFarewell).

Ruled out: telling a refused connection from a look that ran out of time; the core sees errors of the executor without their kind, and an executor may end without refusing connections.

Change: the agent counts looks in succession without an answer, and departs after a farewell at the second one, or at once if another life answers.

Conclusion: TestFarewell passes; so do TestExecutorLeft and TestLostVM of package scheduler.

--- a/runner/look.go
+++ b/runner/look.go
@@ -79,7 +79,8 @@
 		a.replaced()
 		return
 	}
-	if a.leaving {
+	a.unanswered++
+	if a.leaving && a.unanswered >= leftAfter {
 		a.depart()
 		return
 	}
@@ -97,7 +98,7 @@
 		return nil, false
 	}
 	now := steady.Now()
-	a.seenAt = now
+	a.seenAt, a.unanswered = now, 0
 	a.keeper.SetClock(look.ClockMS, now)
 	upTo := a.acked
 	for _, e := range look.Ended {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -49,6 +49,10 @@
 	// muteAfter is how long the executor may leave looks unanswered before the
 	// VM counts as mute and asks for no lease.
 	muteAfter = 1200 * time.Millisecond
+	// leftAfter is how many looks in succession, without an answer, tell that an
+	// executor has ended after its farewell. A single answer may have been lost, and
+	// a run that is taken for over is stopped by nobody.
+	leftAfter = 2
 )
 
 // Agent runs one VM's tasks. It is safe for concurrent use.
@@ -78,6 +82,8 @@
 	pressures map[interference.Pair]float64
 	guard     pace.Guard
 
+	unanswered int // looks in succession
+
 	exposures map[rudderfork.RunRef]*exposure
 	begun     map[rudderfork.RunRef]time.Time // when starts were confirmed
 	worked    map[string]float64              // shares of fillers by image, at the last look
@@ -112,7 +118,7 @@
 	a.acked = 0
 	a.leaving = false
 	a.noted = make(chan struct{})
-	a.seenAt = steady.Now()
+	a.seenAt, a.unanswered = steady.Now(), 0
 }
 
 // Services returns the agent's loops, for a supervisor.
