--- a/wire/conn.go
+++ b/wire/conn.go
@@ -83,7 +83,7 @@
 	c := &Conn[Out, In]{ws: ws, alive: alive}
 	// The timer starts once it stands in its field, where tick looks for it.
 	c.ticker = time.AfterFunc(math.MaxInt64, c.tick)
-	c.ticker.Reset(alive.tick)
+	c.ticker.Reset(alive.tick())
 	return c
 }
 
@@ -96,7 +96,7 @@
 		c.Close()
 		return
 	}
-	c.ticker.Reset(c.alive.tick) // before the write, which may wait for the peer
+	c.ticker.Reset(c.alive.tick()) // before the write, which may wait for the peer
 	if idle && c.write(context.Background(), keepAlive) != nil {
 		c.Close()
 	}
--- a/wire/liveness.go
+++ b/wire/liveness.go
@@ -32,18 +32,21 @@
 // it was watched. The price, where a direction is idle: 8 bytes and the TCP/IP
 // headers a tick.
 type Liveness struct {
-	kind string
-	tick time.Duration
+	kind  string
+	limit time.Duration
 }
 
 // Alive returns the liveness of a kind of connection, which names it in metrics.
 // A silent one is given up after limit at least and 4/3 of it at most.
 func Alive(kind string, limit time.Duration) Liveness {
-	return Liveness{kind: kind, tick: limit / missedTicks}
+	return Liveness{kind: kind, limit: limit}
 }
 
 // Limit returns the least silence after which a connection is given up.
-func (l Liveness) Limit() time.Duration { return l.tick * missedTicks }
+func (l Liveness) Limit() time.Duration { return l.limit }
+
+// tick is the pause between two looks at a connection.
+func (l Liveness) tick() time.Duration { return l.limit / missedTicks }
 
 // The liveness of the sessions, whose two ends stand in different packages. The
 // nodes ask more of them: an answer to each ping, heartbeat or probe. What is
