Measure how soon a site serves again after all its processes were killed

Change: the section "dark" of make bench: a stand-in site of 5 core machines, 2 side machines and an entry, on loopback; everything is killed at once, the folders of the leader and another are emptied or not, everything is started again.

--- a/bench/sections.go
+++ b/bench/sections.go
@@ -29,5 +29,6 @@
 		{"urgent", live(Urgent)},
 		{"path", live(Path)},
 		{"silence", live(Silence)},
+		{"dark", live(Dark)},
 	}
 }
--- a/cmd/demo-queues/main.go
+++ b/cmd/demo-queues/main.go
@@ -54,7 +54,7 @@
 		return err
 	}
 	defer os.RemoveAll(dir)
-	site, err := standin.NewSite(bin, dir, cores)
+	site, err := standin.NewSite(bin, dir, cores, 1)
 	if err != nil {
 		return err
 	}
