Test requests on connections that have gone silent (failing)

Cause: an entry waits on a kept HTTP/1.1 connection until the answer comes, and nothing but the caller's deadline, or the entry's time-out, ends the wait.

Change: the control, VM and entry of the tests of the planned stop get claims, requests that wait in the upstream, and links whose open connections fall silent.

--- /dev/null
+++ b/entry/silence_test.go
@@ -0,0 +1,123 @@
+package entry_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rudderfork.example/rudderfork/internal/faultlink"
+)
+
+// noTimeout is longer than any test: no deadline ends a request.
+const noTimeout = time.Hour
+
+const seatPath = "/seat"
+
+// site is an entry and a VM whose agent has answered it before, on a connection
+// that is kept and can fall silent.
+type site struct {
+	vm    *vm
+	link  *faultlink.Proxy // from the entry to the agent
+	entry *door
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	c := newControl(t)
+	v := newVM(t, c, "vm1")
+	s := &site{vm: v, link: newLink(t, v.addr)}
+	c.list(v.info(s.link.Addr()))
+	s.entry = newEntryWithin(t, c, noTimeout)
+	wait(t, func() bool { return s.entry.knows(1) })
+	assert.Equal(t, s.entry.post("/warm").status, http.StatusOK)
+	return s
+}
+
+// sending sends a request whose answer may be long in coming.
+func (s *site) sending(method, key string) chan answer {
+	answered := make(chan answer, 1)
+	go func() { answered <- s.entry.send(method, seatPath, key) }()
+	return answered
+}
+
+// directions are the ways in which a connection can fall silent.
+var directions = map[string][]faultlink.Direction{
+	"forth": {faultlink.Forth},
+	"back":  {faultlink.Back},
+	"both":  {faultlink.Forth, faultlink.Back},
+}
+
+// TestSilentBefore sends requests without a deadline on kept connections that have
+// fallen silent.
+func TestSilentBefore(t *testing.T) {
+	for name, dirs := range directions {
+		t.Run(name, func(t *testing.T) {
+			t.Run("repeatable", func(t *testing.T) {
+				s := newSite(t)
+				s.link.Silence(dirs...)
+				a := within(t, s.sending(http.MethodGet, ""))
+				assert.Equal(t, a.status, http.StatusOK, a.body)
+			})
+			t.Run("not repeatable", func(t *testing.T) {
+				s := newSite(t)
+				s.link.Silence(dirs...)
+				assertUnknown(t, within(t, s.sending(http.MethodPost, "")))
+				assert.Assert(t, s.vm.runs(seatPath) <= 1)
+				a := within(t, s.sending(http.MethodPost, ""))
+				assert.Equal(t, a.status, http.StatusOK, "the next one goes on a new connection: %s", a.body)
+			})
+			t.Run("keyed", func(t *testing.T) {
+				s := newSite(t)
+				s.link.Silence(dirs...)
+				a := within(t, s.sending(http.MethodPost, "key-1"))
+				assert.Equal(t, a.status, http.StatusOK, a.body)
+				assert.Equal(t, s.vm.runs(seatPath), 1)
+			})
+		})
+	}
+}
+
+// TestSilentMeanwhile silences connections while a request runs in the upstream.
+func TestSilentMeanwhile(t *testing.T) {
+	both := directions["both"]
+	t.Run("not repeatable", func(t *testing.T) {
+		s := newSite(t)
+		s.vm.gate(t, seatPath)
+		answered := s.sending(http.MethodPost, "")
+		wait(t, func() bool { return s.vm.runs(seatPath) == 1 })
+		s.link.Silence(both...)
+		assertUnknown(t, within(t, answered))
+	})
+	t.Run("keyed", func(t *testing.T) {
+		s := newSite(t)
+		open := s.vm.gate(t, seatPath)
+		answered := s.sending(http.MethodPost, "key-1")
+		wait(t, func() bool { return s.vm.runs(seatPath) == 1 })
+		s.link.Silence(both...)
+		open()
+		a := within(t, answered)
+		assert.Equal(t, a.status, http.StatusOK, a.body)
+		assert.Equal(t, a.body, "done")
+		assert.Equal(t, s.vm.runs(seatPath), 1)
+	})
+}
+
+// TestSilentUpstream silences the kept connections between an agent and its
+// upstream, where nothing tells a slow upstream from a silent one.
+func TestSilentUpstream(t *testing.T) {
+	s := newSite(t)
+	s.vm.link.Silence(directions["both"]...)
+	a := within(t, s.sending(http.MethodPost, "key-1"))
+	assert.Equal(t, a.status, http.StatusOK, a.body)
+	assert.Equal(t, s.vm.runs(seatPath), 1)
+}
+
+// assertUnknown asserts that the caller was told that nobody knows whether its
+// request ran.
+func assertUnknown(t *testing.T, a answer) {
+	t.Helper()
+	assert.Equal(t, a.status, http.StatusBadGateway, a.body)
+	assert.Equal(t, a.ran, "unknown")
+}
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -22,6 +22,8 @@
 	"rudderfork.example/rudderfork"
 	"rudderfork.example/rudderfork/agent"
 	"rudderfork.example/rudderfork/entry"
+	"rudderfork.example/rudderfork/internal/faultlink"
+	"rudderfork.example/rudderfork/state"
 	"rudderfork.example/rudderfork/wire"
 )
 
@@ -159,11 +161,13 @@
 	mu       sync.Mutex
 	revision rudderfork.Revision
 	infos    []wire.UpstreamInfo
+	claims   map[state.ClaimKey]*state.Claim
+	token    rudderfork.Token
 	entries  []*wire.Conn[wire.ToNode, wire.ToControl]
 }
 
 func newControl(t *testing.T) *control {
-	c := &control{}
+	c := &control{claims: map[state.ClaimKey]*state.Claim{}}
 	srv := httptest.NewServer(http.HandlerFunc(c.accept))
 	t.Cleanup(srv.Close)
 	c.addr = strings.TrimPrefix(srv.URL, "http://")
@@ -189,12 +193,47 @@
 		c.mu.Unlock()
 	}
 	for err == nil {
-		if m, err = conn.Receive(r.Context()); err == nil && m.Beat != nil {
+		m, err = conn.Receive(r.Context())
+		switch {
+		case err != nil:
+		case m.Beat != nil:
 			_ = conn.Send(r.Context(), wire.ToNode{Grant: &wire.Grant{}})
+		case m.Claim != nil:
+			_ = conn.Send(r.Context(), wire.ToNode{Result: c.claim(*m.Claim)})
+		case m.Settle != nil:
+			_ = conn.Send(r.Context(), wire.ToNode{Result: c.settle(*m.Settle)})
 		}
 	}
 }
 
+// claim grants what is asked for if nobody holds it, or who does is taken over.
+func (c *control) claim(q wire.ClaimRequest) *wire.CommandResult {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	held := c.claims[q.Ask.Key]
+	if held != nil && held.Token != q.Ask.After {
+		return &wire.CommandResult{ID: q.ID, Result: state.Result{Claim: held}}
+	}
+	c.token++
+	cl := &state.Claim{
+		Key: q.Ask.Key, Token: c.token, Digest: q.Ask.Digest, VM: q.Ask.VM, Boot: q.Ask.Boot,
+		Phase: state.ClaimHeld, Expires: q.Ask.Expires,
+	}
+	c.claims[cl.Key] = cl
+	return &wire.CommandResult{ID: q.ID, Result: state.Result{Claim: cl, Granted: true}}
+}
+
+func (c *control) settle(q wire.SettleRequest) *wire.CommandResult {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if cl := c.claims[q.Settle.Key]; cl != nil && cl.Token == q.Settle.Token && q.Settle.Answer != nil {
+		done := *cl
+		done.Phase, done.Answer = state.ClaimDone, q.Settle.Answer
+		c.claims[cl.Key] = &done
+	}
+	return &wire.CommandResult{ID: q.ID}
+}
+
 // list tells the entries of all upstreams.
 func (c *control) list(infos ...wire.UpstreamInfo) {
 	c.mu.Lock()
@@ -216,24 +255,29 @@
 	*process
 	name rudderfork.VMID
 	addr string
+	boot string
+	link *faultlink.Proxy // from the agent to the upstream
 
-	mu   sync.Mutex
-	seen map[string]int // by path
+	mu    sync.Mutex
+	seen  map[string]int           // by path
+	gates map[string]chan struct{} // by path: a request there waits until it closes
 }
 
 func newVM(t *testing.T, c *control, name rudderfork.VMID) *vm {
 	t.Helper()
-	v := &vm{name: name, seen: map[string]int{}}
+	v := &vm{name: name, seen: map[string]int{}, gates: map[string]chan struct{}{}}
 	up := httptest.NewServer(v)
 	t.Cleanup(up.Close)
+	v.link = newLink(t, strings.TrimPrefix(up.URL, "http://"))
 	logs := &logBook{}
 	p, err := agent.New(agent.Settings{
 		Name: "agent-" + string(name), Place: v.place(), Listen: "127.0.0.1:0", Admin: "127.0.0.1:0",
 		Control: []string{c.addr}, Beat: beat, DrainLimit: waitLimit,
-		Upstreams: []agent.UpstreamAddr{{Service: tickets, Addr: strings.TrimPrefix(up.URL, "http://")}},
+		Upstreams: []agent.UpstreamAddr{{Service: tickets, Addr: v.link.Addr()}},
 	}, zerolog.New(logs))
 	assert.NilError(t, err)
 	v.addr = logs.started(t)
+	v.boot = fmt.Sprint(logs.lines("started")[0]["boot"])
 	v.process = run(t, p.Run)
 	return v
 }
@@ -241,17 +285,32 @@
 func (v *vm) place() rudderfork.Place { return rudderfork.Place{VM: v.name} }
 
 func (v *vm) info(addr string) wire.UpstreamInfo {
-	return wire.UpstreamInfo{Place: v.place(), Addr: addr, Boot: "boot-" + string(v.name), Services: []rudderfork.Service{tickets}}
+	return wire.UpstreamInfo{Place: v.place(), Addr: addr, Boot: v.boot, Services: []rudderfork.Service{tickets}}
 }
 
 // ServeHTTP implements http.Handler for the upstream.
 func (v *vm) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	v.mu.Lock()
-	defer v.mu.Unlock()
 	v.seen[r.URL.Path]++
+	gate := v.gates[r.URL.Path]
+	v.mu.Unlock()
+	if gate != nil {
+		<-gate
+	}
 	_, _ = io.WriteString(w, "done")
 }
 
+// gate makes requests of a path wait until the returned function is called.
+func (v *vm) gate(t *testing.T, path string) (open func()) {
+	gate := make(chan struct{})
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.gates[path] = gate
+	open = sync.OnceFunc(func() { close(gate) })
+	t.Cleanup(open)
+	return open
+}
+
 func (v *vm) runs(path string) int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -262,6 +321,7 @@
 type answer struct {
 	status int
 	body   string
+	ran    string // what a refusal says
 }
 
 // door is an entry as callers see it.
@@ -272,11 +332,17 @@
 }
 
 func newEntry(t *testing.T, c *control) *door {
+	t.Helper()
+	return newEntryWithin(t, c, waitLimit)
+}
+
+// newEntryWithin starts an entry with a time-out for requests without a deadline.
+func newEntryWithin(t *testing.T, c *control, timeout time.Duration) *door {
 	t.Helper()
 	d := &door{logs: &logBook{}}
 	p, err := entry.New(entry.Settings{
 		Name: "e1", Listen: "127.0.0.1:0", Admin: "127.0.0.1:0", Control: []string{c.addr}, Beat: beat,
-		DrainLimit: waitLimit, Timeout: waitLimit, Picker: "probing",
+		DrainLimit: waitLimit, Timeout: timeout, Picker: "probing",
 	}, zerolog.New(d.logs))
 	assert.NilError(t, err)
 	d.addr = d.logs.started(t)
@@ -295,8 +361,27 @@
 }
 
 // post sends a request that must not run twice.
-func (d *door) post(path string) answer {
-	resp, err := http.Post("http://"+d.addr+"/svc/"+string(tickets)+path, "text/plain", strings.NewReader("row 7"))
+func (d *door) post(path string) answer { return d.send(http.MethodPost, path, "") }
+
+// send sends a request, with a key if that is not empty.
+func (d *door) send(method, path, key string) answer {
+	req, err := http.NewRequest(method, "http://"+d.addr+"/svc/"+string(tickets)+path, nil)
+	if err != nil {
+		return answer{body: err.Error()}
+	}
+	if method == http.MethodPost {
+		req.Body = io.NopCloser(strings.NewReader("row 7")) // which the client cannot repeat
+		req.ContentLength = int64(len("row 7"))
+	}
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	return ask(req)
+}
+
+// ask sends a request and reads its answer whole.
+func ask(req *http.Request) answer {
+	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return answer{body: err.Error()}
 	}
@@ -305,7 +390,16 @@
 	if err != nil {
 		return answer{body: err.Error()}
 	}
-	return answer{resp.StatusCode, string(body)}
+	return answer{resp.StatusCode, string(body), resp.Header.Get("Rudderfork-Ran")}
+}
+
+// newLink returns a way to an address whose open connections can fall silent.
+func newLink(t *testing.T, target string) *faultlink.Proxy {
+	t.Helper()
+	link, err := faultlink.New(target)
+	assert.NilError(t, err)
+	t.Cleanup(link.Close)
+	return link
 }
 
 // slowLink is the way to an agent. It holds back one request.
