Silence links by kind of process, callers' own with a patience

Cause: harness.Silence matched prefixes, and 'c', meant for control processes, matched 'caller' too. So TestProveSilence silenced the connection from its own caller to the entry, on which the caller waits without a deadline of its own; no change of the product can end that wait.

Why the test was wrong: it asked of an entry what only a caller can notice. As strict: every link that was silenced before still is, callers' own in a fifth kind, where the caller gives up after 3 s and sends again with its key. In the other four the caller has no deadline, as before, so that the entry alone has to end the wait.

--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -160,12 +160,11 @@
 	return l
 }
 
-// Silence makes the open connections between processes whose names begin with one
-// of the prefixes silent for good, while new ones work.
-func (c *Cluster) Silence(prefixes ...string) {
-	among := func(name string) bool {
-		return slices.ContainsFunc(prefixes, func(p string) bool { return strings.HasPrefix(name, p) })
-	}
+// Silence makes the open connections between processes of the given kinds silent for
+// good, while new ones work. The kind is the name without its number, such as c, e, a
+// or caller.
+func (c *Cluster) Silence(kinds ...string) {
+	among := func(name string) bool { return slices.Contains(kinds, strings.TrimRight(name, "0123456789")) }
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for key, l := range c.links {
--- a/proof/silence_test.go
+++ b/proof/silence_test.go
@@ -6,45 +6,70 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"rudderfork.example/rudderfork/internal/harness"
 )
 
-// silenceRounds is how often the connections fall silent.
-const silenceRounds = 3
+const (
+	// silenceRounds is how often the connections fall silent.
+	silenceRounds = 3
+	// callerPatience is after how long a caller gives up a connection of its own: one
+	// that has gone silent on the way to an entry only the caller can notice.
+	callerPatience = 3 * time.Second
+)
+
+// silences are the kinds of processes whose connections fall silent together.
+var silences = []struct {
+	among    []string
+	patience time.Duration // of the caller; none if it is 0
+}{
+	{among: []string{"c"}},
+	{among: []string{"c", "e", "a"}},
+	{among: []string{"e", "a"}},
+	{among: []string{"c", "e", "a", "u", "w", "op"}},
+	{among: []string{"caller", "c", "e", "a"}, patience: callerPatience},
+}
 
 // TestProveSilence makes open connections silent for good while new ones work:
 // between the control processes, between these and the nodes, between entries and
-// agents, and all at the same moment. Edits must come into force on every node,
+// agents, all of these with upstreams, workers and operators, or with callers.
+// Edits must come into force on every node,
 // seats must be held, and each held seat was held by one run of its request.
 func TestProveSilence(t *testing.T) {
 	ctx, c := start(t, harness.Options{})
 	prove(t, "silent connections stop neither edits nor holds", func() string {
-		return fmt.Sprintf("%d rounds of four kinds", silenceRounds)
+		return fmt.Sprintf("%d rounds of %d kinds", silenceRounds, len(silences))
 	})
 	nodes := []string{"e1", "e2", "a1", "a2", "a3"}
 	caller := c.Caller("e1")
-	kinds := [][]string{{"c"}, {"c", "e", "a"}, {"e", "a"}, {"c", "e", "a", "u", "w", "op"}}
 	held := 0
 	for round := range silenceRounds {
-		for i, prefixes := range kinds {
-			n := round*len(kinds) + i
-			c.Silence(prefixes...)
+		for i, s := range silences {
+			n := round*len(silences) + i
+			c.Silence(s.among...)
 			timeInForce(ctx, t, c, nodes, n)
-			held += holdUntilAnswered(ctx, t, caller, n)
+			held += holdUntilAnswered(ctx, t, caller, n, s.patience)
 		}
 	}
-	assert.Equal(t, held, silenceRounds*len(kinds))
+	assert.Equal(t, held, silenceRounds*len(silences))
 	assertRunOnce(t, c)
 }
 
-// holdUntilAnswered sends one keyed hold again and again until it is answered.
-func holdUntilAnswered(ctx context.Context, t *testing.T, cl *harness.Caller, n int) (answered int) {
+// holdUntilAnswered sends one keyed hold again and again until it is answered. Each
+// has no deadline if patience is 0.
+func holdUntilAnswered(ctx context.Context, t *testing.T, cl *harness.Caller, n int, patience time.Duration) (answered int) {
 	t.Helper()
 	seat := fmt.Sprintf("silent-%d", n)
 	assert.NilError(t, harness.Until(ctx, "a hold of "+seat, func() error {
+		ctx := ctx
+		if patience > 0 {
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithTimeout(ctx, patience)
+			defer cancel()
+		}
 		_, err := cl.Hold(ctx, seat, "key-"+seat, seat)
 		return err
 	}))
