Give claimed requests a connection of their own to the upstream

Cause: a claimed request on a kept connection that has gone silent waits for its deadline, and its fate is unknown for good: whoever sends the key again is told so until the claim runs out. TestSilentUpstream and the fourth kind of TestProveSilence meet it. The upstream is an outside program and gives no signs of life.

Ruled out: a short life for kept connections (one that was just used may be silent); asking the upstream (it has no such call). No connection of their own for requests without a key: their fate is the caller's to weigh, and they keep their latency.

Change: a transport without kept connections beside the other, for claimed requests.

Figures: TestSilentUpstream does not pass before ('it did not come'), and passes after.

--- a/agent/forward.go
+++ b/agent/forward.go
@@ -34,7 +34,7 @@
 		req.Body = onceBody{r.Body}
 	}
 	adm.started = steady.Now()
-	resp, err := s.hc.RoundTrip(req)
+	resp, err := s.transport(c != nil).RoundTrip(req)
 	if err != nil {
 		relay.Renew(s.hc, err)
 		f.forwardFailed(w, r, c, err)
--- a/agent/service.go
+++ b/agent/service.go
@@ -36,7 +36,8 @@
 	addr   string
 	table  *node.Table
 	hc     *http.Transport
-	queued chan struct{} // a request waits
+	once   *http.Transport // opens a connection for each request
+	queued chan struct{}   // a request waits
 
 	mu      sync.Mutex
 	queue   *admission.Queue
@@ -63,10 +64,23 @@
 		DisableCompression: true, MaxIdleConnsPerHost: maxIdle,
 		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	}
+	s.once = s.hc.Clone()
+	s.once.DisableKeepAlives = true
 	s.setLimits()
 	return s
 }
 
+// transport returns what carries a request to the upstream. A claimed one goes on a
+// connection of its own, which has just been made: on a kept one that has gone
+// silent, or that the upstream is closing, nobody could tell whether it ran, and its
+// key would be lost to its caller.
+func (s *service) transport(claimed bool) *http.Transport {
+	if claimed {
+		return s.once
+	}
+	return s.hc
+}
+
 // setLimits takes the limits from the table.
 func (s *service) setLimits() {
 	cell := func(col string) int { return int(s.table.Service(s.name, col)) }
