Give signs of life from agents to entries while a request runs

Cause: nothing told a slow request from a connection that had gone silent. A request on a kept connection from entry to agent waited for its deadline or the entry's time-out.

Ruled out: a time-out for answers (cuts slow requests that work); asking for each request on the session (says nothing of the connection the answer comes on).

Change: an agent that is asked to gives an interim answer (102) a second until the answer's status; the entry gives an attempt up after three pauses without one, drops its kept connections, tries what is repeatable again, asks the agent on the session what became of a claimed request, and else says unknown. Silence counts only where the agent has announced signs or given one; not while the entry waits for the caller's body before the first sign. A VM whose agent fell silent is tried again if no other is left.

An attempt that its deadline ends drops the kept connections if a sign was missed or none are given.

Conclusion: the request path is bounded until an answer's headers.

--- a/agent/front.go
+++ b/agent/front.go
@@ -169,6 +169,8 @@
 const retryPause = 500 * time.Millisecond
 
 func (f *front) request(w http.ResponseWriter, r *http.Request) {
+	w, stop := relay.GiveSigns(w, r)
+	defer stop()
 	s := f.services[rudderfork.Service(r.Header.Get(relay.HeaderService))]
 	if s == nil {
 		f.refuse(w, r, http.StatusNotFound, "no-service", "no such service here", time.Time{})
@@ -258,6 +260,9 @@
 	defer conn.Close()
 	f.entries.add(conn)
 	defer f.entries.remove(conn)
+	if conn.Send(r.Context(), wire.ToEntry{Signs: true}) != nil {
+		return // the entry opens another
+	}
 	go func() {
 		if err := f.entries.tell(r.Context(), conn); err != nil {
 			f.log.Warn().Err(err).Msg("entry_not_told")
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -25,6 +26,8 @@
 	resp    *http.Response
 	problem *rudderfork.Problem
 	final   bool // no other upstream would do better
+	signs   *signs
+	silent  bool // the agent gave no signs of life, or none that came here
 }
 
 // send passes the request to a VM's agent. cl is nil without a claim.
@@ -44,8 +47,13 @@
 		return a
 	}
 	c.fill(req, cl)
+	req, a.signs = watchSigns(req, func() bool { return c.h.fleet.link(vm).givesSigns() })
 	resp, err := c.h.fleet.hc.RoundTrip(req)
+	if a.silent = a.signs.end(); a.silent && err == nil {
+		err = errors.Join(errNoSigns, resp.Body.Close()) // it came as the attempt was given up
+	}
 	if err != nil {
+		a.signs.cancel(nil)
 		a.failed(err)
 		return a
 	}
@@ -83,11 +91,21 @@
 func (a *attempt) failed(err error) {
 	c := a.c
 	switch {
+	case a.silent:
+		c.pool.done(a.vm, 0, true)
+		relay.Renew(c.h.fleet.hc, errNoSigns)
+		c.h.metrics.silent.Inc()
+		c.h.log.Warn().Str("request", c.id).Str("node_vm", string(a.vm)).Msg("request_silent")
+		a.problem = problem.New(http.StatusBadGateway, "upstream-failed", "the agent of "+string(a.vm)+" fell silent before an answer came", rudderfork.RanUnknown)
+		a.problem.RetryAt = steady.Now().Add(retryPause)
 	case relay.NotSent(err):
 		c.pool.done(a.vm, 0, true)
 		a.problem = c.unavailable("unreachable", "the upstream "+string(a.vm)+" cannot be reached")
 	case deadlinePassed(err):
 		c.pool.done(a.vm, steady.Now().Sub(a.start), false)
+		if a.signs.doubtful() {
+			relay.Renew(c.h.fleet.hc, err)
+		}
 		a.problem = problem.New(http.StatusGatewayTimeout, "deadline", "no answer came by the deadline", rudderfork.RanUnknown)
 		a.problem.RetryAt = steady.Now().Add(retryPause)
 		a.final = true
@@ -100,6 +118,7 @@
 
 // refused reads an agent's refusal.
 func (a *attempt) refused(resp *http.Response) {
+	defer a.signs.cancel(nil)
 	defer resp.Body.Close()
 	a.problem = &rudderfork.Problem{}
 	err := json.NewDecoder(io.LimitReader(resp.Body, maxProblem)).Decode(a.problem)
@@ -116,6 +135,7 @@
 // read, also if that broke off.
 func (a *attempt) close() {
 	_ = a.resp.Body.Close() // an answer that broke off is cut for the caller too
+	a.signs.cancel(nil)
 	took := steady.Now().Sub(a.start)
 	if a.c.feed {
 		took = 0
--- a/entry/claimed.go
+++ b/entry/claimed.go
@@ -46,7 +46,7 @@
 	var last *attempt
 	var cl *claimed
 	for range maxAttempts {
-		vm, link, why, ok := c.pick(tried)
+		vm, link, why, ok := c.pickAfter(last, tried)
 		if !ok {
 			break
 		}
@@ -72,6 +72,9 @@
 			c.fail(c.running("another entry works on this key"))
 			return
 		}
+		if last.silent && c.afterSilence(last, cl.claim) {
+			return // answered
+		}
 		if last.problem.Ran != rudderfork.RanNo {
 			break // the claim stays; who asks again learns what became of it
 		}
@@ -187,19 +190,56 @@
 	return false
 }
 
+// sessionSpan bounds how long an agent whose connections fell silent is asked for a
+// request's fate, while it cannot be asked: until the session's silence has been
+// noticed (4/3 of wire.ProbeSession's limit of 5 s), and another one dialled, after
+// redialPause and within wire.DialTimeout (2 s).
+const sessionSpan = 10 * time.Second
+
+// afterSilence finds out, on the session, what became of a request whose agent fell
+// silent, and waits for its answer if it is running. It returns true if the caller
+// was answered; else the problem of the attempt says what is known.
+func (c *call) afterSilence(a *attempt, cl *state.Claim) (answered bool) {
+	limit := steady.Now().Add(sessionSpan)
+	for c.ctx.Err() == nil {
+		f, err := c.askFate(cl)
+		switch {
+		case err != nil && steady.Now().After(limit):
+			c.event("fate_unknown", err.Error())
+			return false
+		case err != nil:
+		case f.Fate == wire.FateDone:
+			c.h.settle(state.Settle{Key: cl.Key, Token: cl.Token, Answer: f.Answer})
+			c.replay(f.Answer)
+			return true
+		case f.Fate == wire.FateNever:
+			a.problem = c.unavailable("unreachable", "the connection to "+string(a.vm)+" fell silent before the request came there")
+			return false
+		case f.Fate == wire.FateUnknown:
+			return false
+		}
+		steady.Pause(c.ctx, settlePause)
+	}
+	return false
+}
+
 // fate asks the agent that the claim names.
 func (c *call) fate(held *state.Claim) (wire.Fate, *state.Answer) {
-	l := c.h.fleet.link(held.VM)
-	if l == nil {
-		return wire.FateUnknown, nil
-	}
-	f, err := l.fence(c.ctx, held)
+	f, err := c.askFate(held)
 	if err != nil {
 		return wire.FateUnknown, nil
 	}
 	return f.Fate, f.Answer
 }
 
+func (c *call) askFate(held *state.Claim) (wire.Fenced, error) {
+	l := c.h.fleet.link(held.VM)
+	if l == nil {
+		return wire.Fenced{}, errNoAgent
+	}
+	return l.fence(c.ctx, held)
+}
+
 // replay gives the first answer again.
 func (c *call) replay(a *state.Answer) {
 	if a == nil || a.Partial {
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -152,7 +152,7 @@
 	var tried []rudderfork.VMID
 	var last *attempt
 	for range maxAttempts {
-		vm, link, why, ok := c.pick(tried)
+		vm, link, why, ok := c.pickAfter(last, tried)
 		if !ok {
 			break
 		}
@@ -189,6 +189,16 @@
 	}
 }
 
+// pickAfter chooses an upstream after the last attempt, if there was one. A VM whose
+// agent fell silent is taken again if no other is left: a new connection may work.
+func (c *call) pickAfter(last *attempt, tried []rudderfork.VMID) (vm rudderfork.VMID, link *agentLink, why string, ok bool) {
+	vm, link, why, ok = c.pick(tried)
+	if !ok && last != nil && last.silent {
+		return c.pick(nil)
+	}
+	return vm, link, why, ok
+}
+
 // maxAttempts bounds how often one request is tried.
 const maxAttempts = 3
 
--- a/entry/link.go
+++ b/entry/link.go
@@ -38,6 +38,7 @@
 	out      chan wire.ToAgent // nil without a connection
 	stopping bool              // the agent said so: no request goes there
 	asked    bool              // in this session, to say when none is on its way
+	signs    bool              // the agent said in this session that it gives signs of life
 	sending  int               // requests between the choice of this agent and its answer
 }
 
@@ -119,6 +120,23 @@
 	}
 }
 
+// givesSigns reports whether the agent has said that it gives signs of life. It does
+// not without a session: another agent may be at the address by then.
+func (l *agentLink) givesSigns() bool {
+	if l == nil {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.signs
+}
+
+func (l *agentLink) setSigns() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.signs = true
+}
+
 // report tells the pickers of all services here.
 func (l *agentLink) report(load rudderfork.Load) {
 	for _, p := range l.fleet.poolsOf(l.names) {
@@ -149,6 +167,8 @@
 			return err
 		}
 		switch {
+		case m.Signs:
+			l.setSigns()
 		case m.Stopping:
 			stopping = true
 			l.stop()
@@ -208,7 +228,7 @@
 func (l *agentLink) close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.out, l.asked = nil, false
+	l.out, l.asked, l.signs = nil, false, false
 	l.calls.End()
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -37,10 +37,11 @@
 	HeaderBoot    = "Rudderfork-Boot"    // of the agent that the claim names
 	HeaderExpires = "Rudderfork-Expires" // of the claim, Unix ms
 	HeaderLoad    = "Rudderfork-Load"    // on answers
+	HeaderSigns   = "Rudderfork-Signs"   // "yes": asks for signs of life
 )
 
 // internal are the headers that never come from or reach a caller.
-var internal = []string{HeaderService, HeaderClaim, HeaderBoot, HeaderExpires, HeaderLoad}
+var internal = []string{HeaderService, HeaderClaim, HeaderBoot, HeaderExpires, HeaderLoad, HeaderSigns}
 
 // hopByHop are the headers of one connection (RFC 9110, section 7.6.1).
 var hopByHop = []string{
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -206,6 +206,11 @@
 	// Stopping comes unasked: the agent is to end and takes no more requests.
 	// Loads that come after it in the same session may be older.
 	Stopping bool `cbor:"3,keyasint,omitempty"`
+
+	// Signs comes unasked, first in a session: the agent gives signs of life while
+	// it has a request that asks for them (relay.GiveSigns). Of an agent that does
+	// not say so, silence says nothing.
+	Signs bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Probe asks for the present load.
