Bound stalled bodies, answers and unused connections in entries and agents

Cause: http.Server of entry and agent bounded headers only. A body that breaks off in silence held its handler, and at an agent a slot until the deadline and then the connection, without which a planned stop does not see the agent idle; an answer that nobody takes held both; unused connections were kept for ever.

Change: bodyStall (30 s without a byte), writeStall (1 min without a piece taken), both rolling, so that slow and long ones pass; IdleTimeout of 3 min (entry) and 2 min (agent), each longer than its clients keep a connection.

No run with a network that drops segments.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -34,6 +34,10 @@
 	timelineSize = 8192
 	// headerTimeout bounds how long an entry may take to send its headers.
 	headerTimeout = 5 * time.Second
+	// idleTimeout bounds how long an entry's connection is kept without a request. It
+	// is twice as long as entries keep one (keptFor there), so that they close first:
+	// what is sent as the other side closes may or may not be read.
+	idleTimeout = 2 * time.Minute
 	// quietPause is how often a stopping agent looks whether it is idle.
 	quietPause = 50 * time.Millisecond
 	// quietLimit bounds how long an agent with nothing in progress waits for
@@ -75,7 +79,7 @@
 	p.client = node.NewClient(cfg.Control, cfg.Beat, p.table, p, log)
 	p.front = newFront(cfg, p.boot, p.table, log, ring)
 	p.tasks = newTasks(cfg, p.client, p.front, log, ring)
-	p.srv = &http.Server{Handler: p.front.handler(), ReadHeaderTimeout: headerTimeout, ConnState: p.front.conns.note}
+	p.srv = &http.Server{Handler: p.front.handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: p.front.conns.note}
 	adm := admin.New(adminLn, ring, p.ready)
 	adm.Registry().MustRegister(newCollector(p))
 	p.sup = daemon.Supervisor("agent", log)
--- a/agent/front.go
+++ b/agent/front.go
@@ -171,6 +171,7 @@
 func (f *front) request(w http.ResponseWriter, r *http.Request) {
 	w, stop := relay.GiveSigns(w, r)
 	defer stop()
+	defer relay.BoundBody(w, r)()
 	s := f.services[rudderfork.Service(r.Header.Get(relay.HeaderService))]
 	if s == nil {
 		f.refuse(w, r, http.StatusNotFound, "no-service", "no such service here", time.Time{})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -32,6 +32,10 @@
 	timelineSize = 16_384
 	// headerTimeout bounds how long a caller may take to send its headers.
 	headerTimeout = 10 * time.Second
+	// idleTimeout bounds how long a caller's connection is kept without a request.
+	// It is twice the 90 s for which net/http's clients keep one, so that they close
+	// first: what is sent as the other side closes may or may not be read.
+	idleTimeout = 3 * time.Minute
 	// maxHeader bounds a caller's headers, in bytes.
 	maxHeader = 64 << 10
 )
@@ -65,7 +69,7 @@
 	p.fleet = newFleet(cfg, log)
 	m := newMetrics()
 	h := newHandler(cfg, p.table, p.client, p.fleet, m, ring, log)
-	p.srv = &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader}
+	p.srv = &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
 	adm := admin.New(adminLn, ring, p.ready)
 	m.register(adm.Registry(), p.table)
 	adm.Handle("GET /explain", h.explain)
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -21,6 +21,8 @@
 	dialTimeout = time.Second
 	// maxIdle bounds the kept connections to one agent.
 	maxIdle = 64
+	// keptFor bounds how long a connection to an agent is kept without a request.
+	keptFor = time.Minute
 	// probeBusy and probeIdle are the pauses between probes of an agent, with
 	// and without requests in the last second.
 	probeBusy = 200 * time.Millisecond
@@ -79,7 +81,7 @@
 	return &fleet{
 		cfg: cfg, log: log,
 		hc: &http.Transport{
-			DisableCompression: true, MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: time.Minute,
+			DisableCompression: true, MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: keptFor,
 			DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		},
 		infos: map[rudderfork.VMID]wire.UpstreamInfo{}, pools: map[rudderfork.Service]*pool{},
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -65,6 +65,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer relay.BoundBody(w, r)()
 	c, p := h.parse(w, r)
 	if p != nil {
 		c.fail(p)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -85,12 +85,19 @@
 
 // WriteAnswer passes an answer on as it comes. If it breaks off, so does the
 // answer to the caller: WriteAnswer panics with http.ErrAbortHandler, which
-// net/http takes as the order to cut the connection. tee, if not nil, gets a
-// copy of the body.
+// net/http takes as the order to cut the connection. So it is if the caller takes
+// nothing for writeStall. tee, if not nil, gets a copy of the body.
 func WriteAnswer(w http.ResponseWriter, resp *http.Response, tee io.Writer) {
+	writeAnswer(w, resp, tee, writeStall)
+}
+
+func writeAnswer(w http.ResponseWriter, resp *http.Response, tee io.Writer, stall time.Duration) {
 	CopyHeader(w.Header(), resp.Header)
-	w.WriteHeader(resp.StatusCode)
 	rc := http.NewResponseController(w)
+	bound := func(d time.Duration) { _ = rc.SetWriteDeadline(after(d)) } // fails if the connection is gone
+	defer bound(0)                                                       // the connection may be kept
+	bound(stall)
+	w.WriteHeader(resp.StatusCode)
 	stream := resp.ContentLength < 0
 	if stream {
 		_ = rc.Flush() // the first bytes of a feed may be long in coming
@@ -102,6 +109,7 @@
 			if tee != nil {
 				_, _ = tee.Write(buf[:n]) // a capture never fails
 			}
+			bound(stall)
 			if _, werr := w.Write(buf[:n]); werr != nil {
 				panic(http.ErrAbortHandler)
 			}
