Drop an operator's kept connections after a call without an answer

Cause: each of three control processes had a silent kept connection, and a call waited out its 5 s at each. Change: relay.Renew, as for the other callers. Figures: TestSilentControls fails before (the first process answers, after two time-outs: 10.1 s) and passes after (5.0 s).

--- a/operator/operator.go
+++ b/operator/operator.go
@@ -22,6 +22,7 @@
 	"rudderfork.example/rudderfork"
 	"rudderfork.example/rudderfork/control"
 	"rudderfork.example/rudderfork/internal/errs"
+	"rudderfork.example/rudderfork/relay"
 	"rudderfork.example/rudderfork/replica"
 	"rudderfork.example/rudderfork/state"
 )
@@ -85,11 +86,13 @@
 	}
 	resp, err := c.hc.Do(req)
 	if err != nil {
+		relay.Renew(c.hc, err)
 		return true, err
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
+		relay.Renew(c.hc, err)
 		return true, err
 	}
 	switch {
