--- a/replica/silence_test.go
+++ b/replica/silence_test.go
@@ -247,3 +247,27 @@
 		return poll.Success()
 	}, poll.WithTimeout(joinLimit))
 }
+
+// TestJoinThroughFollowers has a replica with an empty disk that is told of two
+// members, neither of which leads, join the group. (A follower passed its request on
+// to nobody and answered nothing, and the leader never heard of it.)
+func TestJoinThroughFollowers(t *testing.T) {
+	g := startProxied(t, 3, 0)
+	g.assertCommits(g.reps...)
+	lead := g.leader()
+	var told []string
+	for i, m := range g.members {
+		if i != lead {
+			told = append(told, m.Addr)
+		}
+	}
+	joiner := startLinked(t, "joiner", false, told...)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, m := range joiner.rep.Status().Members {
+			if m.ID == joiner.self.ID {
+				return poll.Success()
+			}
+		}
+		return poll.Continue("it is no member")
+	}, poll.WithTimeout(joinLimit))
+}
