--- a/cmd/rudder-platform/main_test.go
+++ b/cmd/rudder-platform/main_test.go
@@ -15,6 +15,11 @@
 // such that an ini reader takes them.
 const deployFile = "../../deploy/system.toml"
 
+// shares says which part of its class of machines runs a role. All core machines run
+// the control program: with one a failure domain, three or four voted where five are
+// needed to bear the loss of two disks.
+var shares = map[string]string{"control": "1.0", "entry": "1.0", "agent": ""}
+
 // TestDeployFile starts, as far as the command line goes, what the deploy file runs.
 func TestDeployFile(t *testing.T) {
 	deploy, err := ini.Load(deployFile)
@@ -30,6 +35,7 @@
 			r.SetFlags(f)
 			assert.NilError(t, f.Parse(words[2:]))
 			assert.Equal(t, f.NArg(), 0)
+			assert.Equal(t, section.Key("share").String(), shares[r.Name()])
 			assert.Equal(t, section.Key("metrics").String(), fmt.Sprintf("%d/metrics", r.metricsPort))
 		})
 	}
--- a/entry/link.go
+++ b/entry/link.go
@@ -56,7 +56,7 @@
 		if err != nil && ctx.Err() == nil {
 			l.report(rudderfork.Load{Down: true})
 		}
-		if errors.Is(err, wire.ErrSilent) {
+		if fellSilent(err) {
 			relay.Renew(l.fleet.hc, err) // requests' connections most likely fell silent too
 		}
 		steady.Pause(ctx, redialPause)
@@ -137,6 +137,12 @@
 	l.signs = true
 }
 
+// fellSilent reports whether a session ended because the agent answered no probe, or
+// sent nothing at all.
+func fellSilent(err error) bool {
+	return errors.Is(err, wire.ErrSilent) || errors.Is(err, context.DeadlineExceeded)
+}
+
 // report tells the pickers of all services here.
 func (l *agentLink) report(load rudderfork.Load) {
 	for _, p := range l.fleet.poolsOf(l.names) {
--- a/entry/link_test.go
+++ b/entry/link_test.go
@@ -1,11 +1,15 @@
 package entry
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"rudderfork.example/rudderfork/internal/faultlink"
 	"rudderfork.example/rudderfork/wire"
 )
 
@@ -71,3 +75,33 @@
 		assert.Assert(t, l.take())
 	})
 }
+
+// TestSilentSession has the session with an agent fall silent. Its end must say so,
+// since the kept connections of requests are dropped then. (It ended by the wait for
+// an answer to a probe, which is shorter than the connection's own bound, and that was
+// taken for no silence.)
+func TestSilentSession(t *testing.T) {
+	opened := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, err := wire.Accept[wire.ToEntry, wire.ToAgent](w, r, wire.ProbeSession)
+		if !assert.Check(t, err) {
+			return
+		}
+		defer c.Close()
+		close(opened)
+		for err == nil {
+			_, err = c.Receive(r.Context())
+		}
+	}))
+	t.Cleanup(srv.Close)
+	p, err := faultlink.New(strings.TrimPrefix(srv.URL, "http://"))
+	assert.NilError(t, err)
+	t.Cleanup(p.Close)
+	l := newAgentLink(newFleet(Settings{}, zerolog.Nop()), wire.UpstreamInfo{Addr: p.Addr()}, func() {})
+	ended := make(chan error, 1)
+	go func() { ended <- l.session(t.Context()) }()
+	<-opened
+	p.Silence(faultlink.Forth, faultlink.Back)
+	err = <-ended
+	assert.Assert(t, fellSilent(err), "%v", err)
+}
--- a/replica/peers.go
+++ b/replica/peers.go
@@ -144,6 +144,17 @@
 	p.changed.Set()
 }
 
+// passOn brings another replica's request to join to the leader, one hop: the one
+// that asks knows only the addresses that it was told, and the leader may be at none
+// of them. Without it such a replica was no member after 20 s of asking.
+func (p *Peers) passOn(m quorum.Member, leader quorum.Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l := p.links[p.addrOf(leader.ID)]; l != nil {
+		l.push(wire.Peer{Join: &m, Passed: true})
+	}
+}
+
 func (l *link) push(m wire.Peer) {
 	select {
 	case l.queue <- m:
@@ -307,6 +318,9 @@
 				rep.Step(r.Context(), *m.Quorum)
 			case m.Join != nil:
 				rep.Join(*m.Join)
+				if !m.Passed {
+					p.passOn(*m.Join, rep.Status().Leader)
+				}
 			case m.Self != nil:
 				caller = m.Self.ID
 				p.noteCaller(*m.Self)
--- a/replica/shortage.go
+++ b/replica/shortage.go
@@ -6,22 +6,27 @@
 // too few: the machines of a whole system start within a second of each other.
 const shortAfter = 10 * time.Second
 
-// shortage notices, once a term, that a group has fewer voters than it needs to
-// bear the losses it is set up for. The zero value is ready to use.
+// shortage notices that a group has fewer voters than it needs to bear the losses it
+// is set up for, once for each time that it falls short. The zero value is ready to
+// use.
 type shortage struct {
 	term uint64    // of the leader that watches
-	due  time.Time // zero once it was told in this term
+	due  time.Time // when it is to be told; zero while there are enough
+	told bool
 }
 
 // Found reports whether a settled leader is to say that there are fewer voters than
 // the group is to have.
 func (s *shortage) Found(term uint64, voters, size int, now time.Time) bool {
-	if term != s.term {
-		s.term, s.due = term, now.Add(shortAfter)
+	if term != s.term || voters >= size {
+		*s = shortage{term: term}
 	}
-	if s.due.IsZero() || now.Before(s.due) {
+	if voters >= size || s.told {
 		return false
 	}
-	s.due = time.Time{}
-	return voters < size
+	if s.due.IsZero() {
+		s.due = now.Add(shortAfter)
+	}
+	s.told = !now.Before(s.due)
+	return s.told
 }
--- a/replica/shortage_test.go
+++ b/replica/shortage_test.go
@@ -10,7 +10,7 @@
 func TestShortage(t *testing.T) {
 	const voters = 2
 	at := time.Unix(1000, 0)
-	t.Run("too few voters are told once a term, after the others had time to join", func(t *testing.T) {
+	t.Run("too few voters are told once, after the others had time to join", func(t *testing.T) {
 		var s shortage
 		assert.Assert(t, !s.Found(1, voters, 3, at))
 		assert.Assert(t, s.Found(1, voters, 3, at.Add(shortAfter)))
@@ -18,6 +18,15 @@
 		assert.Assert(t, !s.Found(2, voters, 3, at.Add(2*shortAfter)))
 		assert.Assert(t, s.Found(2, voters, 3, at.Add(3*shortAfter)))
 	})
+	t.Run("a group that falls short later is told of again", func(t *testing.T) {
+		var s shortage
+		assert.Assert(t, !s.Found(1, 3, 3, at.Add(2*shortAfter)))
+		assert.Assert(t, !s.Found(1, voters, 3, at.Add(3*shortAfter)))
+		assert.Assert(t, s.Found(1, voters, 3, at.Add(4*shortAfter)))
+		assert.Assert(t, !s.Found(1, 3, 3, at.Add(5*shortAfter)))
+		assert.Assert(t, !s.Found(1, voters, 3, at.Add(6*shortAfter)))
+		assert.Assert(t, s.Found(1, voters, 3, at.Add(7*shortAfter)))
+	})
 	t.Run("enough are not told", func(t *testing.T) {
 		var s shortage
 		assert.Assert(t, !s.Found(1, voters, 2, at))
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -46,11 +46,12 @@
 // receive all the time, also where no messages are expected: silence is only
 // noticed while the connection is read.
 type Conn[Out, In any] struct {
-	ws     *websocket.Conn
-	alive  Liveness
-	watch  watch
-	ticker *time.Timer
-	silent atomic.Bool // it was given up for silence
+	ws      *websocket.Conn
+	alive   Liveness
+	watch   watch
+	ticker  *time.Timer
+	silent  atomic.Bool // it was given up for silence
+	beating atomic.Bool // a keep-alive is being written
 }
 
 // Dial connects to url, which starts with ws://.
@@ -97,8 +98,11 @@
 		return
 	}
 	c.ticker.Reset(c.alive.tick()) // before the write, which may wait for the peer
-	if idle && c.write(context.Background(), keepAlive) != nil {
-		c.Close()
+	if idle && c.beating.CompareAndSwap(false, true) {
+		defer c.beating.Store(false)
+		if c.write(context.Background(), keepAlive) != nil {
+			c.Close()
+		}
 	}
 }
 
@@ -157,6 +161,11 @@
 	}
 }
 
+// hearingPiece is the most that is read at a time, in bytes: a reader fills what it is
+// given, so that megabytes would be one sign of life. A message of 5 MB at 2 MB/s was
+// taken for silence of 500 ms; pieces of 16 KiB pass at 33 KB/s.
+const hearingPiece = 16 << 10
+
 // hearing notes each piece of a long message as a sign of life: on a slow link a
 // snapshot takes longer than the silence limit.
 type hearing struct {
@@ -166,7 +175,7 @@
 
 // Read implements io.Reader.
 func (h hearing) Read(p []byte) (n int, err error) {
-	n, err = h.r.Read(p)
+	n, err = h.r.Read(p[:min(len(p), hearingPiece)])
 	if n > 0 {
 		h.w.hear()
 	}
--- a/wire/liveness_test.go
+++ b/wire/liveness_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -157,19 +158,39 @@
 	})
 }
 
-// TestLongMessage reads a message piece by piece with a tick between them: it is
-// no silence, although no whole message comes.
+// fullReader fills whatever it is given, as the reader of a long frame does, and lets
+// a tick pass for each piece of that size.
+type fullReader struct {
+	t     *testing.T
+	w     *watch
+	piece int
+	left  int // bytes
+}
+
+// Read implements io.Reader.
+func (r *fullReader) Read(p []byte) (n int, err error) {
+	n = min(len(p), r.left)
+	for range n / r.piece {
+		silent, _ := r.w.tick()
+		assert.Assert(r.t, !silent, "with %d bytes to come", r.left)
+	}
+	r.left -= n
+	if n == 0 {
+		err = io.EOF
+	}
+	return n, err
+}
+
+// TestLongMessage reads a message of megabytes that comes slowly: it is no silence,
+// although no whole message comes. (The slice that it is read into grows with it, and
+// was filled before anything counted as heard.)
 func TestLongMessage(t *testing.T) {
 	var w watch
 	w.read(true)
-	r := hearing{strings.NewReader(strings.Repeat("x", 100)), &w}
-	for p := make([]byte, 1); ; {
-		if _, err := r.Read(p); err != nil {
-			break
-		}
-		silent, _ := w.tick()
-		assert.Assert(t, !silent)
-	}
+	const size = 5 << 20
+	data, err := io.ReadAll(hearing{&fullReader{t: t, w: &w, piece: hearingPiece, left: size}, &w})
+	assert.NilError(t, err)
+	assert.Equal(t, len(data), size)
 }
 
 // TestKeepAliveIsEmptyMessage holds that a reader that knows no keep-alives sees
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -24,6 +24,7 @@
 	Quorum *quorum.Message `cbor:"1,keyasint,omitempty"`
 	Join   *quorum.Member  `cbor:"2,keyasint,omitempty"` // asks to be added
 	Self   *quorum.Member  `cbor:"3,keyasint,omitempty"` // the sender, once at the start
+	Passed bool            `cbor:"4,keyasint,omitempty"` // Join was passed on by a follower
 }
 
 // NodeKind tells the two kinds of process that hold a session with control.
