Give the stand-in executor a time to stop, and count stops

Cause: the stand-in ended a run with the answer to its stop, so no test saw an account that lists a run between its stop and its end. Change: executor.Config.StopTime; TestStopTime stops 300 runs and counts the calls. TestCancelledJobsEnd's executors take the whole time that its limit leaves for a stop.

--- a/runs/cancel_test.go
+++ b/runs/cancel_test.go
@@ -56,7 +56,7 @@
 	c.lease, c.patience, c.lookSteps = longLease, callTimeout, lookSteps
 	for _, v := range c.vms {
 		v.exec = executor.New(v.nextLife(), executor.Config{
-			Now: func() time.Time { return c.now }, Rate: 1 - 0.02*c.rng.Float64(), Forgets: forgets,
+			Now: func() time.Time { return c.now }, Rate: 1 - 0.02*c.rng.Float64(), StopTime: stopLimit, Forgets: forgets,
 			Fate: c.fate,
 			Delay: func(string) time.Duration {
 				return leastDelay + time.Duration(c.rng.Int64N(int64(mostDelay-leastDelay)))
--- /dev/null
+++ b/runs/stop_test.go
@@ -0,0 +1,100 @@
+package runs_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/queue"
+	"rudderfork.example/rudderfork/runs"
+	"rudderfork.example/rudderfork/standin/executor"
+	"rudderfork.example/rudderfork/wire"
+)
+
+// stopSite is one agent beside an executor that takes its time to stop runs.
+type stopSite struct {
+	t      *testing.T
+	now    time.Time
+	exec   *executor.Executor
+	keeper *runs.Keeper
+	acked  uint64
+	stops  int // calls
+}
+
+func newStopSite(t *testing.T, stopTime time.Duration, starts []wire.RunOrder) *stopSite {
+	s := &stopSite{t: t, now: time.Unix(1000, 0), keeper: runs.New()}
+	s.exec = executor.New("life-1", executor.Config{
+		Now: func() time.Time { return s.now }, StopTime: stopTime,
+		Fate: func(call string) executor.Fate {
+			if call == "stop" {
+				s.stops++
+			}
+			return executor.Answered
+		},
+	})
+	s.keeper.Reset("life-1")
+	s.keeper.SetTerm(1)
+	s.keeper.SetClock(1, s.now)
+	s.keeper.Order(wire.Orders{Life: "life-1", Epoch: 1, Full: true})
+	s.keeper.Order(wire.Orders{Life: "life-1", Epoch: 1, Start: starts})
+	s.keeper.Grant("life-1", 1, s.now.Add(longLease))
+	s.step()
+	assert.Equal(t, len(s.exec.Running()), len(starts))
+	return s
+}
+
+// step makes the calls that are due, and then takes an account.
+func (s *stopSite) step() {
+	s.t.Helper()
+	ctx := context.Background()
+	calls, _ := s.keeper.Due(s.now)
+	for _, c := range calls {
+		if c.Start == nil {
+			s.keeper.Stopped(c.Ref, s.exec.Stop(ctx, "life-1", c.Ref, 1), s.now)
+			continue
+		}
+		out, err := s.exec.Start(ctx, "life-1", *c.Start)
+		assert.Assert(s.t, s.keeper.Started(c.Ref, out, err, s.now) == nil)
+	}
+	s.now = s.now.Add(stepTime)
+	look, err := s.exec.Look(ctx, "life-1", rudderfork.LookRequest{Fence: 1, AckedUpTo: s.acked})
+	assert.NilError(s.t, err)
+	for _, e := range look.Ended {
+		s.acked = max(s.acked, e.Seq)
+	}
+	s.keeper.Noted(s.keeper.Looked(look, s.now))
+}
+
+// TestStopTime stops runs on an executor that confirms a stop at once, and lists the
+// run until its end. Accounts that are asked for meanwhile cost no further stops.
+func TestStopTime(t *testing.T) {
+	const count = 300
+	var starts []wire.RunOrder
+	var refs []rudderfork.RunRef
+	for i := range count {
+		ref := queue.TaskKey{Job: "j", Index: i}.Ref(1)
+		refs = append(refs, ref)
+		starts = append(starts, wire.RunOrder{RunRef: ref})
+	}
+	for _, stopTime := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond} {
+		for name, o := range map[string]wire.Orders{
+			"ordered":                {Life: "life-1", Epoch: 1, Stop: refs},
+			"not in the next epoch":  {Life: "life-1", Epoch: 2, Full: true},
+			"no more in a full list": {Life: "life-1", Epoch: 1, Full: true},
+		} {
+			t.Run(fmt.Sprintf("%s, %v", name, stopTime), func(t *testing.T) {
+				s := newStopSite(t, stopTime, starts)
+				s.keeper.Order(o)
+				for range 50 {
+					s.step()
+				}
+				assert.Equal(t, len(s.exec.Running()), 0)
+				assert.Equal(t, s.stops, count)
+			})
+		}
+	}
+}
--- a/standin/executor/executor.go
+++ b/standin/executor/executor.go
@@ -55,6 +55,7 @@
 	seq      uint64
 	fate     func(call string) Fate
 	delay    func(call string) time.Duration
+	stopTime time.Duration
 	forgets  bool
 	late     []lateCall
 	sizes    func(payload string) rudderfork.Resources
@@ -78,6 +79,7 @@
 	percent int
 	pacedMS float64 // work done, in ms at full speed
 	pacedAt int64
+	stopAt  time.Time // when a stop ends it; zero without one
 }
 
 // Config sets up an Executor. Only Now and Room are needed.
@@ -92,6 +94,8 @@
 	Fate func(call string) Fate
 	// Delay tells how long a postponed call is held back; nil means until Flush.
 	Delay func(call string) time.Duration
+	// StopTime is how long a run that is stopped is at work yet.
+	StopTime time.Duration
 	// Forgets breaks the contract in one thing: a stop of a run that is not there
 	// leaves no trace, so that a start that is held back still begins it.
 	Forgets bool
@@ -103,8 +107,8 @@
 // New returns an executor with a life.
 func New(life string, cfg Config) *Executor {
 	e := &Executor{
-		now: cfg.Now, rate: cfg.Rate, room: cfg.Room, fate: cfg.Fate, delay: cfg.Delay, forgets: cfg.Forgets,
-		sizes: cfg.Sizes, onStart: cfg.OnStart, onFinish: cfg.OnFinish,
+		now: cfg.Now, rate: cfg.Rate, room: cfg.Room, fate: cfg.Fate, delay: cfg.Delay, stopTime: cfg.StopTime,
+		forgets: cfg.Forgets, sizes: cfg.Sizes, onStart: cfg.OnStart, onFinish: cfg.OnFinish,
 	}
 	if e.rate == 0 {
 		e.rate = 1
@@ -202,6 +206,10 @@
 		switch {
 		case now >= e.until:
 			e.end(r, "lapsed")
+		case !r.stopAt.IsZero():
+			if !e.now().Before(r.stopAt) {
+				e.end(r, "stopped")
+			}
 		case r.hangs || r.workMS == 0 || r.pacedMS < float64(r.workMS):
 		case r.fails:
 			e.end(r, "failed")
@@ -323,7 +331,7 @@
 		}
 		e.fence = fence
 		if r := e.running[ref.Task]; r != nil && r.ref.Run <= ref.Run {
-			e.end(r, "stopped")
+			e.stop(r)
 		} else if e.forgets {
 			return
 		}
@@ -331,6 +339,15 @@
 	})
 }
 
+// stop ends a run once its time to stop is over. The caller holds mu.
+func (e *Executor) stop(r *run) {
+	if e.stopTime == 0 {
+		e.end(r, "stopped")
+	} else if r.stopAt.IsZero() {
+		r.stopAt = e.now().Add(e.stopTime)
+	}
+}
+
 // Pace implements rudderfork.Executor.
 func (e *Executor) Pace(_ context.Context, life string, ref rudderfork.RunRef, percent int, fence uint64) error {
 	return e.call("pace", life, func() {
