Stop a run again only once its stop may have taken its time

Cause: executors list a run until its end, 0.2 to 0.4 s after they have confirmed its stop. Keeper.checkRunning took each account of that time for a run that had begun after the stop, and had the stop sent again. Strays were forgotten with the confirmation, and met anew by the next account. Ruled out: counting accounts instead of time (they come each 15 ms while ends are told, else each second); the executor's answer, which does not say whether the run is there. Change: stopSpan, 0.5 s, between a confirmed stop and the asking of an account that has it sent again. A stray is kept until an account asked after its confirmed stop does not list it. Where a stop takes longer than 0.5 s, it is sent again each 0.5 s or more.

--- a/runs/keeper.go
+++ b/runs/keeper.go
@@ -34,6 +34,10 @@
 	retryPause = 100 * time.Millisecond
 	// leastLease is the least time left for which a start is worth sending.
 	leastLease = 200 * time.Millisecond
+	// stopSpan is how long after a stop was confirmed an executor may list the run
+	// before it is stopped again: above the longest that one takes to
+	// stop a run (the users' pages say 200 and 400 ms).
+	stopSpan = 500 * time.Millisecond
 )
 
 // Call is one thing to ask of the executor.
@@ -56,7 +60,7 @@
 	clockAt time.Time
 
 	orders map[rudderfork.TaskID]*order
-	strays map[rudderfork.RunRef]*order // to stop, and nothing to report
+	strays map[rudderfork.RunRef]*order // to stop until they are listed no more, and nothing to report
 }
 
 // order is one run that control wants here, or wants gone.
@@ -303,17 +307,14 @@
 // Stopped takes the answer to a stop.
 func (k *Keeper) Stopped(ref rudderfork.RunRef, err error, now time.Time) {
 	if o := k.strays[ref]; o != nil {
-		o.inFlight = false
-		if err == nil {
-			delete(k.strays, ref)
-		} else {
-			o.retryAt = now.Add(retryPause)
-		}
+		o.stopped(err, now)
 	}
-	o := k.orders[ref.Task]
-	if o == nil || o.Run != ref.Run || !o.stop {
-		return
+	if o := k.orders[ref.Task]; o != nil && o.Run == ref.Run && o.stop {
+		o.stopped(err, now)
 	}
+}
+
+func (o *order) stopped(err error, now time.Time) {
 	o.inFlight = false
 	if err != nil {
 		o.retryAt = now.Add(retryPause)
@@ -331,6 +332,7 @@
 		there[r.RunRef] = true
 		k.checkRunning(r.RunRef, asked)
 	}
+	maps.DeleteFunc(k.strays, func(ref rudderfork.RunRef, o *order) bool { return !there[ref] && o.stoppedBefore(asked) })
 	ends = Ends(look.Ended)
 	for _, e := range look.Ended {
 		there[e.RunRef] = true
@@ -367,18 +369,35 @@
 // that was asked for at the given time. A start that was held back may begin a run
 // after its stop was confirmed, and after its end was reported; only an account
 // shows it. The contract says that a stop bars such a start; nothing here rests on
-// that but the end that is concluded.
+// that but the end that is concluded. A run is listed also while its stop takes its
+// time, and no stop is sent for that.
 func (k *Keeper) checkRunning(ref rudderfork.RunRef, asked time.Time) {
+	if !k.synced {
+		return
+	}
 	o := k.orders[ref.Task]
-	switch {
-	case !k.synced || k.strays[ref] != nil:
-	case o == nil || o.Run != ref.Run || o.ended:
+	if stray := k.strays[ref]; stray != nil {
+		stray.stopAgain(asked)
+	} else if o == nil || o.Run != ref.Run || o.ended {
 		k.strays[ref] = &order{RunOrder: wire.RunOrder{RunRef: ref}, stop: true}
-	case o.stop && !o.confirmed.IsZero() && o.confirmed.Before(asked):
+	} else {
+		o.stopAgain(asked)
+	}
+}
+
+// stopAgain has the stop of a run sent again that an account asked for at the given
+// time lists.
+func (o *order) stopAgain(asked time.Time) {
+	if o.stoppedBefore(asked.Add(-stopSpan)) {
 		o.confirmed, o.retryAt = time.Time{}, time.Time{}
 	}
 }
 
+// stoppedBefore reports whether the executor confirmed the stop before the given time.
+func (o *order) stoppedBefore(at time.Time) bool {
+	return o.stop && !o.confirmed.IsZero() && o.confirmed.Before(at)
+}
+
 // Noted forgets runs whose ends are committed.
 func (k *Keeper) Noted(ends []queue.End) {
 	for _, e := range ends {
