Show a life that a single wrong answer puts out for good

Cause: a life that is answered for with ErrOtherLife goes into Agent.over, and nothing that it says of itself counts from then on. An executor that heartbeats before it answers under its new name, or a process of before that answers on a kept connection, would lose the VM until the next life. Change: TestWrongAnswer.

--- a/runner/late_test.go
+++ b/runner/late_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"testing"
 
@@ -51,10 +50,86 @@
 }
 
 // wasAsked reports whether a call as this life was answered.
-func (e *askedExecutor) wasAsked(life string) bool {
+func (e *askedExecutor) wasAsked(life string) bool { return e.timesAsked(life) > 0 }
+
+func (e *askedExecutor) timesAsked(life string) (n int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return slices.Contains(e.asked, life)
+	for _, l := range e.asked {
+		if l == life {
+			n++
+		}
+	}
+	return n
+}
+
+// script is an executor whose answers to looks a test gives.
+type script struct {
+	rudderfork.Executor
+	looks int
+	look  func(ctx context.Context, n int) error // n counts from 1
+}
+
+// Look implements rudderfork.Executor.
+func (s *script) Look(ctx context.Context, _ string, _ rudderfork.LookRequest) (rudderfork.Look, error) {
+	s.looks++
+	return rudderfork.Look{ClockMS: 1}, s.look(ctx, s.looks)
+}
+
+// scripted returns an agent without loops and leader, and its executor.
+func scripted(look func(ctx context.Context, n int) error) (*Agent, *script) {
+	e := &script{look: look}
+	return New("vm1", func() []string { return nil }, e, zerolog.Nop()), e
+}
+
+// hear has the life describe itself, and the agent ask about all that have.
+func (a *Agent) hear(ctx context.Context, life string) {
+	a.Describe(queue.VM{ID: "vm1", Life: life, Service: "desk"}, false, 0)
+	for _, l := range a.unconfirmed() {
+		a.confirm(ctx, l)
+	}
+}
+
+// TestWrongAnswer has an executor answer a look for its present life as if it were
+// another: it does not know its new name yet, or a process of before answers.
+func TestWrongAnswer(t *testing.T) {
+	wrongOnce := func(_ context.Context, n int) error {
+		if n == 1 {
+			return rudderfork.ErrOtherLife
+		}
+		return nil
+	}
+	t.Run("it is not asked again at once", func(t *testing.T) {
+		a, e := scripted(wrongOnce)
+		for range 10 {
+			a.hear(t.Context(), newLife)
+		}
+		assert.Equal(t, e.looks, 1)
+		assert.Equal(t, a.Life(), "")
+	})
+	t.Run("but once it describes itself later", func(t *testing.T) {
+		a, _ := scripted(wrongOnce)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			a.hear(t.Context(), newLife)
+			if a.Life() == newLife {
+				return poll.Success()
+			}
+			return poll.Continue("the life is not taken")
+		}, poll.WithTimeout(waitLimit))
+	})
+	t.Run("nor is a life that is over taken then", func(t *testing.T) {
+		e := &askedExecutor{Executor: executor.New(newLife, executor.Config{Now: steady.Now})}
+		a := New("vm1", func() []string { return nil }, e, zerolog.Nop())
+		a.hear(t.Context(), newLife)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			a.hear(t.Context(), oldLife)
+			assert.Equal(t, a.Life(), newLife)
+			if e.timesAsked(oldLife) >= 2 {
+				return poll.Success()
+			}
+			return poll.Continue("the old life is not asked about again")
+		}, poll.WithTimeout(waitLimit))
+	})
 }
 
 // lateWorld is an agent without memory, beside an executor in its second life.
