Ask again about a life that was found over a few seconds ago

Cause: Agent.over was kept for good, on the strength of one answer or of two looks without one. Ruled out: taking a life up from its descriptions alone (late ones say the same); counting several answers (an old process may give as many as it is asked for). Change: an entry lasts overSpan, 3 s; after it the next description has the executor asked as before. Whether the life is taken rests on that answer, never on the list. TestLateModel has agents forget the list at any moment. Conclusion: a late description costs at most one look each 3 s.

--- a/runner/late_model_test.go
+++ b/runner/late_model_test.go
@@ -156,6 +156,9 @@
 	}
 }
 
+// forget has the agent forget the lives that it found over.
+func (m *lateModel) forget(*rapid.T) { m.a.over = nil }
+
 func (m *lateModel) look(*rapid.T) {
 	req, life, ok := m.a.nextLook()
 	if !ok {
@@ -280,6 +283,7 @@
 			m.check(t)
 		}
 	}
+	m.forget(t)
 	for _, c := range m.air {
 		m.a.Describe(queue.VM{ID: modelVM, Life: lifeName(c.life), Service: "desk"}, false, 0)
 	}
@@ -303,6 +307,7 @@
 			"restart the agent": m.restartAgent, "reopen": m.reopen, "send": m.send,
 			"deliver": m.deliver, "deliver too": m.deliver,
 			"mute": func(*rapid.T) { m.mute = !m.mute }, "dies": func(*rapid.T) { m.dies = true },
+			"forget": m.forget,
 		})
 		m.calm(t)
 	})
--- a/runner/life.go
+++ b/runner/life.go
@@ -16,6 +16,11 @@
 	// askSpan is how long after a description the executor is asked whether it is
 	// of its present life: a few of its heartbeats, each of which renews it.
 	askSpan = 3 * time.Second
+	// overSpan is how long a life counts as over before the executor is asked about
+	// it again, should it still describe itself: long enough that late descriptions
+	// of lives that are over cost few calls, and short beside what a VM costs that
+	// is lost for an answer that was wrong.
+	overSpan = 3 * time.Second
 	// maxLives bounds the lives that wait to be confirmed, and those remembered as
 	// over: far above how many can have a heartbeat under way.
 	maxLives = 64
@@ -30,6 +35,12 @@
 	farewell bool // came before the life was confirmed
 }
 
+// endedLife is a life that is not asked about for a time.
+type endedLife struct {
+	life  string
+	until time.Time
+}
+
 // Describe takes the executor's description of itself. leave is the time that
 // is left at least while it drains.
 //
@@ -42,7 +53,7 @@
 	now := steady.Now()
 	d := description{vm: vm, draining: draining, leaveAt: now.Add(leave), askUntil: now.Add(askSpan)}
 	switch {
-	case slices.Contains(a.over, vm.Life):
+	case a.isOver(vm.Life, now):
 	case a.known && a.keeper.Life() == vm.Life:
 		a.take(d)
 	case len(a.described) < maxLives || a.described[vm.Life] != nil:
@@ -117,17 +128,27 @@
 	return a.keeper.Fence()
 }
 
-// noteOver remembers that a life is over: it never comes back. The caller holds
-// mu.
+// noteOver remembers that a life is over: by the executor's word, or since it left
+// looks unanswered after its farewell. That only spares calls. It is not kept for
+// good, since the word may have been wrong: an executor may describe itself before it
+// answers under its new name, and a process of before may answer on a connection that
+// was kept. The caller holds mu.
 func (a *Agent) noteOver(life string) {
 	delete(a.described, life)
-	if life == "" || slices.Contains(a.over, life) {
+	if life == "" {
 		return
 	}
-	a.over = append(a.over, life)
+	a.over = slices.DeleteFunc(a.over, func(e endedLife) bool { return e.life == life })
+	a.over = append(a.over, endedLife{life, steady.Now().Add(overSpan)})
 	a.over = a.over[max(0, len(a.over)-maxLives):]
 }
 
+// isOver reports whether a life was found over lately. The caller holds mu.
+func (a *Agent) isOver(life string, now time.Time) bool {
+	a.over = slices.DeleteFunc(a.over, func(e endedLife) bool { return !now.Before(e.until) })
+	return slices.ContainsFunc(a.over, func(e endedLife) bool { return e.life == life })
+}
+
 // take takes what the present life says of itself. The caller holds mu.
 func (a *Agent) take(d description) {
 	changed := !a.known || !a.vm.Same(d.vm) || a.draining != d.draining
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -72,7 +72,7 @@
 	known     bool                    // vm describes a life of the executor
 	leaving   bool                    // the executor has said farewell, and ends
 	described map[string]*description // lives that the executor has not confirmed yet
-	over      []string                // lives that never come back, the newest last
+	over      []endedLife             // lives that were found over lately, the newest last
 	draining  bool
 	leaveAt   time.Time
 	seenAt    time.Time // when the executor last answered a look
