Show what wrongly tells that an executor has left

Cause: after a farewell, any two looks in succession that fail count as two without an answer: also those that were answered with an error status, and one that the agent's own end broke off. The agent then says that the life has left, and the leader starts its runs elsewhere while they may be at work.

--- a/executor.go
+++ b/executor.go
@@ -81,6 +81,9 @@
 // ErrOtherLife means that what was meant has been replaced by a newer life.
 var ErrOtherLife = errors.New("the executor has another life now")
 
+// ErrNoAccount means that an executor has answered a look, but not with its account.
+var ErrNoAccount = errors.New("the executor answered without its account")
+
 // Executor runs tasks on one VM. Each call is meant for one life of it. After an
 // error a call may have been carried out, or may yet be, also after later calls;
 // but a run that was stopped never starts afterwards.
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -185,6 +186,30 @@
 		a.lookFailed("life-1", executor.ErrNoAnswer)
 		assert.Equal(t, leftOf(a), "life-1")
 	})
+	t.Run("an answer that is no account does not, and neither does one without an answer beside it", func(t *testing.T) {
+		a := newAgentAlone(run)
+		a.Gone("life-1")
+		for range 3 {
+			a.lookFailed("life-1", fmt.Errorf("look: status 503: %w", rudderfork.ErrNoAccount))
+			a.lookFailed("life-1", executor.ErrNoAnswer)
+		}
+		assert.Equal(t, a.Life(), "life-1")
+		assert.Equal(t, leftOf(a), "")
+	})
+	t.Run("nor does a look that the agent's own end breaks off", func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		a := newAgentAlone(run)
+		a.exec = &script{look: func(ctx context.Context, _ int) error {
+			cancel()
+			<-ctx.Done()
+			return ctx.Err()
+		}}
+		a.Gone("life-1")
+		a.lookFailed("life-1", executor.ErrNoAnswer)
+		assert.ErrorIs(t, a.lookLoop(ctx), context.Canceled)
+		assert.Equal(t, a.Life(), "life-1")
+		assert.Equal(t, leftOf(a), "")
+	})
 	t.Run("without a farewell none does", func(t *testing.T) {
 		a := newAgentAlone(run)
 		for range 5 {
