Count only looks without any answer before a life has left

Cause: lookFailed did not tell an error status from no answer, and lookLoop handed it the look that the agent's own end broke off. Ruled out: taking an error status for an account (the grant would go on without the executor's clock); leaving the count as it is on such an answer (then two that are not in succession would do). A look that ends after its context changes nothing. Conclusion: an executor that answers nothing but error statuses after its farewell is given up with its lease, not before.

--- a/executor.go
+++ b/executor.go
@@ -91,6 +91,7 @@
 	Start(ctx context.Context, life string, s RunStart) (StartOutcome, error)
 	// Stop ends a run, and keeps one that is not there from ever starting.
 	Stop(ctx context.Context, life string, r RunRef, fence uint64) error
+	// Look returns the account, or ErrNoAccount if it is answered otherwise.
 	Look(ctx context.Context, life string, r LookRequest) (Look, error)
 	// Pace sets the share of its full speed, in percent, at which a run works.
 	Pace(ctx context.Context, life string, r RunRef, percent int, fence uint64) error
--- a/runner/look.go
+++ b/runner/look.go
@@ -21,6 +21,9 @@
 		}
 		asked := steady.Now()
 		look, err := a.look(ctx, life, req)
+		if ctx.Err() != nil {
+			return ctx.Err() // the agent ends, which says nothing of the executor
+		}
 		if err != nil {
 			a.lookFailed(life, err)
 			steady.Pause(ctx, failPause)
@@ -69,6 +72,8 @@
 	return a.exec.Look(ctx, life, req)
 }
 
+// lookFailed takes a look that brought no account. Only one without any answer
+// tells that the executor may have left.
 func (a *Agent) lookFailed(life string, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -79,12 +84,15 @@
 		a.replaced()
 		return
 	}
-	a.unanswered++
-	if a.leaving && a.unanswered >= leftAfter {
+	outcome := "unanswered"
+	if errors.Is(err, rudderfork.ErrNoAccount) {
+		outcome = "no account"
+		a.unanswered = 0
+	} else if a.unanswered++; a.leaving && a.unanswered >= leftAfter {
 		a.depart()
 		return
 	}
-	a.met.calls.WithLabelValues("look", "unanswered").Inc()
+	a.met.calls.WithLabelValues("look", outcome).Inc()
 	a.log.Info().Err(err).Dur("silent", steady.Now().Sub(a.seenAt)).Msg("look_failed")
 }
 
