Show that a life is confirmed with less patience than it is looked at

Cause: confirm bounds its look by callTimeout (0.5 s), lookLoop its own by the wait and lookTimeout (0.7 s). An executor that answers after 0.6 s can be kept but never taken up. Change: TestConfirmed, which also holds what an answer without an account does.

--- a/runner/late_test.go
+++ b/runner/late_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
@@ -132,6 +133,37 @@
 	})
 }
 
+// TestConfirmed has a life confirmed by what counts as an account, and by nothing else.
+func TestConfirmed(t *testing.T) {
+	t.Run("an account that comes as late as one may is taken", func(t *testing.T) {
+		var end time.Time
+		a, _ := scripted(func(ctx context.Context, _ int) error {
+			end, _ = ctx.Deadline()
+			return nil
+		})
+		before := time.Now()
+		a.hear(t.Context(), newLife)
+		assert.Equal(t, a.Life(), newLife)
+		assert.Assert(t, end.Sub(before) >= lookTimeout, "a look is given up after %v", end.Sub(before))
+	})
+	for name, err := range map[string]error{"an answer without an account": rudderfork.ErrNoAccount, "no answer": executor.ErrNoAnswer} {
+		t.Run(name+" neither confirms a life nor ends it", func(t *testing.T) {
+			a, _ := scripted(func(_ context.Context, n int) error {
+				if n <= 2 {
+					return err
+				}
+				return nil
+			})
+			for range 2 {
+				a.hear(t.Context(), newLife)
+				assert.Equal(t, a.Life(), "")
+			}
+			a.hear(t.Context(), newLife)
+			assert.Equal(t, a.Life(), newLife)
+		})
+	}
+}
+
 // lateWorld is an agent without memory, beside an executor in its second life.
 type lateWorld struct {
 	t    *testing.T
