Wait for the look that confirms a life as long as for any other

Cause: confirm used the bound of starts and stops, 0.5 s, which a look may exceed: it holds hundreds of rows, and lookLoop gives it 0.7 s. Ruled out: taking an error status for the life's own answer. A look for another life is to get 421, so by the letter any other status is the life's; but without an account there is no clock of the executor, so no lease is kept and nothing starts, and the answer may be of something between or of a process that starts. Waiting loses nothing. Conclusion: a life that answers within the bound of looks is also taken up.

--- a/runner/life.go
+++ b/runner/life.go
@@ -100,9 +100,12 @@
 }
 
 // confirm asks the executor for its account as one life. Any other life says so.
-// Without an answer the life is neither taken nor given up.
+// Without an account the life is neither taken nor given up, also if there is some
+// other answer: by the contract that could only be the life's own, but it brings no
+// clock, so no lease could be kept nor anything started, and there is nothing to
+// gain from a word that may be another's.
 func (a *Agent) confirm(ctx context.Context, life string) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
 	defer cancel()
 	_, err := a.exec.Look(ctx, life, rudderfork.LookRequest{Fence: a.fence()})
 	a.mu.Lock()
