Show that a refusal costs a stop after each reconnection

Cause: Keeper.Order takes each run that is new in any full list for one that an earlier agent may have sent. It is so only for a leader's first list to a process; later ones bring what was ordered while the same process had no session. Change: subtests of TestEarlierAgent.

--- a/runs/keeper_test.go
+++ b/runs/keeper_test.go
@@ -309,6 +309,38 @@
 		k.Stopped(ref(1), nil, t0)
 		checkEnds(t, k.Looked(rudderfork.Look{}, t0.Add(time.Second)), queue.EndGone)
 	})
+	again := wire.Orders{Life: "life-1", Epoch: 1, Full: true, Start: []wire.RunOrder{{RunRef: ref(1)}}}
+	for _, why := range []rudderfork.StartOutcome{rudderfork.StartTicket, rudderfork.StartNoRoom} {
+		t.Run("in a later session with the leader a refusal is over at once: "+why.String(), func(t *testing.T) {
+			k := ready()
+			k.SetTerm(3)
+			k.Order(again)
+			onlyCall(t, k, t0)
+			end := k.Started(ref(1), why, nil, t0)
+			assert.Assert(t, end != nil)
+			checkEnds(t, []queue.End{*end}, queue.EndRefused)
+			checkNothingDue(t, k, t0.Add(time.Second))
+		})
+	}
+	t.Run("but not with a later leader, since the first may have been outranked", func(t *testing.T) {
+		k := ready()
+		k.SetTerm(4)
+		k.Order(again)
+		onlyCall(t, k, t0)
+		assert.Assert(t, k.Started(ref(1), rudderfork.StartNoRoom, nil, t0) == nil)
+		checkStops(t, k, 1, t0)
+	})
+	t.Run("nor once the life was lost and found again", func(t *testing.T) {
+		k := ready()
+		k.Reset("")
+		k.Reset("life-1")
+		k.SetClock(10_000, t0)
+		k.Order(again)
+		k.Grant("life-1", 1, t0.Add(5*time.Second))
+		onlyCall(t, k, t0)
+		assert.Assert(t, k.Started(ref(1), rudderfork.StartNoRoom, nil, t0) == nil)
+		checkStops(t, k, 1, t0)
+	})
 	t.Run("so is one that a draining executor is not sent", func(t *testing.T) {
 		k := fullList()
 		k.SetDraining(true)
