Take only a leader's first full list for an earlier agent's starts

A run that was ordered while its agent reconnected, and was then refused for a ticket or for room, took a stop and a look to be over. Ruled out: the first full list of the process alone, whoever it is from. A leader that was outranked and does not know it opens sessions and sends lists without asking its quorum; its list lacks what a later one had the earlier agent start. A list of a later leader then brings such a run, and it would be reported as refused while its start is held back. Change: Keeper.listed, the term of the leader that the latest full list is from. Conclusion: only the first list after a change of the leader costs a refusal a stop.

--- a/runs/keeper.go
+++ b/runs/keeper.go
@@ -53,6 +53,7 @@
 	term   uint64 // highest of a leader that was met; the fencing token
 	led    uint64 // term of the leader that the session is with
 	synced bool   // the full list of the epoch has come
+	listed uint64 // term of the leader that the latest full list is from
 	grant  time.Time
 	leave  bool // the executor is draining: nothing more is started
 
@@ -136,6 +137,7 @@
 	if k.outranked() || o.Life != k.life || o.Epoch < k.epoch {
 		return
 	}
+	unsure := o.Full && (!k.synced || k.listed != k.led)
 	if o.Full {
 		k.takeAll(o)
 	}
@@ -144,9 +146,11 @@
 	}
 	for _, r := range o.Start {
 		if old := k.orders[r.Task]; old == nil || old.Run < r.Run {
-			// What a full list brings may have been sent by an agent before this
-			// one, whose start the executor may yet carry out.
-			k.orders[r.Task] = &order{RunOrder: r, unsure: o.Full}
+			// What a leader's first full list brings may have been sent by an agent
+			// before this one, whose start the executor may yet carry out. One list
+			// is not enough: that of a leader which does not know yet that it was
+			// outranked lacks what a later one had that agent start.
+			k.orders[r.Task] = &order{RunOrder: r, unsure: unsure}
 		}
 	}
 	for _, r := range o.Stop {
@@ -163,7 +167,7 @@
 		}
 		k.epoch, k.grant = o.Epoch, time.Time{}
 	}
-	k.synced = true
+	k.synced, k.listed = true, k.led
 	listed := map[rudderfork.RunRef]bool{}
 	for _, r := range o.Start {
 		listed[r.RunRef] = true
