Take no ends that are reported in a session that was left

Cause: an agent that was refused a start, and then crashed, may have its report arrive after the next agent has started the same run: life and run number match, so the run counted as over and could start elsewhere beside itself. Ruled out: refusing only refusals (an end that is listed is listed again to whoever looks next, so nothing is lost by refusing all). Change: session.ends refuses in a session that the VM's agent has left. Test: TestLateBeats, a refusal of a run that the next process has started: fails without the change (the run was gone from the VM), passes with it.

--- a/scheduler/late_test.go
+++ b/scheduler/late_test.go
@@ -181,6 +181,16 @@
 		before.late(wire.FromNode{Ends: &wire.EndsReport{Seq: 1, Ends: queue.Ends{VM: lateVM, Life: oldLife, List: list}, Left: true}})
 		s.checkPresent(now, epoch)
 	})
+	t.Run("a refusal of a run that the next process has started", func(t *testing.T) {
+		s := newSite(t, nil)
+		before, now := s.speak(), s.speak()
+		before.beat(newLife)
+		epoch := now.beat(newLife).Epoch
+		now.atWork(newLife)
+		list := []queue.End{{Task: queue.TaskKey{Job: "feed"}, Run: 1, How: queue.EndRefused}}
+		before.late(wire.FromNode{Ends: &wire.EndsReport{Seq: 1, Ends: queue.Ends{VM: lateVM, Life: newLife, List: list}}})
+		s.checkPresent(now, epoch)
+	})
 	t.Run("after the later session has ended", func(t *testing.T) {
 		s := newSite(t, nil)
 		before, now := s.speak(), s.speak()
--- a/scheduler/vm.go
+++ b/scheduler/vm.go
@@ -111,6 +111,16 @@
 	return nil
 }
 
+// present refuses what comes in a session that the VM's agent has left.
+func (ses *session) present(id rudderfork.VMID) error {
+	ses.s.mu.Lock()
+	defer ses.s.mu.Unlock()
+	if ses.outlived(ses.s.fleet.vm(id)) {
+		return errOutlived
+	}
+	return nil
+}
+
 // outlived reports whether the VM's agent has spoken in a later session. The caller
 // holds mu.
 func (ses *session) outlived(v *vmInfo) bool { return ses.number < v.spoken }
@@ -247,8 +257,14 @@
 	return ok
 }
 
-// ends commits the ends that a VM reports, then says so.
+// ends commits the ends that a VM reports, then says so. A session that was left
+// reports none: its agent may have been refused a start that the next one made again,
+// and taking the refusal would let the run start elsewhere beside it. An agent that
+// lives reports again in its next session, and so does the executor what it lists.
 func (ses *session) ends(ctx context.Context, r wire.EndsReport) error {
+	if err := ses.present(r.Ends.VM); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
 	res, err := ses.s.do(ctx, queue.Command{Ends: &r.Ends})
