--- a/replica/peers.go
+++ b/replica/peers.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -114,6 +116,13 @@
 	}
 }
 
+// Addrs implements Sender.
+func (p *Peers) Addrs() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Sorted(maps.Keys(p.links))
+}
+
 // addrOf returns where a member is reached. The caller holds mu.
 func (p *Peers) addrOf(id quorum.MemberID) string {
 	if a := p.dial[memberName(id)]; a != "" {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -5,6 +5,11 @@
 // is in; the look loop asks it for its account and waits there for ends; the call
 // loop sends starts and stops; the beat loop sends heartbeats, each of which brings
 // a lease back.
+//
+// A life of the executor goes through these steps: it describes itself (described),
+// answers a look that is meant for it and is taken up (known), says farewell (leaving),
+// answers no more looks and is reported as left. Where another life answers instead it
+// is over, and is asked about again after a while if it still describes itself.
 package runner
 
 import (
--- a/runs/keeper.go
+++ b/runs/keeper.go
@@ -259,8 +259,8 @@
 	return at, ok
 }
 
-// waits reports whether a call is to be made again, at retryAt. While one is under
-// way that is over, and would have the caller turn idly.
+// waits reports whether a call is to be made again, at retryAt. While a call is under
+// way retryAt is past, and a caller that slept until then would not sleep at all.
 func (o *order) waits() bool {
 	return !o.retryAt.IsZero() && !o.inFlight && !o.ended && o.confirmed.IsZero()
 }
