Say once who answers, when a call is due and how two sessions speak

Cause: a last reading of the change. A majority of answering voters was counted in two ways, for one voter more and for one less; the two loops of Keeper.RetryAt had become the same; a look without an account counted inside a condition; a link wrote out ReceiveWithin; a test read the document's version beside Replica.document; six parts of a test opened their two sessions each by itself. Change: Node.quorate, one closure in RetryAt, counting before the condition, and ReceiveWithin; in tests Replica.document and speakTwice. No behaviour, bound or assertion changes: a silent voter is succeeded only in odd groups, where half of one voter more is what was asked for before.

--- a/entry/link.go
+++ b/entry/link.go
@@ -168,7 +168,7 @@
 	}()
 	stopping := false // it said so in this session
 	for {
-		m, err := l.receive(ctx, c)
+		m, err := c.ReceiveWithin(ctx, probeIdle+probeTimeout)
 		if err != nil {
 			return err
 		}
@@ -191,12 +191,6 @@
 	}
 }
 
-func (l *agentLink) receive(ctx context.Context, c *wire.Conn[wire.ToAgent, wire.ToEntry]) (wire.ToEntry, error) {
-	ctx, cancel := context.WithTimeout(ctx, probeIdle+probeTimeout)
-	defer cancel()
-	return c.Receive(ctx)
-}
-
 // write sends probes, more often while there are requests.
 func (l *agentLink) write(ctx context.Context, c *wire.Conn[wire.ToAgent, wire.ToEntry], out chan wire.ToAgent) {
 	tick := time.NewTicker(probeBusy)
--- a/quorum/members.go
+++ b/quorum/members.go
@@ -181,7 +181,7 @@
 // voter's place; ok is false while too few answer for one voter more.
 func (n *Node) succeeded(standby int, now time.Time) (next []Member, ok bool) {
 	next = n.promoted(standby)
-	return next, n.answering(next, freshTimeouts, now) > len(n.voters())/2+1
+	return next, n.quorate(next, freshTimeouts, now)
 }
 
 // promoted returns the members with a vote for the one at place i.
@@ -195,24 +195,23 @@
 // voters would answer to go on.
 func (n *Node) without(i int, now time.Time) (next []Member, ok bool) {
 	next = slices.Delete(slices.Clone(n.log.members()), i, i+1)
-	voters := 0
-	for _, m := range next {
-		if m.Voter {
-			voters++
-		}
-	}
-	return next, n.answering(next, silentTimeouts, now) > voters/2
+	return next, n.quorate(next, silentTimeouts, now)
 }
 
-// answering returns how many voters among members have answered within that many
-// election timeouts.
-func (n *Node) answering(members []Member, timeouts int, now time.Time) (count int) {
+// quorate reports whether a majority of the voters among members have answered within
+// that many election timeouts.
+func (n *Node) quorate(members []Member, timeouts int, now time.Time) bool {
+	voters, answering := 0, 0
 	for _, m := range members {
-		if m.Voter && !n.silent(m.ID, timeouts, now) {
-			count++
+		if !m.Voter {
+			continue
+		}
+		voters++
+		if !n.silent(m.ID, timeouts, now) {
+			answering++
 		}
 	}
-	return count
+	return answering > voters/2
 }
 
 // silent reports whether another replica has not answered for that many election
--- a/replica/silence_test.go
+++ b/replica/silence_test.go
@@ -141,7 +141,7 @@
 	}, poll.WithTimeout(joinLimit))
 	poll.WaitOn(g.t, func(poll.LogT) poll.Result {
 		for _, l := range running {
-			if held := heldVersion(l); held < d.Version {
+			if held, _ := l.rep.document(); held < d.Version {
 				return poll.Continue("%s holds version %d; want %d", l.self.Name, held, d.Version)
 			}
 		}
@@ -149,16 +149,6 @@
 	}, poll.WithTimeout(joinLimit))
 }
 
-// heldVersion returns the version of the document at a replica, or 0.
-func heldVersion(l *linked) (version uint64) {
-	l.rep.View(func(s *state.State) {
-		if d := s.Queues().Document(); d != nil {
-			version = d.Version
-		}
-	})
-	return version
-}
-
 func every(int, int) bool { return true }
 
 // both is both directions of a link.
--- a/runner/look.go
+++ b/runner/look.go
@@ -84,11 +84,14 @@
 		a.replaced()
 		return
 	}
-	outcome := "unanswered"
+	outcome := "no account"
+	a.unanswered++
 	if errors.Is(err, rudderfork.ErrNoAccount) {
-		outcome = "no account"
 		a.unanswered = 0
-	} else if a.unanswered++; a.leaving && a.unanswered >= leftAfter {
+	} else {
+		outcome = "unanswered"
+	}
+	if a.leaving && a.unanswered >= leftAfter {
 		a.depart()
 		return
 	}
--- a/runs/keeper.go
+++ b/runs/keeper.go
@@ -246,15 +246,16 @@
 
 // RetryAt returns when Due may have something again without another event.
 func (k *Keeper) RetryAt() (at time.Time, ok bool) {
-	for _, o := range k.orders {
+	consider := func(o *order) {
 		if o.waits() && (!ok || o.retryAt.Before(at)) {
 			at, ok = o.retryAt, true
 		}
 	}
+	for _, o := range k.orders {
+		consider(o)
+	}
 	for _, o := range k.strays {
-		if o.waits() && (!ok || o.retryAt.Before(at)) {
-			at, ok = o.retryAt, true
-		}
+		consider(o)
 	}
 	return at, ok
 }
--- a/scheduler/late_test.go
+++ b/scheduler/late_test.go
@@ -50,6 +50,19 @@
 	return p
 }
 
+// speakTwice opens two sessions of the VM's agent. In the first it speaks of a life,
+// unless that is ""; in the second of the new one, where a task is at work.
+func (s *site) speakTwice(life string) (before, now *speaker, epoch uint64) {
+	s.t.Helper()
+	before, now = s.speak(), s.speak()
+	if life != "" {
+		before.beat(life)
+	}
+	epoch = now.beat(newLife).Epoch
+	now.atWork(newLife)
+	return before, now, epoch
+}
+
 func beatOf(life string) wire.VMBeat {
 	return wire.VMBeat{Sent: steady.Now().UnixNano(), VM: queue.VM{
 		ID: lateVM, Life: life, Service: "desk", Capacity: rudderfork.Resources{CPUMilli: 4000, MemoryMB: 1000},
@@ -143,27 +156,19 @@
 func TestLateBeats(t *testing.T) {
 	t.Run("of a life that was registered", func(t *testing.T) {
 		s := newSite(t, nil)
-		before, now := s.speak(), s.speak()
-		before.beat(oldLife)
-		epoch := now.beat(newLife).Epoch
-		now.atWork(newLife)
+		before, now, epoch := s.speakTwice(oldLife)
 		before.lateBeat(oldLife)
 		s.checkPresent(now, epoch)
 	})
 	t.Run("of a life that never was", func(t *testing.T) {
 		s := newSite(t, nil)
-		before, now := s.speak(), s.speak()
-		epoch := now.beat(newLife).Epoch
-		now.atWork(newLife)
+		before, now, epoch := s.speakTwice("")
 		before.lateBeat(oldLife)
 		s.checkPresent(now, epoch)
 	})
 	t.Run("of the same life", func(t *testing.T) {
 		s := newSite(t, nil)
-		before, now := s.speak(), s.speak()
-		before.beat(newLife)
-		epoch := now.beat(newLife).Epoch
-		now.atWork(newLife)
+		before, now, epoch := s.speakTwice(newLife)
 		before.lateBeat(newLife)
 		s.sched.mu.Lock()
 		draining := s.sched.fleet.vm(lateVM).beat.Draining
@@ -173,30 +178,21 @@
 	})
 	t.Run("ends, and that it has left", func(t *testing.T) {
 		s := newSite(t, nil)
-		before, now := s.speak(), s.speak()
-		before.beat(oldLife)
-		epoch := now.beat(newLife).Epoch
-		now.atWork(newLife)
+		before, now, epoch := s.speakTwice(oldLife)
 		list := []queue.End{{Task: queue.TaskKey{Job: "feed"}, Run: 1, How: queue.EndFailed}}
 		before.late(wire.FromNode{Ends: &wire.EndsReport{Seq: 1, Ends: queue.Ends{VM: lateVM, Life: oldLife, List: list}, Left: true}})
 		s.checkPresent(now, epoch)
 	})
 	t.Run("a refusal of a run that the next process has started", func(t *testing.T) {
 		s := newSite(t, nil)
-		before, now := s.speak(), s.speak()
-		before.beat(newLife)
-		epoch := now.beat(newLife).Epoch
-		now.atWork(newLife)
+		before, now, epoch := s.speakTwice(newLife)
 		list := []queue.End{{Task: queue.TaskKey{Job: "feed"}, Run: 1, How: queue.EndRefused}}
 		before.late(wire.FromNode{Ends: &wire.EndsReport{Seq: 1, Ends: queue.Ends{VM: lateVM, Life: newLife, List: list}}})
 		s.checkPresent(now, epoch)
 	})
 	t.Run("after the later session has ended", func(t *testing.T) {
 		s := newSite(t, nil)
-		before, now := s.speak(), s.speak()
-		before.beat(oldLife)
-		epoch := now.beat(newLife).Epoch
-		now.atWork(newLife)
+		before, now, epoch := s.speakTwice(oldLife)
 		now.conn.Close()
 		s.until("the session has ended", func() bool {
 			s.sched.mu.Lock()
