Wake the agents that there is news for, and keep the rows that plans read

Cause: each round woke all sessions, and each of 240 agents' orders were worked out under the scheduler's lock, names of runs formatted anew; the runs of all VMs were copied into a map for each plan. Change: a session is woken if its VM's runs have changed since its last orders or a run of it is to be stopped; fleet keeps the rows as plans read them and counts their changes; the rows of runs that are over are dropped as soon as the VM's runs have changed, as before. fleet_account, a line each two seconds, says what the fleet holds and what waits.

--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -33,17 +33,21 @@
 type fleet struct {
 	vms       map[rudderfork.VMID]*vmInfo
 	stops     map[rudderfork.RunRef]string // runs that are to end, with why
+	stopsOn   map[rudderfork.VMID]bool     // the VMs of these
 	noted     map[rudderfork.RunRef]bool   // stops that were logged
 	failed    map[queue.TaskKey][]rudderfork.VMID
 	putOff    map[queue.TaskKey]time.Time
 	pruneAt   time.Time
 	pressures *pressures
 	advice    *advice
+	planner   *dispatch.Planner
+	runs      map[queue.RunKey]dispatch.RunView // of all VMs' rows
 
 	// regroupAt is when to look next for a serving task that had better run
 	// elsewhere; moved is the one that was moved last.
 	regroupAt time.Time
 	moved     dispatch.Move
+	accountAt time.Time // when the fleet is summed up next
 	// emptying is the VM whose upkeep is next; it gets no new work.
 	emptying rudderfork.VMID
 }
@@ -58,12 +62,23 @@
 	registering bool
 
 	beatAt  time.Time
-	beat    wire.VMBeat
-	rows    map[queue.TaskKey]*runInfo
-	doubt   float64
-	doubtAt time.Time
+	changes uint64 // rises with each change of rows
+	// prunedAt is the VM and its changes for which rows were pruned last.
+	prunedAt vmVersion
+	beat     wire.VMBeat
+	rows     map[queue.TaskKey]*runInfo
+	doubt    float64
+	doubtAt  time.Time
 }
 
+// vmVersion tells whether a VM's runs have changed.
+type vmVersion struct {
+	vm      *queue.VM
+	changes uint64
+}
+
+func versionOf(vm *queue.VM) vmVersion { return vmVersion{vm, vm.Changes()} }
+
 // runInfo is one run at the moment.
 type runInfo struct {
 	row     rudderfork.RunRow
@@ -75,16 +90,16 @@
 
 func newFleet() *fleet {
 	return &fleet{
-		vms: map[rudderfork.VMID]*vmInfo{}, stops: map[rudderfork.RunRef]string{}, noted: map[rudderfork.RunRef]bool{},
+		vms: map[rudderfork.VMID]*vmInfo{}, stops: map[rudderfork.RunRef]string{}, stopsOn: map[rudderfork.VMID]bool{}, noted: map[rudderfork.RunRef]bool{},
 		failed: map[queue.TaskKey][]rudderfork.VMID{}, putOff: map[queue.TaskKey]time.Time{},
-		pressures: newPressures(), advice: newAdvice(),
+		pressures: newPressures(), advice: newAdvice(), planner: dispatch.NewPlanner(), runs: map[queue.RunKey]dispatch.RunView{},
 	}
 }
 
 func (f *fleet) vm(id rudderfork.VMID) *vmInfo {
 	v := f.vms[id]
 	if v == nil {
-		v = &vmInfo{rows: map[queue.TaskKey]*runInfo{}}
+		v = &vmInfo{rows: map[queue.TaskKey]*runInfo{}, changes: 1}
 		f.vms[id] = v
 	}
 	return v
@@ -101,10 +116,12 @@
 	return m
 }
 
-// take notes a heartbeat.
-func (v *vmInfo) take(b wire.VMBeat, now time.Time) {
+// take notes a VM's heartbeat.
+func (f *fleet) take(v *vmInfo, b wire.VMBeat, now time.Time) {
 	if v.beat.VM.Life != b.VM.Life {
-		clear(v.rows)
+		for k := range v.rows {
+			f.dropRow(v, k)
+		}
 		v.doubt = 0
 	}
 	v.beat, v.beatAt = b, now
@@ -113,25 +130,53 @@
 		if err != nil {
 			continue // not a run of ours; the agent stops it
 		}
+		if r := v.rows[k]; r != nil && r.row.Run != row.Run {
+			f.dropRow(v, k)
+		}
 		r := v.rows[k]
-		if r == nil || r.row.Run != row.Run {
+		if r == nil {
 			r = &runInfo{seenAt: now, movedAt: now, from: row.Percent}
 			v.rows[k] = r
 		}
-		if r.row.Percent != row.Percent {
-			r.movedAt = now
-		}
-		switch {
-		case row.Held < heldDown:
-			r.heldAt = time.Time{}
-		case r.heldAt.IsZero():
-			r.heldAt = now
-		}
-		r.row = row
+		r.take(row, now)
+		f.runs[k.Run(row.Run)] = r.view()
+		v.changes++
 	}
 	v.beat.Rows = nil
 }
 
+// dropRow forgets what a VM has told of a task.
+func (f *fleet) dropRow(v *vmInfo, k queue.TaskKey) {
+	delete(f.runs, k.Run(v.rows[k].row.Run))
+	delete(v.rows, k)
+	v.changes++
+}
+
+// take notes what a heartbeat tells of the run.
+func (r *runInfo) take(row rudderfork.RunRow, now time.Time) {
+	if r.row.Percent != row.Percent {
+		r.movedAt = now
+	}
+	switch {
+	case row.Held < heldDown:
+		r.heldAt = time.Time{}
+	case r.heldAt.IsZero():
+		r.heldAt = now
+	}
+	r.row = row
+}
+
+// view returns the run as dispatch reads it.
+func (r *runInfo) view() dispatch.RunView {
+	run := dispatch.RunView{
+		Percent: r.row.Percent, From: r.from, SeenAt: rudderfork.Millis(r.seenAt), MovedAt: rudderfork.Millis(r.movedAt), Load: r.row.Load, Held: r.row.Held,
+	}
+	if !r.heldAt.IsZero() {
+		run.HeldAt = rudderfork.Millis(r.heldAt)
+	}
+	return run
+}
+
 func (v *vmInfo) usable(now time.Time) bool {
 	return v.session != nil && !v.beat.Mute && now.Sub(v.beatAt) < beatLimit && v.lease.Leased(now)
 }
@@ -151,10 +196,10 @@
 	return d
 }
 
-// view returns what dispatch reads, and drops what concerns runs that are over.
+// view returns what dispatch reads. It is good until the next change of the fleet.
 func (f *fleet) view(s *queue.State, now time.Time) dispatch.View {
 	view := dispatch.View{
-		Now: rudderfork.Millis(now), VMs: map[rudderfork.VMID]dispatch.VMView{}, Runs: map[queue.RunKey]dispatch.RunView{},
+		Now: rudderfork.Millis(now), VMs: make(map[rudderfork.VMID]dispatch.VMView, len(f.vms)), Runs: f.runs,
 		Failed: f.failed, PutOff: map[queue.TaskKey]int64{},
 		Tickets:  f.advice.view(s, now),
 		Moved:    f.moved,
@@ -162,19 +207,9 @@
 	}
 	for _, vm := range s.VMs() {
 		v := f.vm(vm.ID)
-		view.VMs[vm.ID] = dispatch.VMView{Usable: v.usable(now), Draining: v.beat.Draining, Closed: vm.ID == f.emptying, Doubt: v.doubtNow(now)}
-		for k, r := range v.rows {
-			if vm.Runs()[k] != r.row.Run {
-				delete(v.rows, k)
-				continue
-			}
-			run := dispatch.RunView{
-				Percent: r.row.Percent, From: r.from, SeenAt: rudderfork.Millis(r.seenAt), MovedAt: rudderfork.Millis(r.movedAt), Load: r.row.Load, Held: r.row.Held,
-			}
-			if !r.heldAt.IsZero() {
-				run.HeldAt = rudderfork.Millis(r.heldAt)
-			}
-			view.Runs[k.Run(r.row.Run)] = run
+		f.pruneRows(vm, v)
+		view.VMs[vm.ID] = dispatch.VMView{
+			Usable: v.usable(now), Draining: v.beat.Draining, Closed: vm.ID == f.emptying, Doubt: v.doubtNow(now), Changes: v.changes,
 		}
 	}
 	for k, until := range f.putOff {
@@ -208,6 +243,19 @@
 	}
 }
 
+// pruneRows drops the rows of runs that are over.
+func (f *fleet) pruneRows(vm *queue.VM, v *vmInfo) {
+	if v.prunedAt == versionOf(vm) {
+		return
+	}
+	v.prunedAt = versionOf(vm)
+	for k, r := range v.rows {
+		if vm.Runs()[k] != r.row.Run {
+			f.dropRow(v, k)
+		}
+	}
+}
+
 // regroupPause is between two looks for a serving task to move, which weigh each
 // against all VMs.
 const regroupPause = 500 * time.Millisecond
@@ -220,10 +268,24 @@
 	return true
 }
 
+// accountPause is between two accounts of the fleet in the log: a day of them is a
+// few megabytes.
+const accountPause = 2 * time.Second
+
+func (f *fleet) accountDue(now time.Time) bool {
+	if now.Before(f.accountAt) {
+		return false
+	}
+	f.accountAt = now.Add(accountPause)
+	return true
+}
+
 // setStops replaces the runs that are to end.
 func (f *fleet) setStops(stops []dispatch.Stop, now time.Time) {
 	clear(f.stops)
+	clear(f.stopsOn)
 	for _, st := range stops {
+		f.stopsOn[st.VM] = true
 		f.stops[st.Task.Ref(st.Run)] = st.Reason
 		if st.Reason == dispatch.Regrouped && (f.moved.Task != st.Task || f.moved.Run != st.Run) {
 			f.moved = dispatch.Move{Task: st.Task, Run: st.Run, At: rudderfork.Millis(now)}
--- a/scheduler/orders_test.go
+++ b/scheduler/orders_test.go
@@ -6,7 +6,9 @@
 	"gotest.tools/v3/assert"
 
 	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/dispatch"
 	"rudderfork.example/rudderfork/interference"
+	"rudderfork.example/rudderfork/internal/steady"
 	"rudderfork.example/rudderfork/queue"
 )
 
@@ -84,3 +86,38 @@
 		assert.DeepEqual(t, newAgentSession(qs).newOrders(qs).Stop, []rudderfork.RunRef{run})
 	})
 }
+
+// TestBehind holds that a VM's agent is told of whatever concerns it, and woken for
+// nothing else.
+func TestBehind(t *testing.T) {
+	key := queue.TaskKey{Job: "j"}
+	told := func(t *testing.T) (qs *queue.State, ses *session) {
+		qs = stateWithRun(t)
+		ses = newAgentSession(qs)
+		assert.Assert(t, ses.behind(qs), "it was told nothing yet")
+		ses.newOrders(qs)
+		assert.Assert(t, !ses.behind(qs))
+		return qs, ses
+	}
+	t.Run("what concerns other VMs", func(t *testing.T) {
+		qs, ses := told(t)
+		assert.Equal(t, qs.Apply(queue.Command{Register: &queue.VM{ID: "vm2", Life: "life-2", Service: "desk"}}, 2).Code, queue.OK)
+		ses.s.fleet.setStops([]dispatch.Stop{{Task: key, Run: 1, VM: "vm2"}}, steady.Now())
+		assert.Assert(t, !ses.behind(qs))
+	})
+	t.Run("a run has ended", func(t *testing.T) {
+		qs, ses := told(t)
+		qs.Apply(queue.Command{Ends: &queue.Ends{VM: "vm1", Life: "life-1", List: []queue.End{{Task: key, Run: 1, How: queue.EndFailed}}}}, 2)
+		assert.Assert(t, ses.behind(qs))
+	})
+	t.Run("a run is to be stopped", func(t *testing.T) {
+		qs, ses := told(t)
+		ses.s.fleet.setStops([]dispatch.Stop{{Task: key, Run: 1, VM: "vm1"}}, steady.Now())
+		assert.Assert(t, ses.behind(qs))
+	})
+	t.Run("the VM has a new life", func(t *testing.T) {
+		qs, ses := told(t)
+		assert.Equal(t, qs.Apply(queue.Command{Register: &queue.VM{ID: "vm1", Life: "life-2", Service: "desk"}}, 2).Code, queue.OK)
+		assert.Assert(t, ses.behind(qs))
+	})
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -151,12 +151,19 @@
 	}
 }
 
+// wakeSessions wakes the sessions whose VMs have something new to be told. (Waking
+// all of them after each round had 240 agents' orders worked out for each change of
+// one.)
 func (s *Scheduler) wakeSessions() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for ses := range s.sessions {
-		ses.woken.Set()
-	}
+	s.rep.View(func(st *state.State) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for ses := range s.sessions {
+			if ses.behind(st.Queues()) {
+				ses.woken.Set()
+			}
+		}
+	})
 }
 
 // do commits a command on the queues.
@@ -206,10 +213,12 @@
 		defer s.mu.Unlock()
 		view := s.fleet.view(st.Queues(), began)
 		view.Regroup = s.fleet.regroupDue(began)
-		plan = dispatch.Make(st.Queues(), view)
+		view.Account = s.fleet.accountDue(began)
+		plan = s.fleet.planner.Plan(st.Queues(), view)
 		s.fleet.setStops(plan.Stops, began)
 	})
 	s.met.plan.Observe(steady.Now().Sub(began).Seconds())
+	s.logAccount(plan.Account)
 	s.logStops(plan.Stops)
 	s.askAdviser(plan.Asks)
 	if len(plan.Starts) == 0 {
@@ -227,6 +236,16 @@
 	s.logStarts(plan.Starts, res.Numbers)
 }
 
+func (s *Scheduler) logAccount(a *dispatch.Account) {
+	if a == nil {
+		return
+	}
+	s.log.Info().Int("vms", a.VMs).Int("serving", a.Serving).Int("serving_images", a.ServingImages).
+		Int("fillers", a.Fillers).Int("waiting_fillers", a.WaitingFillers).Int("waiting_others", a.WaitingOthers).
+		Float64("filler_cores", a.FillerCores).Float64("paced_cores", a.PacedCores).
+		Float64("idle_cores", a.IdleCores).Float64("open_cores", a.OpenCores).Msg("fleet_account")
+}
+
 func (s *Scheduler) logStarts(starts []dispatch.Start, numbers []uint32) {
 	for i, st := range starts {
 		if numbers[i] == 0 {
--- a/scheduler/session.go
+++ b/scheduler/session.go
@@ -41,6 +41,7 @@
 	life  string          // of its executor
 	epoch uint64          // of the VM; 0 until registered
 	full  bool            // the full list was sent in this epoch
+	seen  vmVersion       // for which orders were worked out last
 	sent  map[rudderfork.RunRef]bool
 	stops map[rudderfork.RunRef]bool    // sent
 	told  map[interference.Pair]float64 // pressures that were sent
--- a/scheduler/vm.go
+++ b/scheduler/vm.go
@@ -22,6 +22,12 @@
 	return o, o.Full || len(o.Start)+len(o.Stop) > 0
 }
 
+// behind reports whether there may be news for the session's VM. The caller holds mu.
+func (ses *session) behind(qs *queue.State) bool {
+	vm := qs.VM(ses.vm)
+	return vm != nil && (ses.seen != versionOf(vm) || ses.s.fleet.stopsOn[ses.vm])
+}
+
 // newOrders compares what was sent with what is to run. The caller holds mu.
 func (ses *session) newOrders(qs *queue.State) *wire.Orders {
 	o := &wire.Orders{Epoch: ses.epoch, Life: ses.life}
@@ -31,6 +37,7 @@
 	}
 	o.Full = !ses.full
 	ses.full = true
+	ses.seen = versionOf(vm)
 	active := map[rudderfork.RunRef]bool{}
 	for k, run := range vm.Runs() {
 		ref := k.Ref(run)
@@ -150,7 +157,7 @@
 	}
 	fresh := v.session != ses
 	v.session = ses
-	v.take(b, now)
+	s.fleet.take(v, b, now)
 	if !b.Mute && ses.epoch != 0 && ses.life == b.VM.Life {
 		grant.LeaseMS = v.lease.Grant(time.Unix(0, st.ContactNS), now, s.cfg.Lease).Milliseconds()
 	}
