Let finished jobs age by a clock of the state, not by the leader's

Cause: forget compared the time of a job's end, by one leader's clock, with another leader's: minutes ahead, it dropped jobs whose status is still asked for (410). Ruled out: the steady clocks of processes (they are not comparable between leaders); a term in each command (the clock may jump within a term as well). Idle time without commands hardly counts: what is finished is kept longer then, never shorter.

--- a/queue/apply.go
+++ b/queue/apply.go
@@ -13,11 +13,12 @@
 
 // Apply applies a command. at is the proposer's clock, Unix ms.
 func (s *State) Apply(c Command, at int64) Result {
+	s.clock.tick(at)
 	switch {
 	case c.Document != nil:
 		return s.takeDocument(c.Document)
 	case c.Submit != nil:
-		s.forget(at - c.Submit.KeepMS)
+		s.forget(s.clock.NowMS - c.Submit.KeepMS)
 		return s.submit(*c.Submit, at)
 	case c.Cancel != nil:
 		return s.cancel(*c.Cancel, at)
@@ -56,11 +57,11 @@
 	}
 }
 
-// forget drops jobs that ended before the given time.
+// forget drops jobs that ended before a time of the state's clock.
 func (s *State) forget(before int64) {
 	for len(s.ended) > 0 {
 		j := s.jobs[s.ended[0]]
-		if j.EndedAt >= before || j.ActiveRuns > 0 {
+		if j.EndedClock >= before || j.ActiveRuns > 0 {
 			return
 		}
 		delete(s.jobs, j.ID)
@@ -139,7 +140,7 @@
 
 func (s *State) finish(j *Job, status Status, at int64) {
 	j.Status = status
-	j.EndedAt = at
+	j.EndedAt, j.EndedClock = at, s.clock.NowMS
 	j.changes++
 	s.ended = append(s.ended, j.ID)
 	s.retire(j)
--- a/queue/image.go
+++ b/queue/image.go
@@ -15,11 +15,12 @@
 	Ended    []rudderfork.JobID `cbor:"3,keyasint,omitempty"`
 	VMs      []*VM              `cbor:"4,keyasint,omitempty"`
 	Waves    []*Wave            `cbor:"5,keyasint,omitempty"`
+	Clock    Clock              `cbor:"6,keyasint,omitempty"`
 }
 
 // Image returns the state for a snapshot. It shares memory with the state.
 func (s *State) Image() Image {
-	im := Image{Document: s.doc, Ended: s.ended, VMs: s.VMs(), Waves: s.waves}
+	im := Image{Document: s.doc, Ended: s.ended, VMs: s.VMs(), Waves: s.waves, Clock: s.clock}
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
 		im.Jobs = append(im.Jobs, s.jobs[id])
 	}
@@ -32,7 +33,7 @@
 	if im.Document != nil {
 		s.setDocument(im.Document)
 	}
-	s.ended, s.waves = im.Ended, im.Waves
+	s.ended, s.waves, s.clock = im.Ended, im.Waves, im.Clock
 	for _, v := range im.VMs {
 		s.vms[v.ID] = v
 	}
--- a/queue/model.go
+++ b/queue/model.go
@@ -264,11 +264,12 @@
 	Queue       Queue            `cbor:"2,keyasint"`
 	Spec        Spec             `cbor:"3,keyasint"`
 	Status      Status           `cbor:"4,keyasint"`
-	SubmittedAt int64            `cbor:"5,keyasint"` // leader's clock, Unix ms
-	EndedAt     int64            `cbor:"6,keyasint,omitempty"`
+	SubmittedAt int64            `cbor:"5,keyasint"`           // leader's clock, Unix ms
+	EndedAt     int64            `cbor:"6,keyasint,omitempty"` // leader's clock, Unix ms
 	Times       []*Occurrence    `cbor:"7,keyasint"`
 	Begun       bool             `cbor:"8,keyasint,omitempty"` // some task was started
 	ActiveRuns  int              `cbor:"9,keyasint,omitempty"`
+	EndedClock  int64            `cbor:"10,keyasint,omitempty"` // Clock when it ended, ms
 
 	changes uint64
 }
--- a/queue/state.go
+++ b/queue/state.go
@@ -17,6 +17,7 @@
 	live  map[rudderfork.JobID]*Job
 	vms   map[rudderfork.VMID]*VM
 	waves []*Wave // oldest first
+	clock Clock
 }
 
 // New returns an empty state.
