Take no first command before the group has its voters

Ruled out: holding commands whenever voters are few (a lost voter goes before its successor comes, and service would rest each time); founding with all that register (nobody tells a machine how many there are). Change: opening: until a command was ever applied, a leader takes commands, and counts as settled, once 2f+1 vote; after 5 s with fewer it opens with a line (group_opened_short). Callers get an answer that the command was not taken, and sessions find no leader yet. Test: TestFirstCommandIsOnAllVoters (five groups of three founders, two wiped after their first acknowledgement), no leader for good before; TestOpening. newHall is split for it.

--- a/replica/losses_test.go
+++ b/replica/losses_test.go
@@ -14,7 +14,6 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
-	"rudderfork.example/rudderfork/disk"
 	"rudderfork.example/rudderfork/internal/steady"
 	"rudderfork.example/rudderfork/queue"
 	"rudderfork.example/rudderfork/quorum"
@@ -105,20 +104,20 @@
 
 // newHall founds a group of the wanted voters, which has acknowledged a document.
 func newHall(t *testing.T, every uint64) *hall {
+	t.Helper()
+	h := newHallOf(t, every, wantedVoters)
+	h.commit()
+	return h
+}
+
+// emptyHall has the names of the wanted voters, none of which has a disk yet.
+func emptyHall(t *testing.T, every uint64) *hall {
 	t.Helper()
 	h := &hall{t: t, root: t.TempDir(), every: every, skew: map[string]time.Duration{}, running: map[quorum.MemberID]*powered{}}
-	var founding []quorum.Member
 	for i := range wantedVoters {
-		name := fmt.Sprintf("c%d", i+1)
-		h.names = append(h.names, name)
-		founding = append(founding, quorum.Member{ID: MemberID(name, Founding), Name: name, Voter: true})
-	}
-	for _, m := range founding {
-		assert.NilError(t, disk.Format(h.dir(m.Name), disk.Identity{ID: m.ID, Members: founding}))
+		h.names = append(h.names, fmt.Sprintf("c%d", i+1))
 	}
 	t.Cleanup(h.powerOff)
-	h.powerOn()
-	h.commit()
 	return h
 }
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -76,6 +76,8 @@
 	pending []read
 	snapAt  uint64
 	short   shortage
+	opening opening
+	used    bool // a command was applied, in this life or before
 	report  *reporter
 
 	mu     sync.RWMutex // guards what follows
@@ -157,7 +159,7 @@
 		msgs: make(chan quorum.Message, maxDrain), proposals: make(chan proposal, maxDrain),
 		reads: make(chan read, maxDrain), joins: make(chan quorum.Member, 1),
 		resigns: make(chan struct{}, 1), suspects: make(chan quorum.MemberID, maxSuspects),
-		node: node, waiting: map[uint64]proposal{}, snapAt: snap.Index, report: report,
+		node: node, waiting: map[uint64]proposal{}, snapAt: snap.Index, used: snap.Index > 0, report: report,
 		state: st, change: make(chan struct{}),
 	}
 	r.publish()
@@ -216,6 +218,10 @@
 }
 
 func (r *Replica) propose(p proposal) {
+	if !r.opened() {
+		p.reply <- outcome{err: ErrNotLeader}
+		return
+	}
 	index, term, ok := r.node.Propose(p.data, r.now())
 	if !ok {
 		p.reply <- outcome{err: ErrNotLeader}
@@ -225,6 +231,15 @@
 	r.waiting[index] = p
 }
 
+// opened reports whether the group takes commands.
+func (r *Replica) opened() bool {
+	open, short := r.opening.Opened(r.used, r.node.Settled(), r.node.Voters(), r.size, r.now())
+	if short {
+		r.log.Warn().Int("voters", r.node.Voters()).Int("needed", r.size).Msg("group_opened_short")
+	}
+	return open
+}
+
 func (r *Replica) startRead(rd read) {
 	if r.node.Role() != quorum.Leader {
 		rd.done <- ErrNotLeader
@@ -289,6 +304,7 @@
 	r.state = st
 	r.mu.Unlock()
 	r.snapAt = s.Index
+	r.used = true
 	r.log.Info().Uint64("index", s.Index).Msg("snapshot_installed")
 	return nil
 }
@@ -328,6 +344,7 @@
 	if err := cbor.Unmarshal(e.Data, &c); err != nil {
 		return res, fmt.Errorf("entry %d: %w", e.Index, err)
 	}
+	r.used = true
 	before := version(r.state)
 	res = r.state.Apply(e.Index, c)
 	if version(r.state) != before {
@@ -372,7 +389,7 @@
 	r.report.Observe(n, now)
 	st := Status{
 		ID: n.ID(), Role: n.Role().String(), Term: n.Term(), Commit: n.Commit(), Last: n.Last(),
-		Snapshot: n.SnapshotIndex(), LogBytes: r.store.Size(), Settled: n.Settled(), Members: n.Members(),
+		Snapshot: n.SnapshotIndex(), LogBytes: r.store.Size(), Settled: n.Settled() && r.opened(), Members: n.Members(),
 		ContactNS: n.QuorumContact(now).UnixNano(), Campaigns: n.Campaigns(), Leaderless: r.report.Leaderless(),
 	}
 	st.Leader, _ = n.Member(n.Leader())
