Spread the votes over failure domains

Cause: voters were taken as they joined, so that one failure domain could hold a majority. Ruled out: reading fault_tolerance.zones first (an even spread is right for any value of it, and costs nothing); domains in the replicated members alone (founders name each other by address and know no other's domain). Change: machines say where they stand in the first word of a connection and when they join; of the standbys that have caught up the one in the domain with the fewest votes is taken; in a sound group with a domain that has two more votes than another would have, a standby there gets a vote first and then a voter of the crowded one gives its up, never the leader, and never while a voter is silent. A voter too many gives its vote up where its domain has more than one.

--- a/quorum/members.go
+++ b/quorum/members.go
@@ -92,6 +92,7 @@
 	ReasonSuperseded Reason = "a later life of the voter's name follows: its disk is lost"
 	ReasonPromoted   Reason = "a standby that has caught up takes a vote"
 	ReasonSilent     Reason = "the voter is silent, and a standby can take its place or voters are too many"
+	ReasonSpread     Reason = "a failure domain has more votes than another would have"
 	ReasonForgotten  Reason = "a replica without a vote is silent for long"
 )
 
@@ -110,7 +111,7 @@
 // days had that, and none of them a leader after two lost disks. So its successor
 // comes first, as soon as enough answer for one voter more; until then it stays.
 // Should it be back between the two steps, the group keeps one voter more, which bears
-// as much.
+// as much, unless a failure domain has more than one (spread).
 func (n *Node) Repair(size int, now time.Time) (next []Member, why Reason, ok bool) {
 	voters := n.Voters()
 	standby := n.standby(now)
@@ -137,6 +138,10 @@
 		next, ok = n.without(gone, now)
 		return next, ReasonForgotten, ok
 	}
+	if size > 0 {
+		next, ok = n.spread(size, now)
+		return next, ReasonSpread, ok
+	}
 	return nil, "", false
 }
 
@@ -149,13 +154,22 @@
 	return n.standbyHeard(silentTimeouts, now)
 }
 
-// standbyHeard returns the first standby that has caught up and answered within that
-// many election timeouts, or -1.
-func (n *Node) standbyHeard(timeouts int, now time.Time) int {
-	return slices.IndexFunc(n.log.members(), func(m Member) bool {
+// standbyHeard returns a standby that has caught up and answered within that many
+// election timeouts, or -1: of several, the first in the failure domain with the fewest
+// voters.
+func (n *Node) standbyHeard(timeouts int, now time.Time) (place int) {
+	voters, _ := n.crowds()
+	place = -1
+	for i, m := range n.log.members() {
 		match := n.Match(m.ID)
-		return !m.Voter && match > 0 && match+maxLag >= n.commit && !n.silent(m.ID, timeouts, now)
-	})
+		if m.Voter || match == 0 || match+maxLag < n.commit || n.silent(m.ID, timeouts, now) {
+			continue
+		}
+		if place < 0 || voters[n.domainAt(i)] < voters[n.domainAt(place)] {
+			place = i
+		}
+	}
+	return place
 }
 
 // supersededVoter returns the place of a voter that has lost its disk, as a later
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"rudderfork.example/rudderfork"
 )
 
 const (
@@ -53,6 +55,8 @@
 	heirUntil time.Time
 
 	view view
+
+	domains map[string]rudderfork.Domain // by machine's name; SetDomain
 }
 
 // progress is what a leader knows of another replica.
@@ -75,7 +79,7 @@
 		cfg: cfg, hard: hs,
 		rng:    rand.New(rand.NewPCG(cfg.Seed, 1)),
 		log:    newLog(snap, entries),
-		commit: snap.Index, applied: snap.Index, view: newView(),
+		commit: snap.Index, applied: snap.Index, view: newView(), domains: map[string]rudderfork.Domain{},
 	}
 	n.stable = n.log.last()
 	n.resetElection(now)
--- a/quorum/quorum.go
+++ b/quorum/quorum.go
@@ -26,7 +26,11 @@
 // the leader's own clock is compared with itself.
 package quorum
 
-import "time"
+import (
+	"time"
+
+	"rudderfork.example/rudderfork"
+)
 
 // MemberID names one life of a replica's data folder. A replica that lost its
 // disk comes back under a new ID, so that it cannot vote with an empty memory.
@@ -38,6 +42,9 @@
 	Name  string   `cbor:"2,keyasint" json:"name"` // the same over all lives
 	Addr  string   `cbor:"3,keyasint" json:"addr"` // host:port
 	Voter bool     `cbor:"4,keyasint,omitempty" json:"voter"`
+
+	// Domain is where its machine stands, "" if it has not said so.
+	Domain rudderfork.Domain `cbor:"5,keyasint,omitempty" json:"domain,omitempty"`
 }
 
 // EntryKind tells entries apart.
--- a/replica/calls.go
+++ b/replica/calls.go
@@ -99,6 +99,15 @@
 	}
 }
 
+// NoteCaller notes where the machine of a replica stands that has connected. One that
+// is missed is told at its next connection.
+func (r *Replica) NoteCaller(m quorum.Member) {
+	select {
+	case r.callers <- m:
+	default:
+	}
+}
+
 // Resign hands the leader's part to another replica, if this one has it, and
 // waits until it has gone over or ctx ends.
 func (r *Replica) Resign(ctx context.Context) {
--- a/replica/peers.go
+++ b/replica/peers.go
@@ -333,6 +333,7 @@
 			case m.Self != nil:
 				caller = m.Self.ID
 				p.noteCaller(*m.Self)
+				rep.NoteCaller(*m.Self)
 			}
 		}
 	}
--- a/replica/peers_test.go
+++ b/replica/peers_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"rudderfork.example/rudderfork"
 	"rudderfork.example/rudderfork/disk"
 	"rudderfork.example/rudderfork/internal/steady"
 	"rudderfork.example/rudderfork/quorum"
@@ -34,10 +35,16 @@
 // startLinked runs a replica. A founding one is its group's only member; others
 // start empty and are told of the given addresses.
 func startLinked(t *testing.T, name string, founding bool, told ...string) *linked {
+	t.Helper()
+	return startIn(t, "", name, founding, told...)
+}
+
+// startIn is startLinked for a machine that knows its failure domain.
+func startIn(t *testing.T, domain rudderfork.Domain, name string, founding bool, told ...string) *linked {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	self := quorum.Member{ID: MemberID(name, Founding), Name: name, Addr: ln.Addr().String(), Voter: founding}
+	self := quorum.Member{ID: MemberID(name, Founding), Name: name, Addr: ln.Addr().String(), Voter: founding, Domain: domain}
 	id := disk.Identity{ID: self.ID}
 	if founding {
 		id.Members = []quorum.Member{self}
@@ -57,6 +64,7 @@
 	peers := NewPeers(self, told, dial, electionTimeout, zerolog.Nop())
 	rep, err := New(Config{
 		ElectionTimeout: electionTimeout, Heartbeat: 20 * time.Millisecond, SnapshotEvery: 1000, Seed: Seed(self.Name), Voters: 3,
+		Domain: self.Domain,
 	}, store, peers, zerolog.Nop(), nobody{}, steady.Now)
 	assert.NilError(t, err)
 	l := &linked{rep: rep, peers: peers, self: self}
@@ -124,6 +132,19 @@
 	waitVoters(t, e, c, d, e)
 }
 
+// TestVotersOverDomains has three machines of one failure domain vote, then machines of
+// two others come.
+func TestVotersOverDomains(t *testing.T) {
+	a := startIn(t, "north", "a", true)
+	b := startIn(t, "north", "b", false, a.self.Addr)
+	waitVoters(t, a, a, b)
+	c := startIn(t, "north", "c", false, a.self.Addr)
+	waitVoters(t, a, a, b, c)
+	d := startIn(t, "south", "d", false, a.self.Addr)
+	e := startIn(t, "west", "e", false, a.self.Addr)
+	waitVoters(t, a, a, d, e)
+}
+
 // TestLateCaller has a replica's earlier life heard of after a later one has joined:
 // neither is sent what is meant for the other.
 func TestLateCaller(t *testing.T) {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -69,6 +69,7 @@
 	joins     chan quorum.Member
 	resigns   chan struct{}
 	suspects  chan quorum.MemberID
+	callers   chan quorum.Member
 
 	// Owned by Serve.
 	node    *quorum.Node
@@ -139,6 +140,9 @@
 	// Voters is how many the group is to have, 2f+1 to bear the loss of f; replicas
 	// beyond that follow as standbys. 0 means that all vote.
 	Voters int
+
+	// Domain is the failure domain that the replica's machine stands in, or "".
+	Domain rudderfork.Domain
 }
 
 // New returns a replica that resumes from store.
@@ -152,6 +156,7 @@
 	node := quorum.New(quorum.Config{
 		ID: store.Identity().ID, ElectionTimeout: cfg.ElectionTimeout, Heartbeat: cfg.Heartbeat, Seed: cfg.Seed,
 	}, hs, snap, entries, now())
+	node.SetDomain(memberName(store.Identity().ID), cfg.Domain)
 	report := newReporter(log, send, cfg.Voters, node, now())
 	report.Opened(node)
 	r = &Replica{
@@ -159,7 +164,8 @@
 		msgs: make(chan quorum.Message, maxDrain), proposals: make(chan proposal, maxDrain),
 		reads: make(chan read, maxDrain), joins: make(chan quorum.Member, 1),
 		resigns: make(chan struct{}, 1), suspects: make(chan quorum.MemberID, maxSuspects),
-		node: node, waiting: map[uint64]proposal{}, snapAt: snap.Index, used: snap.Index > 0, report: report,
+		callers: make(chan quorum.Member, maxCallers),
+		node:    node, waiting: map[uint64]proposal{}, snapAt: snap.Index, used: snap.Index > 0, report: report,
 		state: st, change: make(chan struct{}),
 	}
 	r.publish()
@@ -188,6 +194,8 @@
 			r.node.Transfer(r.now())
 		case id := <-r.suspects:
 			r.node.Suspect(id, r.now())
+		case m := <-r.callers:
+			r.node.SetDomain(m.Name, m.Domain)
 		case <-timer.C:
 			r.node.Tick(r.now())
 			r.repair()
