Put the jobs with the least work left first

Cause: jobs that can be in time went by the end of their objective. Where not all can be, each then begins at the last moment that allows it, and stragglers, failures and waits make most of them late. Change: within a priority, jobs that can be in time, and jobs that are late, go by the work that is left of them, then by the end of their objective; those past all hope by their age.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -113,6 +113,31 @@
 		w.submit("urgent", "b", 400, cpu(3000))
 		assert.DeepEqual(t, w.run(), map[string]rudderfork.VMID{"b.0.0.0": "vm1"})
 	})
+	t.Run("the least work left first, of those that can be in time", func(t *testing.T) {
+		w := newWorld(t, 1)
+		wide := cpu(3000)
+		wide.Count = 2
+		w.submit("urgent", "wide", 1, wide)
+		w.submit("urgent", "narrow", 500, cpu(3000))
+		assert.DeepEqual(t, w.run(), map[string]rudderfork.VMID{"narrow.0.0.0": "vm1"})
+	})
+	t.Run("and of those that are late; past all hope each in its turn", func(t *testing.T) {
+		for _, c := range []struct {
+			name   string
+			age    int64 // in objectives
+			expect string
+		}{{"late", 2, "narrow.0.0.0"}, {"past hope", 5, "wide.0.0.0"}} {
+			t.Run(c.name, func(t *testing.T) {
+				w := newWorld(t, 1)
+				w.view.Now = 600_000
+				wide := cpu(3000)
+				wide.Count = 2
+				w.submit("urgent", "wide", w.view.Now-c.age*objectiveOf(w, wide)-1, wide)
+				w.submit("urgent", "narrow", w.view.Now-c.age*objectiveOf(w, cpu(3000)), cpu(3000))
+				assert.DeepEqual(t, w.run(), map[string]rudderfork.VMID{c.expect: "vm1"})
+			})
+		}
+	})
 	t.Run("past all hope goes last", func(t *testing.T) {
 		w := newWorld(t, 1)
 		w.submit("urgent", "old", 1, cpu(3000))
--- a/dispatch/rank.go
+++ b/dispatch/rank.go
@@ -42,7 +42,7 @@
 func (r rank) compare(o rank) int {
 	return cmp.Or(
 		compareBool(r.hopeless, o.hopeless), cmp.Compare(r.priority, o.priority),
-		compareBool(r.late, o.late), cmp.Compare(r.deadline, o.deadline),
+		compareBool(r.late, o.late), cmp.Compare(r.work, o.work), cmp.Compare(r.deadline, o.deadline),
 	)
 }
 
