--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -1,10 +1,11 @@
 package dispatch
 
 import (
-	"container/heap"
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -20,7 +21,7 @@
 	rnd  *rand.Rand
 	pl   *Planner
 	jobs []loadJob
-	ends endHeap
+	ends []runEnd // the next one first
 }
 
 // loadJob is a job of the day.
@@ -39,19 +40,6 @@
 	run   uint32
 }
 
-type endHeap []runEnd
-
-func (h endHeap) Len() int           { return len(h) }
-func (h endHeap) Less(i, j int) bool { return h[i].at < h[j].at }
-func (h endHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *endHeap) Push(x any)        { *h = append(*h, x.(runEnd)) }
-func (h *endHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return last
-}
-
 // planEvery is between two plans, ms.
 const planEvery = 20
 
@@ -66,7 +54,8 @@
 			l.submit(l.jobs[next].queue, l.id(next), l.jobs[next].at, l.jobs[next].spec...)
 		}
 		for len(l.ends) > 0 && l.ends[0].at <= l.view.Now {
-			e := heap.Pop(&l.ends).(runEnd)
+			e := l.ends[0]
+			l.ends = l.ends[1:]
 			l.s.Apply(queue.Command{Ends: &queue.Ends{
 				VM: e.start.VM, Life: e.start.Life, List: []queue.End{{Task: e.start.Task, Run: e.run, How: queue.EndDone}},
 			}}, e.at)
@@ -110,10 +99,16 @@
 		_, err := fmt.Sscanf(string(st.Task.Job), "job%d", &index)
 		assert.NilError(l.t, err)
 		took := float64(l.jobs[index].took[st.Task.Step]) * (1 + 0.15*l.rnd.NormFloat64())
-		heap.Push(&l.ends, runEnd{l.view.Now + max(1, int64(took)), st, n})
+		l.expect(runEnd{l.view.Now + max(1, int64(took)), st, n})
 	}
 }
 
+// expect notes an end to come.
+func (l *loadPlay) expect(e runEnd) {
+	i, _ := slices.BinarySearchFunc(l.ends, e, func(a, b runEnd) int { return cmp.Compare(a.at, b.at) })
+	l.ends = slices.Insert(l.ends, i, e)
+}
+
 // inTime is the part of the jobs of a queue that were done within their objective.
 func (l *loadPlay) inTime(queueName string) float64 {
 	row, _ := l.s.Document().Queue(queueName)
