--- a/dispatch/account.go
+++ b/dispatch/account.go
@@ -34,17 +34,17 @@
 func (p *planner) accountVM(a *Account, v *vmNote) {
 	const perCore = 1_000
 	a.VMs++
-	a.ServingImages += len(v.mix.serving)
-	for i := range v.mix.serving {
-		a.Serving += v.mix.serving[i].tasks
+	a.ServingImages += len(v.colocation.serving)
+	for i := range v.colocation.serving {
+		a.Serving += v.colocation.serving[i].tasks
 	}
-	a.Fillers += len(v.mix.fillers)
-	for _, f := range v.mix.fillers {
+	a.Fillers += len(v.colocation.fillers)
+	for _, f := range v.colocation.fillers {
 		a.FillerCores += f.cpu / perCore
 		a.PacedCores += f.cpu * (1 - f.speed) / perCore
 	}
-	a.IdleCores += max(0, v.mix.idle) / perCore
-	a.OpenCores += p.room(&v.mix, nil, noImage) * v.mix.whole / perCore
+	a.IdleCores += max(0, v.colocation.idle) / perCore
+	a.OpenCores += p.room(&v.colocation, nil, noImage) * v.colocation.whole / perCore
 }
 
 func (p *planner) accountJob(a *Account, n *jobNote) {
--- a/dispatch/colocate.go
+++ b/dispatch/colocate.go
@@ -29,8 +29,8 @@
 	freshMS = 1_000
 )
 
-// mix is what shares a VM's processors.
-type mix struct {
+// colocation is what shares a VM's processors.
+type colocation struct {
 	serving []company // by image
 	fillers []filler
 	whole   float64 // thousandths of a core of the VM
@@ -55,14 +55,14 @@
 	fresh bool    // the headrooms do not show it yet
 }
 
-func newMix(capacity rudderfork.Resources) mix {
+func newColocation(capacity rudderfork.Resources) colocation {
 	whole := float64(max(1, capacity.CPUMilli))
-	return mix{whole: whole, idle: whole * pace.MostUsed, spare: whole * pace.MostUsed}
+	return colocation{whole: whole, idle: whole * pace.MostUsed, spare: whole * pace.MostUsed}
 }
 
 // add notes a run of a step; the zero view stands for one that was not seen yet.
 // Rooms are right again after weigh.
-func (m *mix) add(st *queue.Step, image int, run RunView, fresh bool) {
+func (m *colocation) add(st *queue.Step, image int, run RunView, fresh bool) {
 	m.open = nil
 	cpu := float64(st.Size.CPUMilli)
 	switch {
@@ -85,7 +85,7 @@
 }
 
 // join notes a serving task.
-func (m *mix) join(image int, headroom float64) {
+func (m *colocation) join(image int, headroom float64) {
 	for i := range m.serving {
 		if c := &m.serving[i]; c.image == image {
 			c.tasks++
@@ -98,7 +98,7 @@
 
 // weigh works out what a further filler may take from the serving tasks, by the
 // plan's pressures.
-func (m *mix) weigh(p *planner) {
+func (m *colocation) weigh(p *planner) {
 	for i := range m.serving {
 		c := &m.serving[i]
 		c.room = c.headroom - leftHeadroom
@@ -111,7 +111,7 @@
 }
 
 // others returns the part of the VM's serving tasks that are of other images.
-func (m *mix) others(image int) float64 {
+func (m *colocation) others(image int) float64 {
 	others, all := 0, 0
 	for i := range m.serving {
 		all += m.serving[i].tasks
@@ -124,7 +124,7 @@
 
 // speed is what a filler of an image can expect on the VM, 0 to 1: what is idle and
 // what the serving tasks' headrooms leave. Package pace has the limits.
-func (m *mix) speed(p *planner, st *queue.Step, image int) float64 {
+func (m *colocation) speed(p *planner, st *queue.Step, image int) float64 {
 	cpu := float64(max(1, st.Size.CPUMilli))
 	speed := min(1, max(0, m.idle)/cpu)
 	for i := range m.serving {
@@ -140,13 +140,13 @@
 
 // fillerCost weighs a VM for a filler: how many times as long it takes there.
 func (p *planner) fillerCost(cl *class, v *vmNote) float64 {
-	return 1/max(leastSpeed, v.mix.speed(p, cl.step, cl.image)) - 1
+	return 1/max(leastSpeed, v.colocation.speed(p, cl.step, cl.image)) - 1
 }
 
 // worthless reports whether a filler had better wait than begin on the best VM
 // there is: many that crawl side by side end later than few at full speed.
 func (p *planner) worthless(cl *class, v *vmNote) bool {
-	if !cl.step.Filler || v.mix.speed(p, cl.step, cl.image) >= startSpeed {
+	if !cl.step.Filler || v.colocation.speed(p, cl.step, cl.image) >= startSpeed {
 		return false
 	}
 	return !p.mayCrawl(cl)
@@ -163,14 +163,14 @@
 // fillers that are wanted, beside its own image while little is known of others, and
 // apart from the fillers there that harm it.
 func (p *planner) servingCost(cl *class, v *vmNote) float64 {
-	cost := costShadow * p.shadow(&v.mix, cl.step, cl.image)
-	if len(v.mix.serving) > 0 {
-		cost += costOthers * v.mix.others(cl.image)
+	cost := costShadow * p.shadow(&v.colocation, cl.step, cl.image)
+	if len(v.colocation.serving) > 0 {
+		cost += costOthers * v.colocation.others(cl.image)
 	} else {
 		cost += costEmpty
 	}
-	for _, f := range v.mix.fillers {
-		cost += p.pressure(cl.image, f.image) * f.cpu * f.speed / v.mix.whole
+	for _, f := range v.colocation.fillers {
+		cost += p.pressure(cl.image, f.image) * f.cpu * f.speed / v.colocation.whole
 	}
 	return cost - packing*v.full
 }
@@ -182,7 +182,7 @@
 		return false
 	}
 	if slices.ContainsFunc(p.vms, func(v *vmNote) bool {
-		return v.vm.ID != at && p.able(cl, v) && v.mix.speed(p, cl.step, cl.image) >= startSpeed &&
+		return v.vm.ID != at && p.able(cl, v) && v.colocation.speed(p, cl.step, cl.image) >= startSpeed &&
 			!cl.tasks[k.Index].RunsOn(v.vm.ID)
 	}) {
 		return true
@@ -193,7 +193,7 @@
 
 // openness is the part of the fillers that are wanted that a VM's serving tasks
 // bear, 0 to 1, with a further one of an image (noImage for none).
-func (p *planner) openness(m *mix, image int) float64 {
+func (p *planner) openness(m *colocation, image int) float64 {
 	if m.open == nil {
 		m.open = unasked(len(p.images.names) + 1)
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -291,7 +291,7 @@
 		Task: k, VM: v.vm.ID, Life: v.vm.Life, Group: group, Ticket: cl.tickets[v.vm.ID],
 	}, kindOf(cl.step), reason, p.waited(cl, k)})
 	p.reserve.slots -= p.reserve.taken(cl, v)
-	v.add(cl)
+	v.add(p, cl)
 	p.placed[stepOnVM{cl.key, v.vm.ID}]++
 	p.started[cl.job.ID]++
 }
@@ -365,8 +365,8 @@
 		p.reserve.slots += p.reserve.slotsOf(v.free.CPUMilli+cl.need.CPUMilli) - p.reserve.slotsOf(v.free.CPUMilli)
 		v.free = v.free.Add(cl.need)
 		v.full = v.fullness()
-		v.mix = v.mixWithout(queue.TaskKey{}) // and without the plan's other starts: an estimate
-		v.mix.weigh(p)
+		v.colocation = v.colocationWithout(queue.TaskKey{}) // and without the plan's other starts: an estimate
+		v.colocation.weigh(p)
 		p.placed[stepOnVM{cl.key, st.VM}]--
 		p.started[cl.job.ID]--
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -13,7 +13,6 @@
 // class is what the tasks of a step, of one time, have in common. They differ only
 // in where they run or have failed.
 type class struct {
-	p       *planner
 	note    *jobNote
 	job     *queue.Job
 	key     queue.StepKey
@@ -29,7 +28,7 @@
 func (p *planner) classOf(n *jobNote, key queue.StepKey) *class {
 	st := &n.job.Spec.Steps[key.Step]
 	return &class{
-		p: p, note: n, job: n.job, key: key, step: st, tasks: n.job.Times[key.Time].Steps[key.Step],
+		note: n, job: n.job, key: key, step: st, tasks: n.job.Times[key.Time].Steps[key.Step],
 		need: st.Need(), image: n.images[key.Step],
 		advised: n.row.Advice != nil, tickets: p.view.Tickets[key],
 	}
@@ -122,8 +121,8 @@
 // there.
 func (p *planner) onVM(cl *class, v *vmNote) int {
 	n := p.placed[stepOnVM{cl.key, v.vm.ID}]
-	for i := range v.tenants {
-		if v.tenants[i].key.StepKey() == cl.key {
+	for i := range v.runs {
+		if v.runs[i].key.StepKey() == cl.key {
 			n++
 		}
 	}
@@ -183,7 +182,7 @@
 // noteSlow notes that a filler crawls wherever there is room for it, if it does.
 func (p *planner) noteSlow(cl *class) {
 	if p.crawls(cl) || slices.ContainsFunc(p.vms, func(v *vmNote) bool {
-		return p.able(cl, v) && v.mix.speed(p, cl.step, cl.image) >= startSpeed
+		return p.able(cl, v) && v.colocation.speed(p, cl.step, cl.image) >= startSpeed
 	}) {
 		return
 	}
--- a/dispatch/regroup.go
+++ b/dispatch/regroup.go
@@ -65,7 +65,7 @@
 // part of a VM: those that serving tasks leave idle, less for images that press on
 // a serving task there. extra is a serving step of an image that would be there too,
 // if not nil.
-func (p *planner) room(m *mix, extra *queue.Step, image int) float64 {
+func (p *planner) room(m *colocation, extra *queue.Step, image int) float64 {
 	idle := m.spare
 	if extra != nil {
 		idle -= float64(extra.Size.CPUMilli) * pace.ServingUse
@@ -74,7 +74,7 @@
 }
 
 // shadow is the room that fillers lose on a VM to a serving task of an image.
-func (p *planner) shadow(m *mix, st *queue.Step, image int) float64 {
+func (p *planner) shadow(m *colocation, st *queue.Step, image int) float64 {
 	return p.room(m, nil, noImage) - p.room(m, st, image)
 }
 
@@ -155,11 +155,11 @@
 // moveGain is how much more room fillers have if a task leaves its VM for the best
 // other one, or least if that is not more.
 func (p *planner) moveGain(cl *class, k queue.TaskKey, at rudderfork.VMID, least float64) float64 {
-	without := p.vmOf(at).mixWithout(k)
+	without := p.vmOf(at).colocationWithout(k)
 	stays := p.shadow(&without, cl.step, cl.image)
 	most := least
 	for _, v := range p.vms {
-		gain := stays - p.shadow(&v.mix, cl.step, cl.image)
+		gain := stays - p.shadow(&v.colocation, cl.step, cl.image)
 		if gain > most && p.takesMoved(cl, k, at, v) {
 			most = gain
 		}
--- a/dispatch/stops.go
+++ b/dispatch/stops.go
@@ -83,8 +83,8 @@
 }
 
 // heldBack reports whether a filler is held down here and had better be moved: by what
-// it is held, it would be done sooner at a place where it begins, with what the move
-// costs and what is not saved.
+// it is held, it would be done sooner at a place where it could begin, with what the
+// move costs.
 func (p *planner) heldBack(n *jobNote, r *taskRun, run RunView) bool {
 	if run.HeldAt == 0 || p.view.Now-run.HeldAt < heldMS || p.view.Now-r.run.StartedAt < restMS || p.moves >= p.mostMoves() {
 		return false
--- a/dispatch/vm.go
+++ b/dispatch/vm.go
@@ -9,22 +9,22 @@
 
 // vmNote is a VM as a plan sees it: as it is, and with the plan's own starts.
 type vmNote struct {
-	vm      *queue.VM
-	view    VMView
-	fit     bool // may be given work at all
-	tenants []tenant
+	vm   *queue.VM
+	view VMView
+	fit  bool // may be given work at all
+	runs []vmRun
 
-	free rudderfork.Resources
-	full float64 // fullness
-	mix  mix
+	free       rudderfork.Resources
+	full       float64 // fullness
+	colocation colocation
 
 	changes, told uint64 // of the VM and of what is known of its runs, when it was read
 	agesAt        int64  // when a filler there is fresh no more, Unix ms; 0 for never
 	planned       bool   // starts of a plan were added
 }
 
-// tenant is a run on a VM.
-type tenant struct {
+// vmRun is an active run on a VM.
+type vmRun struct {
 	key  queue.TaskKey
 	step *queue.Step
 	run  RunView
@@ -48,8 +48,8 @@
 		}
 		v.view = view
 		v.fit = vm.Live && view.Usable && !view.Draining && !view.Closed
-		v.mix.open = nil // what is wanted and what presses change from plan to plan
-		v.mix.weigh(p)
+		v.colocation.open = nil // what is wanted and what presses change from plan to plan
+		v.colocation.weigh(p)
 		vms[i], at[vm.ID] = v, i
 	}
 	return vms, at
@@ -65,29 +65,29 @@
 func (p *planner) read(vm *queue.VM, view VMView) *vmNote {
 	v := &vmNote{vm: vm, changes: vm.Changes(), told: view.Changes, free: vm.Capacity.Sub(vm.Used())}
 	v.full = v.fullness()
-	v.tenants = make([]tenant, 0, len(vm.Runs()))
+	v.runs = make([]vmRun, 0, len(vm.Runs()))
 	for k, number := range vm.Runs() {
 		run, seen := p.view.Runs[k.Run(number)]
 		st := &p.state.Job(k.Job).Spec.Steps[k.Step]
-		t := tenant{key: k, step: st, run: run, image: p.images.of(st.Image)}
+		t := vmRun{key: k, step: st, run: run, image: p.images.of(st.Image)}
 		t.fresh = !seen || p.view.Now-run.SeenAt < freshMS
 		if ages := run.SeenAt + freshMS; seen && t.fresh && st.Filler && (v.agesAt == 0 || ages < v.agesAt) {
 			v.agesAt = ages
 		}
-		v.tenants = append(v.tenants, t)
+		v.runs = append(v.runs, t)
 	}
 	// In one order, since sums of fractions depend on it: plans of one state are alike.
-	slices.SortFunc(v.tenants, func(a, b tenant) int { return a.key.Compare(b.key) })
-	v.mix = v.mixWithout(queue.TaskKey{})
+	slices.SortFunc(v.runs, func(a, b vmRun) int { return a.key.Compare(b.key) })
+	v.colocation = v.colocationWithout(queue.TaskKey{})
 	return v
 }
 
-// mixWithout returns what shares the VM's processors but for one task, without the
+// colocationWithout returns what shares the VM's processors but for one task, without the
 // starts of a plan.
-func (v *vmNote) mixWithout(but queue.TaskKey) mix {
-	m := newMix(v.vm.Capacity)
-	for i := range v.tenants {
-		if t := &v.tenants[i]; t.key != but {
+func (v *vmNote) colocationWithout(but queue.TaskKey) colocation {
+	m := newColocation(v.vm.Capacity)
+	for i := range v.runs {
+		if t := &v.runs[i]; t.key != but {
 			m.add(t.step, t.image, t.run, t.fresh)
 		}
 	}
@@ -95,12 +95,12 @@
 }
 
 // add notes a start of the plan.
-func (v *vmNote) add(cl *class) {
+func (v *vmNote) add(p *planner, cl *class) {
 	v.planned = true
 	v.free = v.free.Sub(cl.need)
 	v.full = v.fullness()
-	v.mix.add(cl.step, cl.image, RunView{}, true)
-	v.mix.weigh(cl.p)
+	v.colocation.add(cl.step, cl.image, RunView{}, true)
+	v.colocation.weigh(p)
 }
 
 // fullness is the larger of the shares of processors and memory that are taken.
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -231,10 +231,9 @@
 const prunePause = 5 * time.Second
 
 func (f *fleet) prune(s *queue.State, now time.Time) {
-	if now.Before(f.pruneAt) {
+	if !due(&f.pruneAt, prunePause, now) {
 		return
 	}
-	f.pruneAt = now.Add(prunePause)
 	for k := range f.failed {
 		if s.Live()[k.Job] == nil {
 			delete(f.failed, k)
@@ -264,23 +263,20 @@
 // against all VMs.
 const regroupPause = 500 * time.Millisecond
 
-func (f *fleet) regroupDue(now time.Time) bool {
-	if now.Before(f.regroupAt) {
-		return false
-	}
-	f.regroupAt = now.Add(regroupPause)
-	return true
-}
+func (f *fleet) regroupDue(now time.Time) bool { return due(&f.regroupAt, regroupPause, now) }
 
 // accountPause is between two accounts of the fleet in the log: a day of them is a
 // few megabytes.
 const accountPause = 2 * time.Second
 
-func (f *fleet) accountDue(now time.Time) bool {
-	if now.Before(f.accountAt) {
+func (f *fleet) accountDue(now time.Time) bool { return due(&f.accountAt, accountPause, now) }
+
+// due reports whether a time has come, and sets the next one.
+func due(at *time.Time, pause time.Duration, now time.Time) bool {
+	if now.Before(*at) {
 		return false
 	}
-	f.accountAt = now.Add(accountPause)
+	*at = now.Add(pause)
 	return true
 }
 
