Move no member of a gang

Cause: a filler that is held back was stopped also where its step is a gang: its end breaks the others' runs. Test: TestMoves, no member of a gang: failed before. Conclusion: mended.

--- a/dispatch/moves_test.go
+++ b/dispatch/moves_test.go
@@ -59,6 +59,12 @@
 			assert.Equal(t, moved(w), c.moved)
 		})
 	}
+	t.Run("no member of a gang, whose end would end the others", func(t *testing.T) {
+		w := heldFillers(t, 1, RunView{Percent: 10, Held: 100})
+		w.s.Job("f0").Spec.Steps[0].Gang = true
+		w.view.Now += restMS
+		assert.Equal(t, moved(w), 0)
+	})
 	t.Run("not without a better place", func(t *testing.T) {
 		w := heldFillers(t, 1, RunView{Percent: 10, Held: 100})
 		w.view.VMs["vm2"] = VMView{}
--- a/dispatch/stops.go
+++ b/dispatch/stops.go
@@ -90,8 +90,8 @@
 		return false
 	}
 	st := &n.job.Spec.Steps[r.key.Step]
-	if !st.Checkpoints && run.Percent > littleDone {
-		return false
+	if st.Gang || !st.Checkpoints && run.Percent > littleDone {
+		return false // the end of one member ends its gang
 	}
 	left := float64(st.ExpectedMS) * float64(fullPercent-run.Percent) / fullPercent
 	here := left / max(leastSpeed, 1-float64(run.Held)/fullPercent)
