--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -61,8 +61,8 @@
 // BenchmarkPlan makes plans for a fleet under load. Before tasks were weighed by
 // step, and what has not changed was kept, every plan took as long as a first one: 24,
 // 168 and 4,900 ms for 76, 240 and 1,000 VMs, with a move to find 35, 259 and 4,531 ms.
-// Now, in ms for 76, 240, 1,000 and 3,900 VMs: a first plan 3.4, 15, 147, 2,868; one
-// after a heartbeat 0.6, 1.7, 7.8, 73; with a move to find 2.4, 12, 90, 1,197.
+// Now, in ms for 76, 240, 1,000 and 3,900 VMs: a first plan 2.9, 17, 194, 2,261; one
+// after a heartbeat 0.6, 2.1, 10.9, 62; with a move to find 2.4, 11, 103, 1,100.
 func BenchmarkPlan(b *testing.B) {
 	for _, vms := range []int{76, 240, 1_000, 3_900} {
 		w := fleetWorld(vms)
