Explain with the planner that is kept, and read of a job what changes with it once

Cause (a reading of the whole change): each waiting task of a job's page was explained by a planner that read the fleet anew, under the scheduler's lock, and the list of jobs explained all tasks of all jobs and threw that away. Short tasks, last runs and waiting tasks were counted anew for each plan. Change: Planner.Explain gives the reasons for a job; the page uses the leader's planner, the list has no tasks to explain. A job's note holds its counts. One piece each for: expected work, what a failure adds to a place's cost, a VM that suits a filler, a task that lacks a run. Tests of places no longer name the VM that a task is on, which its runs tell. Receivers of colocation are c again. Found by the test on the way: an explanation between two plans made the planner forget jobs, since their order was kept by Plan alone; readJobs keeps it now. No program did that before. Tests: TestDrawnStates explains each job between plans; TestReserve counts nothing of a job that is over. No assertion is loosened. Conclusion: decisions are as before; an operator's question no longer stops the leader.

--- a/dispatch/account.go
+++ b/dispatch/account.go
@@ -25,8 +25,12 @@
 			p.accountVM(a, v)
 		}
 	}
+	planned := map[queue.StepKey]int{}
+	for _, st := range p.plan.Starts {
+		planned[st.Task.StepKey()]++
+	}
 	for _, n := range p.jobs {
-		p.accountJob(a, n)
+		p.accountJob(a, n, planned)
 	}
 	return a
 }
@@ -47,9 +51,13 @@
 	a.OpenCores += p.room(&v.colocation, nil, noImage) * v.colocation.whole / perCore
 }
 
-func (p *planner) accountJob(a *Account, n *jobNote) {
+// accountJob adds what a job waits for, but for what the plan starts.
+func (p *planner) accountJob(a *Account, n *jobNote, planned map[queue.StepKey]int) {
 	for _, w := range n.waiting {
-		waiting := p.waitingTasks(n, w)
+		if !p.hasTurn(n, w) {
+			continue
+		}
+		waiting := max(0, w.tasks-planned[w.StepKey])
 		if n.job.Spec.Steps[w.Step].Filler {
 			a.WaitingFillers += waiting
 			continue
@@ -57,27 +65,3 @@
 		a.WaitingOthers += waiting
 	}
 }
-
-// waitingTasks counts the tasks of a step whose turn has come and that have no run.
-func (p *planner) waitingTasks(n *jobNote, w waitingStep) (waiting int) {
-	if n.job.Status.Final() || !p.hasTurn(n, w) {
-		return 0
-	}
-	tasks := n.job.Times[w.Time].Steps[w.Step]
-	for i := range tasks {
-		if !tasks[i].Done && len(tasks[i].Runs) == 0 {
-			waiting++
-		}
-	}
-	return max(0, waiting-p.planned(w.StepKey))
-}
-
-// planned counts the starts of the plan for a step.
-func (p *planner) planned(key queue.StepKey) (n int) {
-	for _, st := range p.plan.Starts {
-		if st.Task.StepKey() == key {
-			n++
-		}
-	}
-	return n
-}
--- a/dispatch/colocate.go
+++ b/dispatch/colocate.go
@@ -62,61 +62,61 @@
 
 // add notes a run of a step; the zero view stands for one that was not seen yet.
 // Rooms are right again after weigh.
-func (m *colocation) add(st *queue.Step, image int, run RunView, fresh bool) {
-	m.open = nil
+func (c *colocation) add(st *queue.Step, image int, run RunView, fresh bool) {
+	c.open = nil
 	cpu := float64(st.Size.CPUMilli)
 	switch {
 	case st.Filler:
 		speed := 1 - float64(run.Held)/100
-		m.fillers = append(m.fillers, filler{image, cpu, speed, fresh})
-		m.idle -= cpu * speed
+		c.fillers = append(c.fillers, filler{image, cpu, speed, fresh})
+		c.idle -= cpu * speed
 	case st.TailMS > 0:
 		headroom := usualHeadroom
 		if run.Load > 0 {
 			headroom = min(pace.Headroom(st.TailMS, run.Load), pace.MostHeadroom)
 		}
-		m.join(image, headroom)
-		m.idle -= cpu * pace.ServingUse
-		m.spare -= cpu * pace.ServingUse
+		c.join(image, headroom)
+		c.idle -= cpu * pace.ServingUse
+		c.spare -= cpu * pace.ServingUse
 	default:
-		m.idle -= cpu
-		m.spare -= cpu
+		c.idle -= cpu
+		c.spare -= cpu
 	}
 }
 
 // join notes a serving task.
-func (m *colocation) join(image int, headroom float64) {
-	for i := range m.serving {
-		if c := &m.serving[i]; c.image == image {
-			c.tasks++
-			c.headroom = min(c.headroom, headroom)
+func (c *colocation) join(image int, headroom float64) {
+	for i := range c.serving {
+		if s := &c.serving[i]; s.image == image {
+			s.tasks++
+			s.headroom = min(s.headroom, headroom)
 			return
 		}
 	}
-	m.serving = append(m.serving, company{image: image, tasks: 1, headroom: headroom})
+	c.serving = append(c.serving, company{image: image, tasks: 1, headroom: headroom})
 }
 
 // weigh works out what a further filler may take from the serving tasks, by the
 // plan's pressures.
-func (m *colocation) weigh(p *planner) {
-	for i := range m.serving {
-		c := &m.serving[i]
-		c.room = c.headroom - leftHeadroom
-		for _, f := range m.fillers {
+func (c *colocation) weigh(p *planner) {
+	for i := range c.serving {
+		s := &c.serving[i]
+		s.room = s.headroom - leftHeadroom
+		for _, f := range c.fillers {
 			if f.fresh {
-				c.room -= p.pressure(c.image, f.image) * f.cpu * f.speed / m.whole
+				s.room -= p.pressure(s.image, f.image) * f.cpu * f.speed / c.whole
 			}
 		}
 	}
 }
 
 // others returns the part of the VM's serving tasks that are of other images.
-func (m *colocation) others(image int) float64 {
+func (c *colocation) others(image int) float64 {
 	others, all := 0, 0
-	for i := range m.serving {
-		all += m.serving[i].tasks
-		if m.serving[i].image != image {
-			others += m.serving[i].tasks
+	for i := range c.serving {
+		all += c.serving[i].tasks
+		if c.serving[i].image != image {
+			others += c.serving[i].tasks
 		}
 	}
 	return float64(others) / float64(max(1, all))
@@ -124,16 +124,16 @@
 
 // speed is what a filler of an image can expect on the VM, 0 to 1: what is idle and
 // what the serving tasks' headrooms leave. Package pace has the limits.
-func (m *colocation) speed(p *planner, st *queue.Step, image int) float64 {
+func (c *colocation) speed(p *planner, st *queue.Step, image int) float64 {
 	cpu := float64(max(1, st.Size.CPUMilli))
-	speed := min(1, max(0, m.idle)/cpu)
-	for i := range m.serving {
-		c := &m.serving[i]
-		harm := p.pressure(c.image, image) * cpu / m.whole
+	speed := min(1, max(0, c.idle)/cpu)
+	for i := range c.serving {
+		s := &c.serving[i]
+		harm := p.pressure(s.image, image) * cpu / c.whole
 		if harm < pace.Harmless {
 			continue
 		}
-		speed = min(speed, max(0, c.room)/harm)
+		speed = min(speed, max(0, s.room)/harm)
 	}
 	return speed
 }
@@ -175,16 +175,18 @@
 	return cost - packing*v.full
 }
 
+// suits reports whether a filler can begin on a VM, and would not crawl there.
+func (p *planner) suits(cl *class, v *vmNote) bool {
+	return p.able(cl, v) && v.colocation.speed(p, cl.step, cl.image) >= startSpeed
+}
+
 // betterPlace reports whether a filler that is held back would work well
 // elsewhere.
-func (p *planner) betterPlace(cl *class, k queue.TaskKey, at rudderfork.VMID) bool {
+func (p *planner) betterPlace(cl *class, k queue.TaskKey) bool {
 	if p.crawls(cl) {
 		return false
 	}
-	if slices.ContainsFunc(p.vms, func(v *vmNote) bool {
-		return v.vm.ID != at && p.able(cl, v) && v.colocation.speed(p, cl.step, cl.image) >= startSpeed &&
-			!cl.tasks[k.Index].RunsOn(v.vm.ID)
-	}) {
+	if slices.ContainsFunc(p.vms, func(v *vmNote) bool { return p.suits(cl, v) && !cl.runsOn(k, v) }) {
 		return true
 	}
 	p.noteSlow(cl)
@@ -193,11 +195,11 @@
 
 // openness is the part of the fillers that are wanted that a VM's serving tasks
 // bear, 0 to 1, with a further one of an image (noImage for none).
-func (p *planner) openness(m *colocation, image int) float64 {
-	if m.open == nil {
-		m.open = unasked(len(p.images.names) + 1)
+func (p *planner) openness(c *colocation, image int) float64 {
+	if c.open == nil {
+		c.open = unasked(len(p.images.names) + 1)
 	}
-	if known := m.open[image+1]; !math.IsNaN(known) {
+	if known := c.open[image+1]; !math.IsNaN(known) {
 		return known
 	}
 	open := 0.0
@@ -209,11 +211,11 @@
 		if image != noImage {
 			most = p.pressure(image, filler)
 		}
-		for i := range m.serving {
-			most = max(most, p.pressure(m.serving[i].image, filler))
+		for i := range c.serving {
+			most = max(most, p.pressure(c.serving[i].image, filler))
 		}
 		open += part / (1 + most*most/(heavyPressure*heavyPressure))
 	}
-	m.open[image+1] = open
+	c.open[image+1] = open
 	return open
 }
--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -1,5 +1,11 @@
 package dispatch
 
+import (
+	"slices"
+
+	"rudderfork.example/rudderfork/queue"
+)
+
 // The parts of a place's cost. One stands for a VM that is wholly taken; the
 // rest are set against that and are first guesses that no run has chosen yet.
 const (
@@ -15,8 +21,8 @@
 	packing    = 1.3 // a serving task on a full VM: more than it costs others
 )
 
-// cost weighs a VM for the tasks of a class; the least is chosen. Where a task has
-// failed, costFailed is added for it alone.
+// cost weighs a VM for the tasks of a class; the least is chosen, with failedCost for
+// the task.
 func (p *planner) cost(cl *class, v *vmNote) float64 {
 	st := cl.step
 	c := v.full + costDoubt*v.view.Doubt
@@ -31,3 +37,11 @@
 	}
 	return c
 }
+
+// failedCost is what a VM costs a task more if it has failed there.
+func (p *planner) failedCost(k queue.TaskKey, v *vmNote) float64 {
+	if slices.Contains(p.view.Failed[k], v.vm.ID) {
+		return costFailed
+	}
+	return 0
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -132,7 +132,7 @@
 	images   images
 	vms      map[rudderfork.VMID]*vmNote
 	jobs     map[rudderfork.JobID]*jobNote
-	order    []*jobNote // of the last plan
+	order    []*jobNote // all of jobs, as the last plan ranked them
 }
 
 // NewPlanner returns a planner that has read nothing yet.
@@ -149,7 +149,6 @@
 func (pl *Planner) Plan(s *queue.State, v View) Plan {
 	p := pl.begin(s, v)
 	jobs := p.ranked()
-	pl.order = jobs
 	for _, j := range jobs {
 		p.stops(j)
 	}
@@ -229,9 +228,6 @@
 
 // starts plans the tasks of a job whose turn has come.
 func (p *planner) starts(n *jobNote) {
-	if n.job.Status.Final() {
-		return
-	}
 	for _, w := range n.waiting {
 		if !p.hasTurn(n, w) {
 			continue
@@ -281,9 +277,9 @@
 	}
 }
 
-// wants reports whether a task lacks a run.
+// wants reports whether a task lacks a run and is not held back.
 func (p *planner) wants(t *queue.Task, k queue.TaskKey) bool {
-	return !t.Done && len(t.Runs) == 0 && p.view.PutOff[k] <= p.view.Now
+	return lacksRun(t) && p.view.PutOff[k] <= p.view.Now
 }
 
 func (p *planner) add(cl *class, k queue.TaskKey, v *vmNote, reason string, group int) {
--- a/dispatch/drawn_test.go
+++ b/dispatch/drawn_test.go
@@ -403,6 +403,9 @@
 			w, kept := drawWorld(t, seed), NewPlanner()
 			for range drawnChanges {
 				w.view.Regroup = w.rnd.IntN(3) == 0
+				for _, j := range w.s.Live() {
+					kept.Explain(w.s, w.view, j).Obstacles(queue.TaskKey{Job: j.ID}) // changes nothing
+				}
 				plan := kept.Plan(w.s, w.view)
 				assert.DeepEqual(t, plan, Make(w.s, w.view))
 				assertPlaces(w, plan)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -20,9 +20,11 @@
 	lastEnd           int64 // of a run, Unix ms; 0 for none
 	images            []int // by step
 
-	runs    []taskRun     // active ones, by task
-	waiting []waitingStep // with tasks that are not done and have no run
-	copied  bool          // some step allows copies
+	runs    []taskRun                          // active ones, by task
+	last    map[rudderfork.VMID][]queue.RunKey // of these, the last of their steps
+	waiting []waitingStep                      // with tasks that lack a run; none once it is over
+	short   ShortTasks                         // that run
+	copied  bool                               // some step allows copies
 	demand  []fillerWork
 }
 
@@ -36,6 +38,7 @@
 // waitingStep is a step with tasks that lack a run.
 type waitingStep struct {
 	queue.StepKey
+	tasks   int   // that lack a run
 	ready   bool  // the steps before it are done
 	readyAt int64 // when its turn comes or came, Unix ms, if it is ready
 }
@@ -63,14 +66,14 @@
 		}
 		list = append(list, n)
 	}
-	if len(list) == len(live) {
-		return list
-	}
-	for id, j := range live {
-		if pl.jobs[id] == nil {
-			list = append(list, pl.readJob(p, j))
+	if len(list) < len(live) {
+		for id, j := range live {
+			if pl.jobs[id] == nil {
+				list = append(list, pl.readJob(p, j))
+			}
 		}
 	}
+	pl.order = list // which ranked sorts in place
 	return list
 }
 
@@ -104,39 +107,60 @@
 		for _, o := range j.Times {
 			left += o.Left[i]
 		}
-		work := float64(left) * float64(st.Size.CPUMilli) * float64(max(1, st.ExpectedMS))
-		n.demand = append(n.demand, fillerWork{n.images[i], work})
+		n.demand = append(n.demand, fillerWork{n.images[i], expectedWork(st, left)})
 	}
 	for time, o := range j.Times {
 		for step := range o.Steps {
 			n.readStep(queue.StepKey{Job: j.ID, Time: time, Step: step}, o.Steps[step])
 		}
 	}
+	n.readRuns()
 	return n
 }
 
 func (n *jobNote) readStep(key queue.StepKey, tasks []queue.Task) {
-	waits := false
+	waiting := 0
 	for index := range tasks {
 		t := &tasks[index]
 		n.lastEnd = max(n.lastEnd, t.EndedAt)
-		waits = waits || !t.Done && len(t.Runs) == 0
+		if lacksRun(t) {
+			waiting++
+		}
 		for _, r := range t.Runs {
 			k := queue.TaskKey{Job: key.Job, Time: key.Time, Step: key.Step, Index: index}
 			n.runs = append(n.runs, taskRun{k, t, r})
 		}
 	}
-	if waits {
-		n.waiting = append(n.waiting, n.waitingStep(key))
+	if waiting > 0 && !n.job.Status.Final() {
+		n.waiting = append(n.waiting, n.waitingStep(key, waiting))
+	}
+}
+
+// readRuns notes which runs are the last of their steps, and which are of short tasks.
+func (n *jobNote) readRuns() {
+	n.last = map[rudderfork.VMID][]queue.RunKey{}
+	for i := range n.runs {
+		r := &n.runs[i]
+		st := &n.job.Spec.Steps[r.key.Step]
+		if !n.job.Status.Final() && n.isLast(r.key.StepKey()) {
+			n.last[r.run.VM] = append(n.last[r.run.VM], r.key.Run(r.run.Number))
+		}
+		if kindOf(st) == Short {
+			n.short.Running++
+			n.short.CPUMilli += st.Size.CPUMilli
+		}
 	}
 }
 
+// lacksRun reports whether a task is neither done nor has a run.
+func lacksRun(t *queue.Task) bool { return !t.Done && len(t.Runs) == 0 }
+
 // waitingStep notes when the turn of a step came: when it was handed in or falls due,
 // and the last task of the steps before it has ended.
-func (n *jobNote) waitingStep(key queue.StepKey) waitingStep {
+func (n *jobNote) waitingStep(key queue.StepKey, tasks int) waitingStep {
 	o := n.job.Times[key.Time]
 	st := n.job.Spec.Steps[key.Step]
-	w := waitingStep{StepKey: key, ready: o.StepReady(st), readyAt: max(n.job.SubmittedAt, o.DueMS)}
+	w := waitingStep{StepKey: key, tasks: tasks, ready: o.StepReady(st), readyAt: max(n.job.SubmittedAt, o.DueMS)}
 	for _, before := range st.DependsOn {
 		for i := range o.Steps[before] {
 			w.readyAt = max(w.readyAt, o.Steps[before][i].EndedAt)
--- a/dispatch/last.go
+++ b/dispatch/last.go
@@ -15,13 +15,8 @@
 func (p *planner) lastOfSteps(jobs []*jobNote) map[rudderfork.VMID][]queue.RunKey {
 	last := map[rudderfork.VMID][]queue.RunKey{}
 	for _, n := range jobs {
-		if n.job.Status.Final() {
-			continue
-		}
-		for i := range n.runs {
-			if r := &n.runs[i]; n.isLast(r.key.StepKey()) {
-				last[r.run.VM] = append(last[r.run.VM], r.key.Run(r.run.Number))
-			}
+		for vm, runs := range n.last {
+			last[vm] = append(last[vm], runs...)
 		}
 	}
 	return last
--- a/dispatch/obstacle.go
+++ b/dispatch/obstacle.go
@@ -5,11 +5,22 @@
 	"rudderfork.example/rudderfork/queue"
 )
 
+// Explanation says why tasks of a job wait, at one moment.
+type Explanation struct {
+	p    *planner
+	note *jobNote
+}
+
+// Explain returns the reasons for a job at the moment. They are good until the state or
+// the view changes, or the planner plans again.
+func (pl *Planner) Explain(s *queue.State, v View, j *queue.Job) Explanation {
+	p := pl.begin(s, v)
+	return Explanation{p, p.note(j)}
+}
+
 // Obstacles says for each VM why it cannot take a task now, or "" if it can.
-func Obstacles(s *queue.State, v View, k queue.TaskKey) map[rudderfork.VMID]string {
-	p := NewPlanner().begin(s, v)
-	j := s.Job(k.Job)
-	cl := p.classOf(p.note(j), k.StepKey())
+func (e Explanation) Obstacles(k queue.TaskKey) map[rudderfork.VMID]string {
+	p, cl := e.p, e.p.classOf(e.note, k.StepKey())
 	why := map[rudderfork.VMID]string{}
 	for _, v := range p.vms {
 		why[v.vm.ID] = p.obstacle(cl, k, v)
@@ -17,7 +28,7 @@
 		case why[v.vm.ID] != "":
 		case p.worthless(cl, v):
 			why[v.vm.ID] = "the task would crawl beside the serving tasks there"
-		case !p.reserve.allows(cl, j.Task(k), v):
+		case !p.reserve.allows(cl, cl.job.Task(k), v):
 			why[v.vm.ID] = "room is kept there for short tasks"
 		}
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -38,6 +38,11 @@
 	return queue.TaskKey{Job: cl.key.Job, Time: cl.key.Time, Step: cl.key.Step, Index: index}
 }
 
+// runsOn reports whether a run of a task is on a VM.
+func (cl *class) runsOn(k queue.TaskKey, v *vmNote) bool {
+	return cl.tasks[k.Index].RunsOn(v.vm.ID)
+}
+
 // candidates are the VMs that can take a task of a class, with their costs.
 type candidates struct {
 	class *class
@@ -86,16 +91,13 @@
 // choose returns the VM with the least cost for a task, and why; nil if none can
 // take it.
 func (p *planner) choose(c *candidates, k queue.TaskKey) (v *vmNote, reason string) {
-	failed := p.view.Failed[k]
 	best, least := -1, math.Inf(1)
 	for i, cost := range c.costs {
 		if cost >= least {
 			continue
 		}
-		if len(failed) > 0 && slices.Contains(failed, p.vms[i].vm.ID) {
-			cost += costFailed
-		}
-		if cost < least && !c.class.tasks[k.Index].RunsOn(p.vms[i].vm.ID) {
+		cost += p.failedCost(k, p.vms[i])
+		if cost < least && !c.class.runsOn(k, p.vms[i]) {
 			best, least = i, cost
 		}
 	}
@@ -181,9 +183,7 @@
 
 // noteSlow notes that a filler crawls wherever there is room for it, if it does.
 func (p *planner) noteSlow(cl *class) {
-	if p.crawls(cl) || slices.ContainsFunc(p.vms, func(v *vmNote) bool {
-		return p.able(cl, v) && v.colocation.speed(p, cl.step, cl.image) >= startSpeed
-	}) {
+	if p.crawls(cl) || slices.ContainsFunc(p.vms, func(v *vmNote) bool { return p.suits(cl, v) }) {
 		return
 	}
 	p.shortage.note(cl, cl.want(cl.image))
@@ -207,12 +207,8 @@
 	}
 	var options []option
 	for _, v := range p.vms {
-		if p.able(&free, v) && cl.tickets[v.vm.ID] == "" && !cl.tasks[k.Index].RunsOn(v.vm.ID) {
-			cost := p.cost(&free, v)
-			if slices.Contains(p.view.Failed[k], v.vm.ID) {
-				cost += costFailed
-			}
-			options = append(options, option{v.vm.ID, cost})
+		if p.able(&free, v) && cl.tickets[v.vm.ID] == "" && !cl.runsOn(k, v) {
+			options = append(options, option{v.vm.ID, p.cost(&free, v) + p.failedCost(k, v)})
 		}
 	}
 	if len(options) == 0 {
--- a/dispatch/rank.go
+++ b/dispatch/rank.go
@@ -108,14 +108,19 @@
 		if o.Done() {
 			continue
 		}
-		for i, st := range j.Spec.Steps {
-			work += float64(o.Left[i]) * float64(st.Size.CPUMilli) * float64(max(1, st.ExpectedMS))
+		for i := range j.Spec.Steps {
+			work += expectedWork(&j.Spec.Steps[i], o.Left[i])
 		}
 		return work
 	}
 	return 0
 }
 
+// expectedWork is that of so many tasks of a step, in thousandths of a core times ms.
+func expectedWork(st *queue.Step, tasks int) float64 {
+	return float64(tasks) * float64(st.Size.CPUMilli) * float64(max(1, st.ExpectedMS))
+}
+
 // chainMS is the expected length of the longest chain of the steps that count.
 func chainMS(spec queue.Spec, counts func(step int) bool) (longest int64) {
 	ends := make([]int64, len(spec.Steps))
--- a/dispatch/regroup.go
+++ b/dispatch/regroup.go
@@ -65,17 +65,17 @@
 // part of a VM: those that serving tasks leave idle, less for images that press on
 // a serving task there. extra is a serving step of an image that would be there too,
 // if not nil.
-func (p *planner) room(m *colocation, extra *queue.Step, image int) float64 {
-	idle := m.spare
+func (p *planner) room(c *colocation, extra *queue.Step, image int) float64 {
+	idle := c.spare
 	if extra != nil {
 		idle -= float64(extra.Size.CPUMilli) * pace.ServingUse
 	}
-	return max(0, idle) / m.whole * p.openness(m, image)
+	return max(0, idle) / c.whole * p.openness(c, image)
 }
 
 // shadow is the room that fillers lose on a VM to a serving task of an image.
-func (p *planner) shadow(m *colocation, st *queue.Step, image int) float64 {
-	return p.room(m, nil, noImage) - p.room(m, st, image)
+func (p *planner) shadow(c *colocation, st *queue.Step, image int) float64 {
+	return p.room(c, nil, noImage) - p.room(c, st, image)
 }
 
 // regroup plans the move of the one serving task that leaves fillers most more room
@@ -160,7 +160,7 @@
 	most := least
 	for _, v := range p.vms {
 		gain := stays - p.shadow(&v.colocation, cl.step, cl.image)
-		if gain > most && p.takesMoved(cl, k, at, v) {
+		if gain > most && p.takesMoved(cl, k, v) {
 			most = gain
 		}
 	}
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -87,20 +87,15 @@
 // addShort counts a job's short tasks.
 func (p *planner) addShort(n *jobNote) {
 	found := &p.plan.Short
-	for i := range n.runs {
-		if st := &n.job.Spec.Steps[n.runs[i].key.Step]; kindOf(st) == Short {
-			found.Running++
-			found.CPUMilli += st.Size.CPUMilli
-		}
-	}
+	found.Running += n.short.Running
+	found.CPUMilli += n.short.CPUMilli
 	if n.rank(p.view.Now).late {
 		return
 	}
 	for _, w := range n.waiting {
-		if st := &n.job.Spec.Steps[w.Step]; kindOf(st) == Short {
-			tasks := p.waitingTasks(n, w)
-			found.Waiting += tasks
-			found.CPUMilli += int64(tasks) * st.Size.CPUMilli
+		if st := &n.job.Spec.Steps[w.Step]; kindOf(st) == Short && p.hasTurn(n, w) {
+			found.Waiting += w.tasks
+			found.CPUMilli += int64(w.tasks) * st.Size.CPUMilli
 		}
 	}
 }
--- a/dispatch/reserve_test.go
+++ b/dispatch/reserve_test.go
@@ -61,10 +61,20 @@
 		w.view.Short = ShortDemand{at: 1, tasks: 99, cpu: 1000}
 		assert.Equal(t, lasting(w, "first"), 4)
 	})
+	t.Run("tasks that wait for a job that is over are not seen", func(t *testing.T) {
+		w := newWorld(t, 2)
+		st := cpu(4000)
+		st.Count = 3
+		w.submit("urgent", "hold", w.view.Now, st)
+		assert.Equal(t, len(w.run()), 2)
+		assert.DeepEqual(t, Make(w.s, w.view).Short, ShortTasks{Running: 2, Waiting: 1, CPUMilli: 12_000})
+		w.s.Apply(queue.Command{Cancel: &queue.Cancel{Host: host, Path: "/urgent/hold"}}, w.view.Now)
+		assert.DeepEqual(t, Make(w.s, w.view).Short, ShortTasks{Running: 2, CPUMilli: 8_000})
+	})
 	t.Run("why a task waits is told", func(t *testing.T) {
 		w := seen(t, 99)
 		assert.Equal(t, lasting(w, "more"), 0)
-		for vm, why := range Obstacles(w.s, w.view, queue.TaskKey{Job: "more"}) {
+		for vm, why := range NewPlanner().Explain(w.s, w.view, w.s.Job("more")).Obstacles(queue.TaskKey{Job: "more"}) {
 			assert.Equal(t, why, "room is kept there for short tasks", string(vm))
 		}
 	})
--- a/dispatch/stops.go
+++ b/dispatch/stops.go
@@ -98,7 +98,7 @@
 	if here < moveFactor*(moveMS+left/startSpeed) {
 		return false
 	}
-	return p.betterPlace(p.classOf(n, r.key.StepKey()), r.key, r.run.VM)
+	return p.betterPlace(p.classOf(n, r.key.StepKey()), r.key)
 }
 
 // mostMoves bounds the fillers moved in one plan, since each changes what the next one
@@ -141,7 +141,7 @@
 	if st.Lasting || st.Filler || st.Gang || st.Speculative || len(p.view.Failed[r.key]) > 0 {
 		return false
 	}
-	return p.lags(n, r, run, slowFactor) && p.roomElsewhere(p.classOf(n, r.key.StepKey()), r.key, r.run.VM)
+	return p.lags(n, r, run, slowFactor) && p.roomElsewhere(p.classOf(n, r.key.StepKey()), r.key)
 }
 
 // lags reports whether what a run still needs is so many times what its siblings
@@ -224,14 +224,14 @@
 }
 
 // roomElsewhere reports whether another VM can take the task now.
-func (p *planner) roomElsewhere(cl *class, k queue.TaskKey, at rudderfork.VMID) bool {
-	return slices.ContainsFunc(p.vms, func(v *vmNote) bool { return p.takesMoved(cl, k, at, v) })
+func (p *planner) roomElsewhere(cl *class, k queue.TaskKey) bool {
+	return slices.ContainsFunc(p.vms, func(v *vmNote) bool { return p.takesMoved(cl, k, v) })
 }
 
 // takesMoved reports whether a VM is another than the one a task is on, sound, and
 // can take the task now.
-func (p *planner) takesMoved(cl *class, k queue.TaskKey, at rudderfork.VMID, v *vmNote) bool {
-	return v.vm.ID != at && v.view.Doubt < doubtful && p.able(cl, v) && !cl.tasks[k.Index].RunsOn(v.vm.ID)
+func (p *planner) takesMoved(cl *class, k queue.TaskKey, v *vmNote) bool {
+	return v.view.Doubt < doubtful && p.able(cl, v) && !cl.runsOn(k, v)
 }
 
 // doubtful is the doubt in a VM above which nothing is moved there: one failure.
--- a/dispatch/vm.go
+++ b/dispatch/vm.go
@@ -85,13 +85,13 @@
 // colocationWithout returns what shares the VM's processors but for one task, without the
 // starts of a plan.
 func (v *vmNote) colocationWithout(but queue.TaskKey) colocation {
-	m := newColocation(v.vm.Capacity)
+	c := newColocation(v.vm.Capacity)
 	for i := range v.runs {
 		if t := &v.runs[i]; t.key != but {
-			m.add(t.step, t.image, t.run, t.fresh)
+			c.add(t.step, t.image, t.run, t.fresh)
 		}
 	}
-	return m
+	return c
 }
 
 // add notes a start of the plan.
--- a/scheduler/api.go
+++ b/scheduler/api.go
@@ -134,12 +134,10 @@
 }
 
 func (a *api) jobs(w http.ResponseWriter, r *http.Request) {
-	a.view(w, r, func(s *queue.State, v dispatch.View) any {
+	a.view(w, r, func(s *queue.State, _ dispatch.View) any {
 		list := []JobView{}
 		for _, j := range s.Live() {
-			jv := jobView(s, v, j)
-			jv.Tasks = nil
-			list = append(list, jv)
+			list = append(list, jobView(s, j))
 		}
 		return list
 	})
@@ -152,7 +150,8 @@
 		if j == nil {
 			return nil
 		}
-		jv := jobView(s, v, j)
+		jv := jobView(s, j)
+		jv.Tasks = taskViews(j, v.Now, a.s.fleet.planner.Explain(s, v, j))
 		for _, e := range a.story.Select(timeline.Query{Subject: string(id), Limit: storyLimit}) {
 			jv.Story = append(jv.Story, time.UnixMicro(e.At).UTC().Format("15:04:05.000")+" "+e.Subject+" "+e.Kind+": "+e.Text)
 		}
--- a/scheduler/views.go
+++ b/scheduler/views.go
@@ -83,26 +83,29 @@
 	return views
 }
 
-// jobView returns a job with the reasons for what waits; its story is added by
-// the caller.
-func jobView(s *queue.State, view dispatch.View, j *queue.Job) JobView {
-	v := JobView{
+// jobView returns a job without its tasks and its story.
+func jobView(s *queue.State, j *queue.Job) JobView {
+	return JobView{
 		ID: j.ID, Queue: j.Queue.Name, Status: j.Status, SubmittedAt: j.SubmittedAt,
 		ObjectiveMS: dispatch.ObjectiveMS(s.Row(j), j), EndedAt: j.EndedAt,
 	}
+}
+
+// taskViews returns the tasks of a job, with the reasons for what waits.
+func taskViews(j *queue.Job, now int64, e dispatch.Explanation) (views []TaskView) {
 	for time, o := range j.Times {
 		for step, tasks := range o.Steps {
 			for index := range tasks {
 				k := queue.TaskKey{Job: j.ID, Time: time, Step: step, Index: index}
 				t := &tasks[index]
-				v.Tasks = append(v.Tasks, TaskView{k.String(), taskState(s, view, j, k), t.Failures, t.LastRun})
+				views = append(views, TaskView{k.String(), taskState(j, k, now, e), t.Failures, t.LastRun})
 			}
 		}
 	}
-	return v
+	return views
 }
 
-func taskState(s *queue.State, view dispatch.View, j *queue.Job, k queue.TaskKey) string {
+func taskState(j *queue.Job, k queue.TaskKey, now int64, e dispatch.Explanation) string {
 	t := j.Task(k)
 	var on []string
 	for _, r := range t.Runs {
@@ -116,21 +119,21 @@
 	case j.Status.Final():
 		return "the job is " + string(j.Status)
 	}
-	return "waiting: " + whyWaiting(s, view, j, k)
+	return "waiting: " + whyWaiting(j, k, now, e)
 }
 
 // whyWaiting gives the reason, and of VMs that cannot take the task the reasons
 // with their number.
-func whyWaiting(s *queue.State, view dispatch.View, j *queue.Job, k queue.TaskKey) string {
+func whyWaiting(j *queue.Job, k queue.TaskKey, now int64, e dispatch.Explanation) string {
 	o := j.Times[k.Time]
 	switch {
-	case o.DueMS > view.Now:
-		return fmt.Sprintf("it is due in %d ms", o.DueMS-view.Now)
+	case o.DueMS > now:
+		return fmt.Sprintf("it is due in %d ms", o.DueMS-now)
 	case !o.StepReady(j.Spec.Steps[k.Step]):
 		return "an earlier step is not done"
 	}
 	counts := map[string]int{}
-	for _, why := range dispatch.Obstacles(s, view, k) {
+	for _, why := range e.Obstacles(k) {
 		counts[why]++
 	}
 	if len(counts) == 0 {
