Start nothing in a failure domain that is evacuated, from its acknowledgement on

Cause: the users' operators may order that nothing more be sent to a failure domain's executors. Nothing in the product knew that: no handler, no state, no effect on starts.

Ruled out: refusing in the planner alone (a start that was planned before would still be committed); telling the agents alone (one that is cut off or frozen hears nothing, and its lease lets it start for 5 s); shorter leases (they end what runs).

Change: the order is one command of the log. A start there is refused when it is applied, whatever was planned: copies, gangs, retries, moves. Agents are told with their orders and grants; what they have not called they refuse, what may have begun is left to the next account to tell, and stopped if that does not list it. A grant lets starts be called for 2 s only from the leader's last contact to its quorum (half of the platform's bound if that is less), so that an agent or leader that was away starts nothing later.

--- a/cmd/rudderctl/queues.go
+++ b/cmd/rudderctl/queues.go
@@ -21,6 +21,8 @@
 var (
 	queueJSON bool
 	queueWait bool
+
+	evacuationEnd bool
 )
 
 // waitPause is between two looks at a job that is waited for.
@@ -32,6 +34,10 @@
 	f.BoolVar(&queueWait, "wait", false, "wait until the job is finished, with its progress; fail unless it is completed")
 }
 
+func evacuateFlags(f *flag.FlagSet) {
+	f.BoolVar(&evacuationEnd, "end", false, "take the evacuation back")
+}
+
 var queueCommands = []*command{
 	{name: "queue-put", usage: "FILE", synopsis: "replace the document of queues by a JSON file (- for standard input)", args: 1, do: putQueues},
 	{name: "queues", usage: "[-json]", synopsis: "list the queues", flags: jsonFlag, do: listQueues},
@@ -40,6 +46,8 @@
 	{name: "queue-job", usage: "[-json] ID", synopsis: "show a job's tasks, why they wait, and every decision on it", args: 1, flags: jsonFlag, do: showQueueJob},
 	{name: "queue-suspects", usage: "[-json]", synopsis: "list the tasks under which executors have crashed", flags: jsonFlag, do: listSuspects},
 	{name: "queue-clear", usage: "TASK", synopsis: "take back what a task (job.time.step.index) is suspected of", args: 1, do: clearSuspect},
+	{name: "queue-evacuations", usage: "[-json]", synopsis: "list the failure domains in which nothing more is started", flags: jsonFlag, do: listEvacuations},
+	{name: "queue-evacuate", usage: "[-end] DOMAIN", synopsis: "start nothing more in a failure domain, or with -end take that back", args: 1, flags: evacuateFlags, do: evacuateDomain},
 	{name: "queue-submit", usage: "[-wait] HOST PATH FILE", synopsis: "hand in a job of steps from a JSON file", args: 3, flags: submitQueueFlags, do: submitToQueue},
 	{name: "queue-cancel", usage: "HOST PATH", synopsis: "cancel a job of a queue", args: 2, do: cancelInQueue},
 }
@@ -145,6 +153,27 @@
 	})
 }
 
+func listEvacuations(ctx context.Context, c *operator.Client, _ []string) error {
+	list, err := c.Evacuations(ctx)
+	if err != nil {
+		return err
+	}
+	return show(list, func(w io.Writer) {
+		fmt.Fprintln(w, "DOMAIN\tSINCE\tVMS\tRUNS")
+		for _, e := range list {
+			fmt.Fprintf(w, "%s\t%s\t%d\t%d\n", e.Domain, time.UnixMilli(e.SinceMS).UTC().Format(time.TimeOnly), e.VMs, e.Runs)
+		}
+	})
+}
+
+func evacuateDomain(ctx context.Context, c *operator.Client, args []string) error {
+	if err := c.Evacuate(ctx, args[0], evacuationEnd); err != nil {
+		return err
+	}
+	fmt.Println("accepted")
+	return nil
+}
+
 // milliPerCent turns thousandths into per cent.
 const milliPerCent = 10
 
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -477,3 +477,19 @@
 		assert.Equal(t, len(stops(w)), 0, "it would lose what it has done")
 	})
 }
+
+// TestEvacuated holds that nothing is planned in a failure domain that is evacuated, and
+// that an operator is told why.
+func TestEvacuated(t *testing.T) {
+	w := newWorld(t, 2)
+	vm := *w.s.VM("vm1")
+	vm.Domain = "north"
+	w.s.Apply(queue.Command{Register: &vm}, w.view.Now)
+	w.s.Apply(queue.Command{Evacuate: &queue.Evacuate{Domain: "north"}}, w.view.Now)
+	k := w.submit("urgent", "j", 1000, queue.Step{Count: 4, Size: rudderfork.Resources{CPUMilli: 100}})
+	for _, on := range w.run() {
+		assert.Equal(t, on, rudderfork.VMID("vm2"))
+	}
+	why := NewPlanner().Explain(w.s, w.view, w.s.Job(k.Job)).Obstacles(k)
+	assert.Equal(t, why["vm1"], "its failure domain is evacuated")
+}
--- a/dispatch/vm.go
+++ b/dispatch/vm.go
@@ -12,7 +12,9 @@
 	vm   *queue.VM
 	view VMView
 	fit  bool // may be given work at all
-	runs []vmRun
+
+	evacuating bool // its failure domain is
+	runs       []vmRun
 
 	free       rudderfork.Resources
 	full       float64 // fullness
@@ -51,7 +53,8 @@
 			pl.vms[vm.ID] = v
 		}
 		v.view = view
-		v.fit = vm.Live && view.Usable && !view.Draining && !view.Closed
+		v.evacuating = p.state.Evacuating(vm.Domain)
+		v.fit = vm.Live && view.Usable && !view.Draining && !view.Closed && !v.evacuating
 		v.quarantine = false
 		if v.holdsSuspect(p) {
 			p.noteQuarantine(v)
--- a/operator/queues.go
+++ b/operator/queues.go
@@ -51,6 +51,22 @@
 	return list, c.do(ctx, request{method: http.MethodGet, path: "/v1/queue-suspects"}, &list)
 }
 
+// Evacuations returns the failure domains in which nothing more is started.
+func (c *Client) Evacuations(ctx context.Context) (list []scheduler.EvacuationView, err error) {
+	return list, c.do(ctx, request{method: http.MethodGet, path: evacuationsPath}, &list)
+}
+
+// Evacuate orders that nothing more is started in a failure domain, or takes that back.
+func (c *Client) Evacuate(ctx context.Context, domain string, end bool) error {
+	method := http.MethodPut
+	if end {
+		method = http.MethodDelete
+	}
+	return c.do(ctx, request{method: method, path: evacuationsPath + "/" + url.PathEscape(domain)}, nil)
+}
+
+const evacuationsPath = "/v1/queue-evacuations"
+
 // ClearSuspect takes back what a task, named as job.time.step.index, is suspected of.
 func (c *Client) ClearSuspect(ctx context.Context, task string) error {
 	return c.send(ctx, http.MethodPost, "/v1/queue-clear", scheduler.TaskBody{Task: task})
--- a/queue/apply.go
+++ b/queue/apply.go
@@ -36,6 +36,8 @@
 		return s.noteUpkeep(*c.Upkeep)
 	case c.Clear != nil:
 		return s.clearTask(*c.Clear)
+	case c.Evacuate != nil:
+		return s.evacuate(*c.Evacuate, at)
 	}
 	return Result{Code: Invalid, Text: "the command is empty"}
 }
--- a/queue/command.go
+++ b/queue/command.go
@@ -20,6 +20,8 @@
 
 	// Clear takes back what a task is suspected of.
 	Clear *TaskKey `cbor:"11,keyasint,omitempty"`
+
+	Evacuate *Evacuate `cbor:"12,keyasint,omitempty"`
 }
 
 // Submit hands in a job at a host and path, whose last part is the job's ID.
@@ -95,6 +97,7 @@
 	NoDocument Code = "no-document" // nothing can be handed in yet
 	NoQueue    Code = "no-queue"
 	NoJob      Code = "no-job"
+	NoDomain   Code = "no-domain"
 	Invalid    Code = "invalid"
 
 	BodyTooLarge   Code = "body-too-large"
--- a/queue/image.go
+++ b/queue/image.go
@@ -17,11 +17,13 @@
 	Waves    []*Wave            `cbor:"5,keyasint,omitempty"`
 	Clock    Clock              `cbor:"6,keyasint,omitempty"`
 	Base     BaseRate           `cbor:"7,keyasint,omitempty"`
+
+	Evacuations []Evacuation `cbor:"8,keyasint,omitempty"`
 }
 
 // Image returns the state for a snapshot. It shares memory with the state.
 func (s *State) Image() Image {
-	im := Image{Document: s.doc, Ended: s.ended, VMs: s.VMs(), Waves: s.waves, Clock: s.clock, Base: s.base}
+	im := Image{Document: s.doc, Ended: s.ended, VMs: s.VMs(), Waves: s.waves, Clock: s.clock, Base: s.base, Evacuations: s.Evacuations()}
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
 		im.Jobs = append(im.Jobs, s.jobs[id])
 	}
@@ -35,6 +37,9 @@
 		s.setDocument(im.Document)
 	}
 	s.ended, s.waves, s.clock, s.base = im.Ended, im.Waves, im.Clock, im.Base
+	for _, e := range im.Evacuations {
+		s.evacuations[e.Domain] = e
+	}
 	for _, v := range im.VMs {
 		s.vms[v.ID] = v
 	}
--- a/queue/state.go
+++ b/queue/state.go
@@ -19,6 +19,8 @@
 	waves []*Wave // oldest first
 	clock Clock
 	base  BaseRate
+
+	evacuations map[rudderfork.Domain]Evacuation
 }
 
 // New returns an empty state.
@@ -28,6 +30,8 @@
 		jobs:  map[rudderfork.JobID]*Job{},
 		live:  map[rudderfork.JobID]*Job{},
 		vms:   map[rudderfork.VMID]*VM{},
+
+		evacuations: map[rudderfork.Domain]Evacuation{},
 	}
 }
 
@@ -108,6 +112,8 @@
 	switch {
 	case !vm.Live:
 		return "the VM is lost"
+	case s.Evacuating(vm.Domain):
+		return "its failure domain is evacuated"
 	case vm.Service != s.Row(j).Service:
 		return "the queue is not served there"
 	case !vm.HasLabel(st.Label):
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -188,7 +188,11 @@
 		if m.Grant.LeaseMS > 0 {
 			a.takeRegistered(m.Grant.Life)
 			sent := time.Unix(0, m.Grant.Sent)
-			a.keeper.Grant(m.Grant.Life, m.Grant.Epoch, sent.Add(time.Duration(m.Grant.LeaseMS)*time.Millisecond))
+			a.keeper.Grant(m.Grant.Life, m.Grant.Epoch, runs.Lease{
+				Until:   sent.Add(time.Duration(m.Grant.LeaseMS) * time.Millisecond),
+				StartBy: sent.Add(time.Duration(m.Grant.StartMS) * time.Millisecond),
+				Closed:  m.Grant.Closed,
+			})
 		}
 	case m.Orders != nil:
 		a.takePressures(m.Orders.Pressures)
--- /dev/null
+++ b/runs/evacuate_test.go
@@ -0,0 +1,103 @@
+package runs_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/queue"
+)
+
+const (
+	evacuationSeeds = 250
+	evacuationSteps = 600
+	// closedAfter is how long after the acknowledgement of an evacuation starts may be
+	// called: as long as a grant lets them, a step more for the rounding, and nothing for
+	// agents that are cut off, frozen or replaced, nor for leaders that are away.
+	closedAfter = startSpan + stepTime
+)
+
+// evacuator orders evacuations and takes them back, at any moment.
+type evacuator struct {
+	s       *site
+	sinceOf map[rudderfork.Domain]time.Time
+	calls   int // of starts
+}
+
+func newEvacuator(s *site) *evacuator {
+	e := &evacuator{s: s, sinceOf: map[rudderfork.Domain]time.Time{}}
+	s.onCall = e.check
+	return e
+}
+
+// check holds that no start is called in a failure domain whose evacuation was
+// acknowledged long enough before.
+func (e *evacuator) check(v *vm, ref rudderfork.RunRef) {
+	e.calls++
+	since, ordered := e.sinceOf[v.domain]
+	if !ordered || e.s.now.Sub(since) <= closedAfter {
+		return
+	}
+	e.s.t.Fatalf("%v: %s starts %v, %v after the evacuation of %s", e.s.now, v.id, ref, e.s.now.Sub(since), v.domain)
+}
+
+// step orders an evacuation or takes one back, now and then; some are repeated.
+func (e *evacuator) step() {
+	if e.s.rng.IntN(40) > 0 {
+		return
+	}
+	d := e.s.vms[e.s.rng.IntN(len(e.s.vms))].domain
+	if e.s.rng.IntN(2) == 0 {
+		e.end(d)
+		return
+	}
+	e.s.apply(queue.Command{Evacuate: &queue.Evacuate{Domain: d}})
+	if _, ordered := e.sinceOf[d]; !ordered {
+		e.sinceOf[d] = e.s.now
+	}
+}
+
+func (e *evacuator) end(d rudderfork.Domain) {
+	e.s.apply(queue.Command{Evacuate: &queue.Evacuate{Domain: d, End: true}})
+	delete(e.sinceOf, d)
+}
+
+// TestEvacuations evacuates failure domains and takes them back while orders are late,
+// lost or doubled, leaders change, VMs are cut off or frozen, executors crash and agents
+// are replaced: nobody starts anything there any more, and once all are taken back
+// everything is done.
+func TestEvacuations(t *testing.T) {
+	calls := 0
+	for seed := range uint64(evacuationSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := newSite(t, seed, 3)
+			e := newEvacuator(s)
+			s.faulty = true
+			for i := range 10 {
+				spec := queue.Spec{Payload: fmt.Sprintf("work=%dms", 100+300*i), Steps: []queue.Step{{Count: 4, Size: rudderfork.Resources{CPUMilli: taskSize}}}}
+				s.apply(queue.Command{Submit: &queue.Submit{Host: host, Path: fmt.Sprintf("/q/job%d", i), Spec: spec, KeepMS: 1 << 40}})
+			}
+			for n := range evacuationSteps {
+				e.step()
+				s.step(n)
+			}
+			s.faulty = false
+			for _, v := range s.vms {
+				v.exec.Flush()
+				e.end(v.domain)
+			}
+			for n := range calmSteps {
+				s.step(n)
+			}
+			for i := range 10 {
+				j := s.state.Job(rudderfork.JobID(fmt.Sprintf("job%d", i)))
+				assert.Assert(t, j.Status.Final(), "%s is %s", j.ID, j.Status)
+			}
+			calls += e.calls
+		})
+	}
+	assert.Assert(t, calls > evacuationSeeds, "%d starts in all schedules", calls)
+}
--- a/runs/keeper.go
+++ b/runs/keeper.go
@@ -57,9 +57,13 @@
 	led    uint64 // term of the leader that the session is with
 	synced bool   // the full list of the epoch has come
 	listed uint64 // term of the leader that the latest full list is from
-	grant  time.Time
-	leave  bool                 // the executor is draining: nothing more is started
-	room   rudderfork.Resources // of the executor, as it says; zero while nobody has told
+
+	grant   time.Time
+	startBy time.Time // until when starts may be called, by the newest grant
+	closed  bool      // control has nothing more started here
+
+	leave bool                 // the executor is draining: nothing more is started
+	room  rudderfork.Resources // of the executor, as it says; zero while nobody has told
 
 	clockMS int64 // of the executor, read not later than clockAt
 	clockAt time.Time
@@ -114,11 +118,27 @@
 // followed and that does not know it yet.
 func (k *Keeper) outranked() bool { return k.led < k.term }
 
-// Grant takes a lease that ends at the given time. It counts only for the life
-// of the executor that it was given to, and for the epoch whose orders are here.
-func (k *Keeper) Grant(life string, epoch uint64, until time.Time) {
-	if !k.outranked() && life == k.life && k.synced && epoch == k.epoch && until.After(k.grant) {
-		k.grant = until
+// Lease is what control grants to a VM.
+type Lease struct {
+	Until time.Time // what runs there may run
+	// StartBy is until when starts may be called: earlier than Until, so that an order
+	// to start nothing more holds soon also for a VM that does not hear of it.
+	StartBy time.Time
+	Closed  bool // such an order holds
+}
+
+// Grant takes a lease. It counts only for the life of the executor that it was given
+// to, and for the epoch whose orders are here.
+func (k *Keeper) Grant(life string, epoch uint64, l Lease) {
+	if k.outranked() || life != k.life || !k.synced || epoch != k.epoch {
+		return
+	}
+	k.closed = l.Closed
+	if l.Until.After(k.grant) {
+		k.grant = l.Until
+	}
+	if l.StartBy.After(k.startBy) {
+		k.startBy = l.StartBy
 	}
 }
 
@@ -152,6 +172,7 @@
 	if o.Epoch != k.epoch {
 		return
 	}
+	k.closed = o.Closed
 	for _, r := range o.Start {
 		if old := k.orders[r.Task]; old == nil || old.Run < r.Run {
 			// What a leader's first full list brings may have been sent by an agent
@@ -173,7 +194,7 @@
 			k.strays[old.RunRef] = &order{RunOrder: old.RunOrder, stop: true}
 			delete(k.orders, id)
 		}
-		k.epoch, k.grant = o.Epoch, time.Time{}
+		k.epoch, k.grant, k.startBy = o.Epoch, time.Time{}, time.Time{}
 	}
 	k.synced, k.listed = true, k.led
 	listed := map[rudderfork.RunRef]bool{}
@@ -224,16 +245,37 @@
 	return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Run, b.Run))
 }
 
-// turnAway refuses a run that would have to begin on a draining executor.
+// Closed is the reason for refusing a run where control has nothing more started.
+const Closed = "closed"
+
+// turnAway refuses a run that would have to begin on a draining executor, or where
+// control has nothing more started.
 func (k *Keeper) turnAway(o *order) *queue.End {
-	if !k.leave || !o.pending() {
+	switch {
+	case !o.pending():
 		return nil
-	}
-	if o.unsure {
+	case k.leave && o.unsure:
 		o.stop = true
 		return nil
+	case k.leave:
+		return k.refuse(o, "draining")
+	case k.closed && !o.unsure:
+		return k.refuse(o, Closed)
+	}
+	return nil
+}
+
+// settleClosed decides on a run that may have begun before control had nothing more
+// started: one that an account lists has, and runs on; any other is stopped, so that it
+// never does.
+func (k *Keeper) settleClosed(o *order, listed bool, asked time.Time) {
+	switch {
+	case !k.closed || !o.unsure || !o.pending():
+	case listed:
+		o.confirmed = asked
+	default:
+		o.stop = true
 	}
-	return k.refuse(o, "draining")
 }
 
 // noRoom holds a run back that would bring the executor over its room, with all that
@@ -288,7 +330,7 @@
 		return &Call{Ref: o.RunRef}
 	}
 	until, ok := k.Until(now)
-	if !ok {
+	if !ok || k.closed || !now.Before(k.startBy) {
 		return nil
 	}
 	o.inFlight = true
@@ -400,6 +442,7 @@
 		}
 	}
 	for _, o := range k.orders {
+		k.settleClosed(o, there[o.RunRef], asked)
 		if o.ended || there[o.RunRef] || o.confirmed.IsZero() || !o.confirmed.Before(asked) {
 			continue
 		}
--- a/runs/keeper_test.go
+++ b/runs/keeper_test.go
@@ -21,6 +21,9 @@
 
 func ref(run uint32) rudderfork.RunRef { return rudderfork.RunRef{Task: task, Run: run} }
 
+// whole is a lease for all of which starts may be made.
+func whole(until time.Time) Lease { return Lease{Until: until, StartBy: until} }
+
 // ready returns a keeper in its first epoch, with a lease of 5 s and a clock. The
 // runs come after the full list: no other agent has sent them.
 func ready(starts ...uint32) *Keeper {
@@ -32,7 +35,7 @@
 	for _, run := range starts {
 		k.Order(wire.Orders{Life: "life-1", Epoch: 1, Start: []wire.RunOrder{{RunRef: ref(run), Payload: "p"}}})
 	}
-	k.Grant("life-1", 1, t0.Add(5*time.Second))
+	k.Grant("life-1", 1, whole(t0.Add(5*time.Second)))
 	return k
 }
 
@@ -67,15 +70,15 @@
 	assert.Assert(t, until <= 10_000+4_900, "the executor's end is %d", until)
 	assert.Assert(t, until > 10_000+4_800, "the executor's end is %d", until)
 	t.Run("a grant of another epoch does not count", func(t *testing.T) {
-		k.Grant("life-1", 2, t0.Add(time.Hour))
+		k.Grant("life-1", 2, whole(t0.Add(time.Hour)))
 		assert.Equal(t, k.Granted(), t0.Add(5*time.Second))
 	})
 	t.Run("nor one to another life", func(t *testing.T) {
-		k.Grant("life-0", 1, t0.Add(time.Hour))
+		k.Grant("life-0", 1, whole(t0.Add(time.Hour)))
 		assert.Equal(t, k.Granted(), t0.Add(5*time.Second))
 	})
 	t.Run("a grant never shortens", func(t *testing.T) {
-		k.Grant("life-1", 1, t0.Add(time.Second))
+		k.Grant("life-1", 1, whole(t0.Add(time.Second)))
 		assert.Equal(t, k.Granted(), t0.Add(5*time.Second))
 	})
 	t.Run("nothing starts without a lease", func(t *testing.T) {
@@ -86,7 +89,7 @@
 		k := New()
 		k.Reset("life-1")
 		k.Order(wire.Orders{Life: "life-1", Epoch: 1, Full: true, Start: []wire.RunOrder{{RunRef: ref(1)}}})
-		k.Grant("life-1", 1, t0.Add(5*time.Second))
+		k.Grant("life-1", 1, whole(t0.Add(5*time.Second)))
 		checkNothingDue(t, k, t0)
 	})
 }
@@ -298,7 +301,7 @@
 		k.Reset("life-1")
 		k.SetClock(10_000, t0)
 		k.Order(wire.Orders{Life: "life-1", Epoch: 1, Full: true, Start: []wire.RunOrder{{RunRef: ref(1)}}})
-		k.Grant("life-1", 1, t0.Add(5*time.Second))
+		k.Grant("life-1", 1, whole(t0.Add(5*time.Second)))
 		return k
 	}
 	t.Run("a start that is refused is over only by a stop", func(t *testing.T) {
@@ -336,7 +339,7 @@
 		k.Reset("life-1")
 		k.SetClock(10_000, t0)
 		k.Order(again)
-		k.Grant("life-1", 1, t0.Add(5*time.Second))
+		k.Grant("life-1", 1, whole(t0.Add(5*time.Second)))
 		onlyCall(t, k, t0)
 		assert.Assert(t, k.Started(ref(1), rudderfork.StartNoRoom, nil, t0) == nil)
 		checkStops(t, k, 1, t0)
--- a/runs/late_test.go
+++ b/runs/late_test.go
@@ -18,7 +18,7 @@
 	k.Reset("life-2")
 	k.SetClock(10_000, t0)
 	k.Order(wire.Orders{Life: "life-2", Epoch: 3, Full: true, Start: []wire.RunOrder{{RunRef: ref(2)}}})
-	k.Grant("life-2", 3, t0.Add(5*time.Second))
+	k.Grant("life-2", 3, whole(t0.Add(5*time.Second)))
 	onlyCall(t, k, t0)
 	k.Started(ref(2), rudderfork.Started, nil, t0)
 	checkUntouched(t, k)
@@ -59,9 +59,9 @@
 	}
 	t.Run("grants", func(t *testing.T) {
 		k := lateKeeper(t)
-		k.Grant("life-1", 3, t0.Add(time.Hour))
-		k.Grant("life-2", 2, t0.Add(time.Hour))
-		k.Grant("life-2", 3, t0.Add(time.Second))
+		k.Grant("life-1", 3, whole(t0.Add(time.Hour)))
+		k.Grant("life-2", 2, whole(t0.Add(time.Hour)))
+		k.Grant("life-2", 3, whole(t0.Add(time.Second)))
 		checkUntouched(t, k)
 	})
 	t.Run("a leader that has been outranked", func(t *testing.T) {
@@ -69,7 +69,7 @@
 		k.SetTerm(2)
 		k.Order(late("life-2", 3, true))
 		k.Order(late("life-2", 4, true))
-		k.Grant("life-2", 3, t0.Add(time.Hour))
+		k.Grant("life-2", 3, whole(t0.Add(time.Hour)))
 		checkUntouched(t, k)
 		assert.Equal(t, k.Fence(), uint64(3))
 		t.Run("and then the present one again", func(t *testing.T) {
--- a/runs/model_test.go
+++ b/runs/model_test.go
@@ -23,6 +23,7 @@
 
 const (
 	leaseTime = 2 * time.Second
+	startSpan = 600 * time.Millisecond // for which a grant lets starts be made
 	stepTime  = 20 * time.Millisecond
 	beatSteps = 5 // between two heartbeats
 	host      = "tours.example"
@@ -49,7 +50,8 @@
 	patience  time.Duration // until agents take a call for unanswered
 	lookSteps int           // between two looks
 
-	onBegan func(v *vm) // may be nil
+	onBegan func(v *vm)                        // may be nil
+	onCall  func(v *vm, ref rudderfork.RunRef) // before a start is called; may be nil
 	// standStill says that agents' clocks stand still while they are frozen, as one that
 	// leaves out a machine's suspension does; twice counts what that breaks.
 	standStill bool
@@ -65,6 +67,7 @@
 // leader.
 type vm struct {
 	id     rudderfork.VMID
+	domain rudderfork.Domain
 	s      *site
 	exec   *executor.Executor
 	lives  int
@@ -81,6 +84,7 @@
 	toAgent  []func()
 	toLeader []func()
 	waiting  []unanswered
+	unnoted  []queue.End // that were reported
 	begun    map[rudderfork.RunRef]begun
 	room     int64         // of the executor, thousandths of a core
 	told     int64         // what the executor has said of it
@@ -117,7 +121,10 @@
 		Pools: []queue.Pool{{Service: "desk"}},
 	}})
 	for i := range vms {
-		v := &vm{id: rudderfork.VMID(fmt.Sprintf("vm%d", i)), s: s, room: wholeRoom, told: wholeRoom}
+		v := &vm{
+			id: rudderfork.VMID(fmt.Sprintf("vm%d", i)), domain: rudderfork.Domain(fmt.Sprintf("domain%d", i)),
+			s: s, room: wholeRoom, told: wholeRoom,
+		}
 		v.exec = executor.New(v.nextLife(), executor.Config{
 			Now: func() time.Time { return s.now }, Rate: 1 - 0.02*s.rng.Float64(), Fate: v.fate,
 			OnStart:  func(r rudderfork.RunRef) { s.began(v, r) },
@@ -186,7 +193,7 @@
 	v.keeper.SetTerm(term * 0) // a new process has seen no leader
 	v.keeper.Reset(v.exec.Life())
 	v.keeper.SetRoom(rudderfork.Resources{CPUMilli: v.told})
-	v.ended, v.crash, v.begun = 0, nil, nil
+	v.ended, v.crash, v.begun, v.unnoted = 0, nil, nil, nil
 	v.closeSession()
 }
 
@@ -340,9 +347,10 @@
 		}
 		v.open = true
 		v.keeper.SetTerm(v.s.term)
+		v.send(v.unnoted, 0) // again, as package runner does
 	}
 	sent, number, crash := v.now(), v.number, v.crash
-	desc := queue.VM{ID: v.id, Life: v.keeper.Life(), Service: "desk", Capacity: rudderfork.Resources{CPUMilli: v.told}}
+	desc := queue.VM{ID: v.id, Domain: v.domain, Life: v.keeper.Life(), Service: "desk", Capacity: rudderfork.Resources{CPUMilli: v.told}}
 	v.post(&v.toLeader, func() { v.leaderBeat(number, sent, desc, crash) })
 }
 
@@ -399,7 +407,8 @@
 	}
 	if left := g.Grant(s.contact, s.now, s.lease); left > 0 {
 		epoch := known.Epoch
-		v.post(&v.toAgent, func() { v.keeper.Grant(desc.Life, epoch, sent.Add(left)) })
+		lease := runs.Lease{Until: sent.Add(left), StartBy: sent.Add(left - s.lease + startSpan), Closed: s.state.Evacuating(v.domain)}
+		v.post(&v.toAgent, func() { v.keeper.Grant(desc.Life, epoch, lease) })
 	}
 }
 
@@ -417,7 +426,7 @@
 }
 
 func (v *vm) sendOrders(full bool) {
-	o := wire.Orders{Life: v.s.state.VM(v.id).Life, Epoch: v.epoch, Full: full}
+	o := wire.Orders{Life: v.s.state.VM(v.id).Life, Epoch: v.epoch, Full: full, Closed: v.s.state.Evacuating(v.domain)}
 	active := map[rudderfork.RunRef]bool{}
 	for k, run := range v.s.state.VM(v.id).Runs() {
 		ref := rudderfork.RunRef{Task: rudderfork.TaskID(k.String()), Run: run}
@@ -457,7 +466,7 @@
 		v.seeCrash()
 		v.keeper.Reset(v.exec.Life())
 		v.keeper.SetRoom(rudderfork.Resources{CPUMilli: v.told})
-		v.ended = 0
+		v.ended, v.unnoted = 0, nil
 		return
 	}
 	if err != nil {
@@ -476,13 +485,24 @@
 	maps.DeleteFunc(v.begun, func(ref rudderfork.RunRef, b begun) bool { return !there[ref] && b.sure })
 }
 
-// report sends ends to the leader, who commits them and says so.
+// report keeps ends until they are noted, and sends them to the leader.
 func (v *vm) report(ends []queue.End, upTo uint64) {
+	v.forgetEnds(ends) // an executor lists ends again
+	v.unnoted = append(v.unnoted, ends...)
+	v.send(ends, upTo)
+}
+
+// send has the leader commit ends and say so.
+func (v *vm) send(ends []queue.End, upTo uint64) {
 	if len(ends) == 0 {
 		return
 	}
+	ends = slices.Clone(ends)
 	life, number := v.keeper.Life(), v.number
 	v.post(&v.toLeader, func() {
+		if number < v.spoken {
+			return // the session was left
+		}
 		res := v.s.apply(queue.Command{Ends: &queue.Ends{VM: v.id, Life: life, List: ends}})
 		for i, e := range ends {
 			if res.Taken[i] && e.How == queue.EndDone {
@@ -494,6 +514,7 @@
 		}
 		v.post(&v.toAgent, func() {
 			if v.keeper.Life() == life {
+				v.forgetEnds(ends)
 				v.keeper.Noted(ends)
 				v.ended = max(v.ended, upTo)
 			}
@@ -501,6 +522,11 @@
 	})
 }
 
+// forgetEnds forgets ends that the leader has taken note of.
+func (v *vm) forgetEnds(ends []queue.End) {
+	v.unnoted = slices.DeleteFunc(v.unnoted, func(e queue.End) bool { return slices.Contains(ends, e) })
+}
+
 func (v *vm) call(c runs.Call) {
 	ctx, life := context.Background(), v.keeper.Life()
 	v.s.calling = c.Ref
@@ -509,6 +535,9 @@
 		v.answer(err, func() { v.keeper.Stopped(c.Ref, err, v.now()) })
 		return
 	}
+	if v.s.onCall != nil {
+		v.s.onCall(v, c.Ref)
+	}
 	out, err := v.exec.Start(ctx, life, *c.Start)
 	v.noteStart(c.Ref, out, err)
 	v.answer(err, func() {
--- a/runs/stop_test.go
+++ b/runs/stop_test.go
@@ -41,7 +41,7 @@
 	s.keeper.SetClock(1, s.now)
 	s.keeper.Order(wire.Orders{Life: "life-1", Epoch: 1, Full: true})
 	s.keeper.Order(wire.Orders{Life: "life-1", Epoch: 1, Start: starts})
-	s.keeper.Grant("life-1", 1, s.now.Add(longLease))
+	s.keeper.Grant("life-1", 1, runs.Lease{Until: s.now.Add(longLease), StartBy: s.now.Add(longLease)})
 	s.step()
 	assert.Equal(t, len(s.exec.Running()), len(starts))
 	return s
--- a/scheduler/api.go
+++ b/scheduler/api.go
@@ -39,6 +39,10 @@
 		"POST /v1/queue-jobs/cancel": a.cancel,
 		"GET /v1/queue-suspects":     a.suspects,
 		"POST /v1/queue-clear":       a.clear,
+
+		"GET /v1/queue-evacuations":             a.evacuations,
+		"PUT /v1/queue-evacuations/{domain}":    a.evacuate,
+		"DELETE /v1/queue-evacuations/{domain}": a.evacuate,
 	} {
 		mux.HandleFunc(pattern, a.onLeader(h))
 	}
@@ -120,7 +124,7 @@
 		fail(w, http.StatusServiceUnavailable, "no-leader", ans.Text, rudderfork.RanNo)
 	case ans.Code == queue.OK, ans.Code == queue.Stale:
 		admin.WriteJSON(w, map[string]string{"result": string(ans.Code), "detail": ans.Text})
-	case ans.Code == queue.NoQueue, ans.Code == queue.NoJob:
+	case ans.Code == queue.NoQueue, ans.Code == queue.NoJob, ans.Code == queue.NoDomain:
 		fail(w, http.StatusNotFound, "not-found", string(ans.Code), rudderfork.RanNo)
 	default:
 		fail(w, http.StatusUnprocessableEntity, "invalid", ans.Text, rudderfork.RanNo)
@@ -157,6 +161,16 @@
 	a.answer(w, r, wire.Ask{Clear: &k})
 }
 
+func (a *api) evacuations(w http.ResponseWriter, r *http.Request) {
+	a.view(w, r, func(s *queue.State, _ dispatch.View) any { return evacuationViews(s) })
+}
+
+// evacuate orders an evacuation, or takes it back.
+func (a *api) evacuate(w http.ResponseWriter, r *http.Request) {
+	domain := rudderfork.Domain(r.PathValue("domain"))
+	a.answer(w, r, wire.Ask{Evacuate: &queue.Evacuate{Domain: domain, End: r.Method == http.MethodDelete}})
+}
+
 func (a *api) jobs(w http.ResponseWriter, r *http.Request) {
 	a.view(w, r, func(s *queue.State, _ dispatch.View) any {
 		list := []JobView{}
--- a/scheduler/ask.go
+++ b/scheduler/ask.go
@@ -52,6 +52,8 @@
 		ans = s.commit(ctx, queue.Command{Clear: a.Clear})
 		s.log.Info().Str("task", a.Clear.String()).Str("result", string(ans.Code)).Bool("unsure", ans.Unsure).Msg("task_cleared")
 		s.record("task_cleared", a.Clear.String(), "by an operator: "+string(ans.Code))
+	case a.Evacuate != nil:
+		ans = s.evacuate(ctx, *a.Evacuate)
 	case a.Get:
 		ans = s.read(ctx, documentOf)
 	default:
@@ -76,6 +78,8 @@
 		return "wave_status"
 	case a.Clear != nil:
 		return "clear"
+	case a.Evacuate != nil:
+		return "evacuate"
 	}
 	return "get_document"
 }
--- /dev/null
+++ b/scheduler/evacuation_test.go
@@ -0,0 +1,113 @@
+package scheduler
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/queue"
+	"rudderfork.example/rudderfork/standin/executor"
+	"rudderfork.example/rudderfork/timeline"
+	"rudderfork.example/rudderfork/wire"
+)
+
+func (s *site) evacuate(d rudderfork.Domain, end bool, want queue.Code) {
+	s.t.Helper()
+	ans := s.ask(wire.Ask{Evacuate: &queue.Evacuate{Domain: d, End: end}})
+	assert.Equal(s.t, ans.Code, want, "%+v", ans)
+}
+
+// TestEvacuate has operators evacuate failure domains with VMs at work.
+func TestEvacuate(t *testing.T) {
+	s := newSite(t, nil)
+	first, second := s.addVM(executor.Config{}), s.addVM(executor.Config{})
+	s.put(nil)
+	s.until("both VMs are there", func() bool { return s.vmCount() == 2 })
+	lasting := small
+	lasting.Count, lasting.Lasting, lasting.MaxPerVM = 2, true, 1
+	s.submit("feed", "", lasting)
+	s.until("it is at work on both", func() bool { return len(first.Running()) == 1 && len(second.Running()) == 1 })
+
+	t.Run("one that nobody knows is refused", func(*testing.T) {
+		s.evacuate("nowhere", false, queue.NoDomain)
+		s.evacuate("nowhere", true, queue.NoDomain)
+	})
+	t.Run("work begins elsewhere, and what runs there runs on", func(t *testing.T) {
+		s.evacuate(domainOf("vm1"), false, queue.OK)
+		s.evacuate(domainOf("vm1"), false, queue.OK)
+		more := small
+		more.Count = 3
+		s.submit("more", "", more)
+		s.until("the new job is at work", func() bool { return len(second.Running()) == 4 })
+		assert.Equal(t, len(first.Running()), 1)
+	})
+	t.Run("operators see it", func(t *testing.T) {
+		views := s.evacuations()
+		assert.Equal(t, len(views), 1)
+		assert.Equal(t, views[0].Domain, domainOf("vm1"))
+		assert.Equal(t, views[0].VMs, 1)
+		assert.Equal(t, views[0].Runs, 1)
+		assert.Assert(t, views[0].SinceMS > 0)
+	})
+	t.Run("with all evacuated work waits, until one is taken back", func(*testing.T) {
+		s.evacuate(domainOf("vm2"), false, queue.OK)
+		s.submit("late", "work=1ms", small)
+		place := wire.Place{Host: host, Path: "/q/"}
+		s.until("it waits", func() bool { return s.ask(wire.Ask{Status: &place}).Waiting == 1 })
+		s.evacuate(domainOf("vm1"), true, queue.OK)
+		s.untilStatus("late", queue.Completed)
+	})
+}
+
+// evacuations returns what the operators' interface shows.
+func (s *site) evacuations() (views []EvacuationView) {
+	s.t.Helper()
+	mux := http.NewServeMux()
+	s.sched.Routes(mux, timeline.NewRing("c", rudderfork.Place{}, 1, time.Now))
+	w := httptest.NewRecorder()
+	mux.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/v1/queue-evacuations", nil))
+	assert.Equal(s.t, w.Code, http.StatusOK, "%s", w.Body)
+	assert.NilError(s.t, json.Unmarshal(w.Body.Bytes(), &views))
+	return views
+}
+
+// TestStartsLeft holds that starts may be made for less than the lease, counted from the
+// same time.
+func TestStartsLeft(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		span, left, want time.Duration
+	}{
+		{"a fresh lease", 2 * time.Second, 5 * time.Second, 2 * time.Second},
+		{"an older one", 2 * time.Second, 4 * time.Second, time.Second},
+		{"one that is too old", 2 * time.Second, 2 * time.Second, 0},
+		{"none", 2 * time.Second, 0, 0},
+		{"no span of its own", 0, 3 * time.Second, 3 * time.Second},
+		{"a span above the lease", 9 * time.Second, 3 * time.Second, 3 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := &Scheduler{cfg: Settings{Lease: 5 * time.Second, StartSpan: c.span}}
+			assert.Equal(t, s.startsLeft(c.left), c.want)
+		})
+	}
+}
+
+// TestGrantCloses holds that a VM's heartbeat is answered with what holds for its failure
+// domain, also in a session that is new.
+func TestGrantCloses(t *testing.T) {
+	s := newSite(t, nil)
+	s.put(nil)
+	p := s.speak()
+	assert.Assert(t, !p.beat("life-1").Closed)
+	vm := beatOf("life-1").VM
+	s.evacuate(vm.Domain, false, queue.OK)
+	assert.Assert(t, p.beat("life-1").Closed)
+	assert.Assert(t, s.speak().beat("life-1").Closed)
+	s.evacuate(vm.Domain, true, queue.OK)
+	assert.Assert(t, !s.speak().beat("life-1").Closed)
+}
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -308,6 +308,8 @@
 	v := f.vm(vm)
 	ref := e.Task.Ref(e.Run)
 	switch {
+	case e.How == queue.EndRefused && e.Reason == runs.Closed:
+		return // it says nothing of the VM, and the task may begin elsewhere at once
 	case e.How == queue.EndDone:
 		v.addDoubt(-doubtStep, now)
 	case e.How == queue.EndFailed, e.How == queue.EndRefused, f.stops[ref] == dispatch.Stuck, f.stops[ref] == dispatch.Slow:
--- a/scheduler/late_test.go
+++ b/scheduler/late_test.go
@@ -65,7 +65,7 @@
 
 func beatOf(life string) wire.VMBeat {
 	return wire.VMBeat{Sent: steady.Now().UnixNano(), VM: queue.VM{
-		ID: lateVM, Life: life, Service: "desk", Capacity: rudderfork.Resources{CPUMilli: 4000, MemoryMB: 1000},
+		ID: lateVM, Domain: "hall", Life: life, Service: "desk", Capacity: rudderfork.Resources{CPUMilli: 4000, MemoryMB: 1000},
 	}}
 }
 
--- a/scheduler/orders_test.go
+++ b/scheduler/orders_test.go
@@ -22,7 +22,7 @@
 			Version: 1, Queues: []queue.Queue{{Name: "q", Host: host, Prefix: "/q/", Service: "desk", MaxAttempts: 1}},
 			Pools: []queue.Pool{{Service: "desk"}},
 		}},
-		{Register: &queue.VM{ID: "vm1", Life: "life-1", Service: "desk", Capacity: rudderfork.Resources{CPUMilli: 4000}}},
+		{Register: &queue.VM{ID: "vm1", Domain: "north", Life: "life-1", Service: "desk", Capacity: rudderfork.Resources{CPUMilli: 4000}}},
 		{Submit: &queue.Submit{Host: host, Path: "/q/j", Spec: queue.Spec{Steps: []queue.Step{small}}}},
 		{Starts: []queue.Start{{Task: key, VM: "vm1", Life: "life-1"}}},
 	} {
@@ -115,6 +115,15 @@
 		ses.s.fleet.setStops([]dispatch.Stop{{Task: key, Run: 1, VM: "vm1"}}, steady.Now())
 		assert.Assert(t, ses.behind(qs))
 	})
+	t.Run("its failure domain is evacuated, and that is taken back", func(t *testing.T) {
+		qs, ses := told(t)
+		for _, end := range []bool{false, true} {
+			assert.Equal(t, qs.Apply(queue.Command{Evacuate: &queue.Evacuate{Domain: "north", End: end}}, 2).Code, queue.OK)
+			assert.Assert(t, ses.behind(qs))
+			assert.Equal(t, ses.newOrders(qs).Closed, !end)
+			assert.Assert(t, !ses.behind(qs))
+		}
+	})
 	t.Run("the VM has a new life", func(t *testing.T) {
 		qs, ses := told(t)
 		assert.Equal(t, qs.Apply(queue.Command{Register: &queue.VM{ID: "vm1", Life: "life-2", Service: "desk"}}, 2).Code, queue.OK)
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -136,7 +136,7 @@
 	go func() {
 		for s.ctx.Err() == nil {
 			if l := life(); l != "" {
-				a.Describe(queue.VM{ID: rudderfork.VMID(name), Life: l, Service: "desk", Capacity: room}, false, 0)
+				a.Describe(queue.VM{ID: rudderfork.VMID(name), Domain: domainOf(name), Life: l, Service: "desk", Capacity: room}, false, 0)
 			}
 			steady.Pause(s.ctx, 50*time.Millisecond)
 		}
@@ -144,6 +144,9 @@
 	return a
 }
 
+// domainOf is the failure domain of a VM of addAgent: one each.
+func domainOf(name string) rudderfork.Domain { return rudderfork.Domain("hall-" + name) }
+
 func (s *site) ask(a wire.Ask) wire.AskAnswer {
 	ctx, cancel := context.WithTimeout(s.ctx, waitLimit)
 	defer cancel()
--- a/scheduler/session.go
+++ b/scheduler/session.go
@@ -42,9 +42,11 @@
 	epoch uint64          // of the VM; 0 until registered
 	full  bool            // the full list was sent in this epoch
 	seen  vmVersion       // for which orders were worked out last
-	sent  map[rudderfork.RunRef]bool
-	stops map[rudderfork.RunRef]bool    // sent
-	told  map[interference.Pair]float64 // pressures that were sent
+
+	closed bool // the last orders said that nothing more is started on the VM
+	sent   map[rudderfork.RunRef]bool
+	stops  map[rudderfork.RunRef]bool    // sent
+	told   map[interference.Pair]float64 // pressures that were sent
 }
 
 // Accept takes the sessions of fronts and agents.
--- a/scheduler/vm.go
+++ b/scheduler/vm.go
@@ -13,19 +13,21 @@
 )
 
 // orders returns what the VM has not been told yet.
-func (ses *session) orders() (o *wire.Orders, ok bool) {
+func (ses *session) orders() (o *wire.Orders, news bool) {
 	ses.s.rep.View(func(st *state.State) {
 		ses.s.mu.Lock()
 		defer ses.s.mu.Unlock()
+		before := ses.closed
 		o = ses.newOrders(st.Queues())
+		news = o.Full || o.Closed != before || len(o.Start)+len(o.Stop) > 0
 	})
-	return o, o.Full || len(o.Start)+len(o.Stop) > 0
+	return o, news
 }
 
 // behind reports whether there may be news for the session's VM. The caller holds mu.
 func (ses *session) behind(qs *queue.State) bool {
 	vm := qs.VM(ses.vm)
-	return vm != nil && (ses.seen != versionOf(vm) || ses.s.fleet.stopsOn[ses.vm])
+	return vm != nil && (ses.seen != versionOf(vm) || ses.s.fleet.stopsOn[ses.vm] || ses.closed != qs.Evacuating(vm.Domain))
 }
 
 // newOrders compares what was sent with what is to run. The caller holds mu.
@@ -38,6 +40,8 @@
 	o.Full = !ses.full
 	ses.full = true
 	ses.seen = versionOf(vm)
+	o.Closed = qs.Evacuating(vm.Domain)
+	ses.closed = o.Closed
 	active := map[rudderfork.RunRef]bool{}
 	for k, run := range vm.Runs() {
 		ref := k.Ref(run)
@@ -139,7 +143,7 @@
 	if !s.leads(ses.term) {
 		return errNotLeading
 	}
-	grant := wire.VMGrant{Sent: b.Sent, Life: b.VM.Life, Epoch: ses.epoch}
+	grant := wire.VMGrant{Sent: b.Sent, Life: b.VM.Life, Epoch: ses.epoch, Closed: s.closed(b.VM.ID)}
 	s.mu.Lock()
 	v := s.fleet.vm(b.VM.ID)
 	if ses.outlived(v) {
@@ -153,7 +157,8 @@
 		for _, k := range s.fleet.last[b.VM.ID] {
 			grant.Last = append(grant.Last, k.Ref(k.Number))
 		}
-		grant.LeaseMS = v.lease.Grant(time.Unix(0, st.ContactNS), now, s.cfg.Lease).Milliseconds()
+		left := v.lease.Grant(time.Unix(0, st.ContactNS), now, s.cfg.Lease)
+		grant.LeaseMS, grant.StartMS = left.Milliseconds(), s.startsLeft(left).Milliseconds()
 	}
 	s.mu.Unlock()
 	grant.Pressures = ses.learn(now)
--- a/wire/queue.go
+++ b/wire/queue.go
@@ -65,6 +65,8 @@
 	Wave   *queue.Wave     `cbor:"7,keyasint,omitempty"`
 	Upkeep uint64          `cbor:"8,keyasint,omitempty"` // a wave's ID: is it completed?
 	Clear  *queue.TaskKey  `cbor:"9,keyasint,omitempty"` // a task that is suspected
+
+	Evacuate *queue.Evacuate `cbor:"10,keyasint,omitempty"`
 }
 
 // AskAnswer answers an Ask.
@@ -118,6 +120,12 @@
 
 	// Last is all the VM's runs that the other tasks of their steps wait for.
 	Last []rudderfork.RunRef `cbor:"7,keyasint,omitempty"`
+
+	// StartMS is for how long from when the beat was sent starts may be made: less than
+	// the lease, so that an order to start nothing more holds soon also for a VM that
+	// it does not reach. Closed is such an order.
+	StartMS int64 `cbor:"8,keyasint,omitempty"`
+	Closed  bool  `cbor:"9,keyasint,omitempty"`
 }
 
 // PairPressure is what fillers of one image take from the headroom of serving
@@ -153,6 +161,8 @@
 	Stop  []rudderfork.RunRef `cbor:"4,keyasint,omitempty"`
 
 	Pressures []PairPressure `cbor:"7,keyasint,omitempty"` // that are new or have changed
+
+	Closed bool `cbor:"8,keyasint,omitempty"` // nothing more is to be started, as in VMGrant
 }
 
 // EndsReport tells of runs that have ended on a life of the VM. Seq is the
