Expect run times by what is seen of a queue, not by its submitters' guesses

Ranks, objectives, the work left, demand by image and the moves of fillers all rest on them.

Ruled out: the queue's mean (throws good guesses away where they are good); the image's history (steps of one image differ as others do); a constant factor.

Change: package worktime. For each queue a line in logarithms, by which a guess is right until tasks say otherwise, and the step's own tasks that are done. Only first runs tell, by their work at full speed. The regression of package interference is shared for it.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -67,6 +67,10 @@
 	Moved Move
 	// Short is what was seen of short tasks, for which room is kept.
 	Short ShortDemand
+	// Worktimes expects how long tasks work; nil believes the submitters' guesses. What is
+	// read of jobs by it is read again when WorktimesAt changes.
+	Worktimes   Worktimes
+	WorktimesAt uint64
 	// Account asks for an account of the fleet.
 	Account bool
 }
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -102,7 +102,7 @@
 // objectiveOf is the objective of a job of one step in the urgent queue.
 func objectiveOf(w *world, st queue.Step) int64 {
 	row, _ := w.s.Document().Queue("urgent")
-	return ObjectiveMS(row, &queue.Job{Spec: queue.Spec{Steps: []queue.Step{st}}})
+	return ObjectiveMS(row, &queue.Job{Spec: queue.Spec{Steps: []queue.Step{st}}}, nil)
 }
 
 func TestOrder(t *testing.T) {
@@ -175,7 +175,7 @@
 	a, b, c := cpu(1), cpu(1), cpu(1)
 	b.DependsOn, c.DependsOn, c.ExpectedMS = []int{0}, []int{0}, 3000
 	j := &queue.Job{Spec: queue.Spec{Steps: []queue.Step{a, b, c}}}
-	assert.Equal(t, ObjectiveMS(queue.Queue{Stretch: 1.5, LatencyMS: 250}, j), int64(6250))
+	assert.Equal(t, ObjectiveMS(queue.Queue{Stretch: 1.5, LatencyMS: 250}, j, nil), int64(6250))
 }
 
 func TestPlaces(t *testing.T) {
@@ -493,3 +493,26 @@
 	why := NewPlanner().Explain(w.s, w.view, w.s.Job(k.Job)).Obstacles(k)
 	assert.Equal(t, why["vm1"], "its failure domain is evacuated")
 }
+
+// TestWorktimes holds that jobs go by what their tasks may be expected to work, whatever
+// their submitters guessed, and that a planner that is kept reads it anew.
+func TestWorktimes(t *testing.T) {
+	w := newWorld(t, 1)
+	whole := queue.Step{Count: 1, Size: rudderfork.Resources{CPUMilli: 4000}}
+	long, short := whole, whole
+	long.ExpectedMS, short.ExpectedMS = 100, 2000
+	w.submit("later", "long", 1000, long)
+	w.submit("later", "short", 1000, short)
+	pl := NewPlanner()
+	first := func() rudderfork.JobID {
+		plan := pl.Plan(w.s, w.view)
+		assert.Equal(t, len(plan.Starts), 1)
+		return plan.Starts[0].Task.Job
+	}
+	assert.Equal(t, first(), rudderfork.JobID("long"), "by the guesses")
+	w.view.Worktimes = func(_ string, k queue.StepKey, _ *queue.Step) float64 {
+		return map[rudderfork.JobID]float64{"long": 3000, "short": 500}[k.Job]
+	}
+	w.view.WorktimesAt++
+	assert.Equal(t, first(), rudderfork.JobID("short"), "by what they work")
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -14,18 +14,24 @@
 	changes uint64 // of the job, when it was read
 	row     queue.Queue
 
-	asked, span, left int64   // ms; rank.go
-	work              float64 // that is left; leftWork
-	lasts             bool
-	lastEnd           int64 // of a run, Unix ms; 0 for none
-	images            []int // by step
+	asked int64 // ms; rank.go
+	lasts bool
+
+	// What follows is expected; expect.
+	works      []float64 // of a task, by step, ms
+	span, left int64     // ms
+	work       float64   // that is left; leftWork
+	demand     []fillerWork
+	expectedAt uint64 // View.WorktimesAt then
+
+	lastEnd int64 // of a run, Unix ms; 0 for none
+	images  []int // by step
 
 	runs    []taskRun                          // active ones, by task
 	last    map[rudderfork.VMID][]queue.RunKey // of these, the last of their steps
 	waiting []waitingStep                      // with tasks that lack a run; none once it is over
 	short   ShortTasks                         // that run
 	copied  bool                               // some step allows copies
-	demand  []fillerWork
 }
 
 // taskRun is an active run.
@@ -86,6 +92,8 @@
 	if n == nil || n.job != j || n.changes != j.Changes() {
 		n = p.note(j)
 		pl.jobs[j.ID] = n
+	} else if n.expectedAt != p.view.WorktimesAt {
+		n.expect(p)
 	}
 	return n
 }
@@ -93,22 +101,13 @@
 // note reads a job.
 func (p *planner) note(j *queue.Job) *jobNote {
 	row := p.state.Row(j)
-	n := &jobNote{
-		job: j, changes: j.Changes(), row: row, asked: askedMS(j), span: ObjectiveMS(row, j), left: leftMS(j), work: leftWork(j), lasts: lasting(j),
-	}
+	n := &jobNote{job: j, changes: j.Changes(), row: row, asked: askedMS(j), lasts: lasting(j)}
 	for i := range j.Spec.Steps {
 		st := &j.Spec.Steps[i]
 		n.images = append(n.images, p.images.of(st.Image))
 		n.copied = n.copied || st.Speculative && !st.Gang && !st.Lasting
-		if !st.Filler {
-			continue
-		}
-		left := 0
-		for _, o := range j.Times {
-			left += o.Left[i]
-		}
-		n.demand = append(n.demand, fillerWork{n.images[i], expectedWork(st, left)})
 	}
+	n.expect(p)
 	for time, o := range j.Times {
 		for step := range o.Steps {
 			n.readStep(queue.StepKey{Job: j.ID, Time: time, Step: step}, o.Steps[step])
@@ -118,6 +117,25 @@
 	return n
 }
 
+// expect works out what the job's work may be expected to be.
+func (n *jobNote) expect(p *planner) {
+	j := n.job
+	n.works, n.expectedAt = p.view.Worktimes.of(n.row, j, openTime(j)), p.view.WorktimesAt
+	n.span, n.left, n.work = objectiveMS(n.row, j, n.works), leftMS(j, n.works), leftWork(j, n.works)
+	n.demand = n.demand[:0]
+	for i := range j.Spec.Steps {
+		st := &j.Spec.Steps[i]
+		if !st.Filler {
+			continue
+		}
+		left := 0
+		for _, o := range j.Times {
+			left += o.Left[i]
+		}
+		n.demand = append(n.demand, fillerWork{n.images[i], expectedWork(st, n.works[i], left)})
+	}
+}
+
 func (n *jobNote) readStep(key queue.StepKey, tasks []queue.Task) {
 	waiting := 0
 	for index := range tasks {
--- a/dispatch/rank.go
+++ b/dispatch/rank.go
@@ -79,57 +79,82 @@
 	return j.SubmittedAt
 }
 
+// Worktimes returns how long a task of a queue's step may be expected to work at full
+// speed, ms.
+type Worktimes func(queueName string, k queue.StepKey, st *queue.Step) float64
+
+// of returns the expectations for the steps of a job at a time, by step.
+func (w Worktimes) of(row queue.Queue, j *queue.Job, time int) []float64 {
+	list := make([]float64, len(j.Spec.Steps))
+	for i := range list {
+		st := &j.Spec.Steps[i]
+		list[i] = float64(st.ExpectedMS)
+		if w != nil {
+			list[i] = w(row.Name, queue.StepKey{Job: j.ID, Time: time, Step: i}, st)
+		}
+	}
+	return list
+}
+
 // ObjectiveMS is how long a job of the queue may take: a multiple of its
 // longest chain of work, and the queue's latency.
-func ObjectiveMS(row queue.Queue, j *queue.Job) int64 {
-	chain := chainMS(j.Spec, func(int) bool { return true })
-	return int64(max(1, row.Stretch)*float64(chain)) + row.LatencyMS
+func ObjectiveMS(row queue.Queue, j *queue.Job, w Worktimes) int64 {
+	return objectiveMS(row, j, w.of(row, j, openTime(j)))
 }
 
-// leftMS is the expected length of the longest chain of steps that are not done,
-// of the oldest time of a job that is not done.
-func leftMS(j *queue.Job) int64 {
-	for _, o := range j.Times {
+func objectiveMS(row queue.Queue, j *queue.Job, works []float64) int64 {
+	chain := chainMS(j.Spec, works, func(int) bool { return true })
+	return int64(max(1, row.Stretch)*chain) + row.LatencyMS
+}
+
+// openTime is the oldest time of a job that is not done, or the last one.
+func openTime(j *queue.Job) int {
+	for i, o := range j.Times {
 		if !o.Done() {
-			return chainMS(j.Spec, func(step int) bool { return o.Left[step] > 0 })
+			return i
 		}
 	}
-	return 0
+	return max(0, len(j.Times)-1)
+}
+
+// leftMS is the expected length of the longest chain of steps that are not done,
+// of the oldest time of a job that is not done.
+func leftMS(j *queue.Job, works []float64) int64 {
+	if len(j.Times) == 0 {
+		return 0
+	}
+	o := j.Times[openTime(j)]
+	return int64(chainMS(j.Spec, works, func(step int) bool { return o.Left[step] > 0 }))
 }
 
 // leftWork is the expected work of the tasks that are not done, of the oldest time of
 // a job that is not done, in thousandths of a core times ms. A lasting job has none
 // that could be compared.
-func leftWork(j *queue.Job) (work float64) {
-	if lasting(j) {
+func leftWork(j *queue.Job, works []float64) (work float64) {
+	if lasting(j) || len(j.Times) == 0 {
 		return 0
 	}
-	for _, o := range j.Times {
-		if o.Done() {
-			continue
-		}
-		for i := range j.Spec.Steps {
-			work += expectedWork(&j.Spec.Steps[i], o.Left[i])
-		}
-		return work
+	o := j.Times[openTime(j)]
+	for i := range j.Spec.Steps {
+		work += expectedWork(&j.Spec.Steps[i], works[i], o.Left[i])
 	}
-	return 0
+	return work
 }
 
 // expectedWork is that of so many tasks of a step, in thousandths of a core times ms.
-func expectedWork(st *queue.Step, tasks int) float64 {
-	return float64(tasks) * float64(st.Size.CPUMilli) * float64(max(1, st.ExpectedMS))
+func expectedWork(st *queue.Step, workMS float64, tasks int) float64 {
+	return float64(tasks) * float64(st.Size.CPUMilli) * max(1, workMS)
 }
 
 // chainMS is the expected length of the longest chain of the steps that count.
-func chainMS(spec queue.Spec, counts func(step int) bool) (longest int64) {
-	ends := make([]int64, len(spec.Steps))
+func chainMS(spec queue.Spec, works []float64, counts func(step int) bool) (longest float64) {
+	ends := make([]float64, len(spec.Steps))
 	for i, st := range spec.Steps {
 		for _, d := range st.DependsOn {
 			ends[i] = max(ends[i], ends[d])
 		}
 		if counts(i) {
-			ends[i] += st.ExpectedMS
+			ends[i] += works[i]
 		}
 		longest = max(longest, ends[i])
 	}
--- a/dispatch/stops.go
+++ b/dispatch/stops.go
@@ -93,7 +93,7 @@
 	if st.Gang || !st.Checkpoints && run.Percent > littleDone {
 		return false // the end of one member ends its gang
 	}
-	left := float64(st.ExpectedMS) * float64(fullPercent-run.Percent) / fullPercent
+	left := n.works[r.key.Step] * float64(fullPercent-run.Percent) / fullPercent
 	here := left / max(leastSpeed, 1-float64(run.Held)/fullPercent)
 	if here < moveFactor*(moveMS+left/startSpeed) {
 		return false
--- a/interference/interference.go
+++ b/interference/interference.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/internal/regression"
 )
 
 // assumedShare is the part of a VM's processors at which Slowdown is given.
@@ -92,7 +93,7 @@
 type fit struct {
 	prior Prior
 	index map[string]int
-	reg   regression
+	reg   regression.Fit
 	at    time.Time
 }
 
@@ -102,15 +103,15 @@
 
 func newFit(p Prior) *fit {
 	f := &fit{prior: p, index: map[string]int{}}
-	f.reg.grow(math.Log(0.01), baseVar)
-	f.reg.grow(0.5, 1)
+	f.reg.Grow(math.Log(0.01), baseVar)
+	f.reg.Grow(0.5, 1)
 	return f
 }
 
 func (f *fit) kind(k string) int {
 	i, ok := f.index[k]
 	if !ok {
-		i = f.reg.grow(f.prior.Effect, f.prior.EffectError*f.prior.EffectError)
+		i = f.reg.Grow(f.prior.Effect, f.prior.EffectError*f.prior.EffectError)
 		f.index[k] = i
 	}
 	return i
@@ -120,13 +121,13 @@
 	for k := range s.Shares {
 		f.kind(k)
 	}
-	x := make([]float64, f.reg.size())
+	x := make([]float64, f.reg.Size())
 	x[0], x[1] = 1, s.Busy
 	for k, share := range s.Shares {
 		x[f.index[k]] = share
 	}
 	f.forget(s.At)
-	f.reg.update(x, math.Log(s.Latency.Seconds()), f.prior.NoiseVar, 0)
+	f.reg.Update(x, math.Log(s.Latency.Seconds()), f.prior.NoiseVar, 0)
 }
 
 // forget widens the errors by the time since the newest sample. No effect is
@@ -138,7 +139,7 @@
 	if !at.After(f.at) {
 		return
 	}
-	f.reg.widen(growth(at.Sub(f.at), f.prior.HalfLife), func(i int) float64 {
+	f.reg.Widen(regression.Growth(at.Sub(f.at), f.prior.HalfLife), func(i int) float64 {
 		if i < 2 {
 			return baseVar
 		}
@@ -153,9 +154,9 @@
 	if !ok {
 		return f.prior.Effect, f.prior.EffectError
 	}
-	v := f.reg.variance(i)
+	v := f.reg.Variance(i)
 	if now.After(f.at) {
-		v *= growth(now.Sub(f.at), f.prior.HalfLife)
+		v *= regression.Growth(now.Sub(f.at), f.prior.HalfLife)
 	}
-	return f.reg.beta[i], math.Sqrt(min(v, f.prior.EffectError*f.prior.EffectError))
+	return f.reg.Beta(i), math.Sqrt(min(v, f.prior.EffectError*f.prior.EffectError))
 }
--- a/interference/pressure.go
+++ b/interference/pressure.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/internal/regression"
 )
 
 // Pressures learns what fillers take from serving tasks, by pair of images.
@@ -85,7 +86,7 @@
 	if _, known := fit.index[filler]; known {
 		return false
 	}
-	fit.index[filler] = fit.reg.grow(max(0, pressure), assumedError*assumedError)
+	fit.index[filler] = fit.reg.Grow(max(0, pressure), assumedError*assumedError)
 	return true
 }
 
@@ -111,7 +112,7 @@
 // images of fillers.
 type pressureFit struct {
 	index map[string]int
-	reg   regression
+	reg   regression.Fit
 	at    time.Time
 	last  map[rudderfork.RunRef]Figure
 }
@@ -138,11 +139,11 @@
 	for _, shares := range []map[string]float64{before, now} {
 		for image := range shares {
 			if _, known := p.index[image]; !known {
-				p.index[image] = p.reg.grow(priorPressure, priorError*priorError)
+				p.index[image] = p.reg.Grow(priorPressure, priorError*priorError)
 			}
 		}
 	}
-	x := make([]float64, p.reg.size())
+	x := make([]float64, p.reg.Size())
 	changed := false
 	for image, i := range p.index {
 		x[i] = before[image] - now[image]
@@ -157,16 +158,14 @@
 // update takes a difference, and keeps the pressures from falling below zero:
 // fillers do not speed anyone up.
 func (p *pressureFit) update(x []float64, y, noise float64) {
-	p.reg.update(x, y, noise, outlier)
-	for i := range p.reg.beta {
-		p.reg.beta[i] = max(0, p.reg.beta[i])
-	}
+	p.reg.Update(x, y, noise, outlier)
+	p.reg.Bound(0)
 }
 
 // forget widens the errors by the time since the newest difference.
 func (p *pressureFit) forget(at time.Time) {
 	if !p.at.IsZero() && at.After(p.at) {
-		p.reg.widen(growth(at.Sub(p.at), pressureHalfLife), func(int) float64 { return priorError * priorError })
+		p.reg.Widen(regression.Growth(at.Sub(p.at), pressureHalfLife), func(int) float64 { return priorError * priorError })
 	}
 	if at.After(p.at) {
 		p.at = at
@@ -178,9 +177,9 @@
 	if !ok {
 		return priorPressure, priorError
 	}
-	v := p.reg.variance(i)
+	v := p.reg.Variance(i)
 	if now.After(p.at) {
-		v *= growth(now.Sub(p.at), pressureHalfLife)
+		v *= regression.Growth(now.Sub(p.at), pressureHalfLife)
 	}
-	return p.reg.beta[i], min(math.Sqrt(v), priorError)
+	return p.reg.Beta(i), min(math.Sqrt(v), priorError)
 }
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -8,6 +8,7 @@
 	"rudderfork.example/rudderfork/queue"
 	"rudderfork.example/rudderfork/runs"
 	"rudderfork.example/rudderfork/wire"
+	"rudderfork.example/rudderfork/worktime"
 )
 
 const (
@@ -51,6 +52,7 @@
 	moved     dispatch.Move
 	accountAt time.Time // when the fleet is summed up next
 	short     dispatch.ShortDemand
+	worktimes *worktime.Model
 	// emptying is the VM whose upkeep is next; it gets no new work.
 	emptying rudderfork.VMID
 }
@@ -89,13 +91,16 @@
 	seenAt  time.Time
 	movedAt time.Time
 	heldAt  time.Time // since when it is held down; zero if it is not
+
+	workedMS float64   // at full speed, since seenAt and until takenAt
+	takenAt  time.Time // when a heartbeat last told of it
 }
 
 func newFleet() *fleet {
 	return &fleet{
 		vms: map[rudderfork.VMID]*vmInfo{}, stops: map[rudderfork.RunRef]string{}, stopsOn: map[rudderfork.VMID]bool{}, noted: map[rudderfork.RunRef]bool{},
 		failed: map[queue.TaskKey][]rudderfork.VMID{}, putOff: map[queue.TaskKey]time.Time{},
-		pressures: newPressures(), advice: newAdvice(), planner: dispatch.NewPlanner(), runs: map[queue.RunKey]dispatch.RunView{},
+		pressures: newPressures(), advice: newAdvice(), planner: dispatch.NewPlanner(), worktimes: worktime.New(), runs: map[queue.RunKey]dispatch.RunView{},
 	}
 }
 
@@ -138,7 +143,7 @@
 		}
 		r := v.rows[k]
 		if r == nil {
-			r = &runInfo{seenAt: now, movedAt: now, from: row.Percent}
+			r = &runInfo{seenAt: now, movedAt: now, takenAt: now, from: row.Percent}
 			v.rows[k] = r
 		}
 		r.take(row, now)
@@ -157,6 +162,7 @@
 
 // take notes what a heartbeat tells of the run.
 func (r *runInfo) take(row rudderfork.RunRow, now time.Time) {
+	r.workedMS, r.takenAt = r.worked(now), now
 	if r.row.Percent != row.Percent {
 		r.movedAt = now
 	}
@@ -204,9 +210,11 @@
 	view := dispatch.View{
 		Now: rudderfork.Millis(now), VMs: make(map[rudderfork.VMID]dispatch.VMView, len(f.vms)), Runs: f.runs,
 		Failed: f.failed, PutOff: map[queue.TaskKey]int64{},
-		Tickets:  f.advice.view(s, now),
-		Moved:    f.moved,
-		Short:    f.short,
+		Tickets: f.advice.view(s, now),
+		Moved:   f.moved,
+		Short:   f.short,
+
+		Worktimes: f.worktimes.Expect, WorktimesAt: f.worktimes.Changes() / worktimesStep,
 		Pressure: func(serving, filler string) float64 { return f.pressures.of(serving, filler, now) },
 	}
 	for _, vm := range s.VMs() {
@@ -239,6 +247,7 @@
 			delete(f.failed, k)
 		}
 	}
+	f.worktimes.Forget(func(id rudderfork.JobID) bool { return s.Live()[id] != nil })
 	for ref := range f.noted {
 		if _, ok := f.stops[ref]; !ok {
 			delete(f.noted, ref)
--- a/scheduler/views.go
+++ b/scheduler/views.go
@@ -110,10 +110,10 @@
 }
 
 // jobView returns a job without its tasks and its story.
-func jobView(s *queue.State, j *queue.Job) JobView {
+func jobView(s *queue.State, j *queue.Job, w dispatch.Worktimes) JobView {
 	return JobView{
 		ID: j.ID, Queue: j.Queue.Name, Status: j.Status, SubmittedAt: j.SubmittedAt,
-		ObjectiveMS: dispatch.ObjectiveMS(s.Row(j), j), EndedAt: j.EndedAt,
+		ObjectiveMS: dispatch.ObjectiveMS(s.Row(j), j, w), EndedAt: j.EndedAt,
 	}
 }
 
--- a/scheduler/vm.go
+++ b/scheduler/vm.go
@@ -275,6 +275,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
+	worked := ses.s.workedOf(r.Ends)
 	res, err := ses.s.do(ctx, queue.Command{Ends: &r.Ends})
 	if err != nil {
 		return err
@@ -291,9 +292,7 @@
 			continue
 		}
 		ses.s.met.ends.WithLabelValues(string(e.How)).Inc()
-		ses.s.mu.Lock()
-		ses.s.fleet.learn(r.Ends.VM, e, now)
-		ses.s.mu.Unlock()
+		ses.learnEnd(r.Ends.VM, e, worked[i], now)
 		ses.s.log.Info().Str("task", e.Task.String()).Uint32("run", e.Run).Str("on", string(r.Ends.VM)).
 			Str("how", string(e.How)).Str("reason", e.Reason).Msg("task_ended")
 		ses.s.record("task_ended", e.Task.String(), "on "+string(r.Ends.VM)+": "+string(e.How)+" "+e.Reason)
@@ -301,6 +300,16 @@
 	return nil
 }
 
+// learnEnd draws conclusions from the end of a run.
+func (ses *session) learnEnd(vm rudderfork.VMID, e queue.End, worked float64, now time.Time) {
+	ses.s.rep.View(func(st *state.State) {
+		ses.s.mu.Lock()
+		defer ses.s.mu.Unlock()
+		ses.s.fleet.learn(vm, e, now)
+		ses.s.fleet.learnWorktime(st.Queues(), e, worked, now)
+	})
+}
+
 // left ends the runs of a life that has left, without waiting for its lease.
 func (ses *session) left(ctx context.Context, vm rudderfork.VMID, life string) error {
 	ses.s.mu.Lock()
--- /dev/null
+++ b/scheduler/worktimes.go
@@ -0,0 +1,59 @@
+package scheduler
+
+import (
+	"time"
+
+	"rudderfork.example/rudderfork/internal/steady"
+	"rudderfork.example/rudderfork/queue"
+)
+
+const (
+	// worktimesStep is how many tasks are seen between two times that expectations are
+	// worked out again for all jobs.
+	worktimesStep = 32
+	// mostUnseen is the part of a task's work, in percent, that may have been done before
+	// its run was first heard of for that to tell how long the whole takes.
+	mostUnseen = 60
+)
+
+// worked is how long the run has worked at full speed since it was first heard of, ms.
+func (r *runInfo) worked(now time.Time) float64 {
+	speed := 1 - float64(r.row.Held)/fullPercent
+	return r.workedMS + speed*float64(max(0, now.Sub(r.takenAt)))/float64(time.Millisecond)
+}
+
+// workedOf is what a run that has ended worked in all, ms; 0 if heartbeats do not tell.
+func (v *vmInfo) workedOf(e queue.End, now time.Time) float64 {
+	r := v.rows[e.Task]
+	if r == nil || r.row.Run != e.Run || r.from >= mostUnseen {
+		return 0
+	}
+	return r.worked(now) * fullPercent / float64(fullPercent-r.from)
+}
+
+// learnWorktime takes what a task that is done worked, if its only run has done it all.
+// Without figures of heartbeats, runs that are too short for these, it is the time from
+// the start on.
+func (f *fleet) learnWorktime(s *queue.State, e queue.End, worked float64, now time.Time) {
+	j := s.Job(e.Task.Job)
+	if e.How != queue.EndDone || e.Run != 1 || j == nil || j.Task(e.Task) == nil {
+		return
+	}
+	if worked == 0 {
+		worked = float64(j.Task(e.Task).TookMS)
+	}
+	f.worktimes.Observe(s.Row(j).Name, e.Task.StepKey(), &j.Spec.Steps[e.Task.Step], worked, now)
+}
+
+// workedOf is vmInfo.workedOf for each end of a report. It is asked before the ends are
+// committed, since what is known of a run is dropped with it.
+func (s *Scheduler) workedOf(ends queue.Ends) []float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := steady.Now()
+	list := make([]float64, len(ends.List))
+	for i, e := range ends.List {
+		list[i] = s.fleet.vm(ends.VM).workedOf(e, now)
+	}
+	return list
+}
--- /dev/null
+++ b/scheduler/worktimes_test.go
@@ -0,0 +1,43 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/queue"
+	"rudderfork.example/rudderfork/wire"
+)
+
+// TestWorktimes holds that what is learned of run times is the work at full speed.
+func TestWorktimes(t *testing.T) {
+	key := queue.TaskKey{Job: "j"}
+	done := queue.End{Task: key, Run: 1, How: queue.EndDone}
+	at := time.Unix(1000, 0)
+	tell := func(f *fleet, after time.Duration, percent, held int) {
+		f.take(f.vm("vm1"), wire.VMBeat{Rows: []rudderfork.RunRow{{RunRef: key.Ref(1), Percent: percent, Held: held}}}, at.Add(after))
+	}
+	t.Run("time at a part of its speed counts for that part, and what was done before it was seen is added", func(t *testing.T) {
+		f := newFleet()
+		tell(f, 0, 20, 0)
+		tell(f, time.Second, 60, 50)
+		assert.Equal(t, f.vm("vm1").workedOf(done, at.Add(3*time.Second)), 2000*100/80.0)
+	})
+	t.Run("a run that was not seen, or was nearly done by then, tells nothing", func(t *testing.T) {
+		f := newFleet()
+		assert.Equal(t, f.vm("vm1").workedOf(done, at), 0.0)
+		tell(f, 0, 90, 0)
+		assert.Equal(t, f.vm("vm1").workedOf(done, at.Add(time.Second)), 0.0)
+	})
+	t.Run("the end of a first run tells of its queue", func(t *testing.T) {
+		qs, f := stateWithRun(t), newFleet()
+		st := &qs.Job("j").Spec.Steps[0]
+		other := queue.StepKey{Job: "other"}
+		before := f.worktimes.Expect("q", other, st)
+		qs.Apply(queue.Command{Ends: &queue.Ends{VM: "vm1", Life: "life-1", List: []queue.End{done}}}, 2)
+		f.learnWorktime(qs, done, 4000, at)
+		assert.Assert(t, f.worktimes.Expect("q", other, st) > before)
+	})
+}
