Wait for room on a full disk instead of ending the process

Cause: any error of a write ended the control process. On a full disk its successor found the disk as full and ended too: with two full disks of the core for 6 s, 24 processes ended by themselves.

Ruled out: going on in memory (an acknowledgement is a sync); taking a failed sync for a full disk (what that leaves on the disk is unknown: it ends the process as before).

Change: a write that finds no room is told apart (disk.ErrFull). Nothing was acknowledged, the log's synced length stands, and the same bytes are written again at the same place each 100 ms, as if the disk stood still; the group goes on without the replica, its process redirects, answers and serves metrics, says so once, and is back when there is room.

--- a/disk/disk.go
+++ b/disk/disk.go
@@ -35,6 +35,10 @@
 // ErrCorrupt marks a folder whose content does not match its checksums.
 var ErrCorrupt = errors.New("data folder is corrupt")
 
+// ErrFull marks what was not written since the disk takes no more bytes. What was written
+// before holds, and the same may be tried again.
+var ErrFull = errors.New("the disk is full")
+
 // ErrEmpty marks a folder that was never formatted.
 var ErrEmpty = errors.New("data folder is empty")
 
@@ -151,9 +155,14 @@
 func (s *Store) Size() int64 { return s.size }
 
 // Close closes the files. It does not sync: all that matters is synced.
-func (s *Store) Close() error { return errors.Join(s.log.Close(), s.tail.Close()) }
+func (s *Store) Close() error {
+	if s.tail == nil {
+		return s.log.Close()
+	}
+	return errors.Join(s.log.Close(), s.tail.Close())
+}
 
-// Save makes rd durable. After an error the store must not be used: what the
+// Save makes rd durable. After an error but ErrFull the store must not be used: what the
 // disk holds is then unknown.
 func (s *Store) Save(rd quorum.Ready) (err error) {
 	defer errs.Annotate(&err, "save")
@@ -170,8 +179,8 @@
 	if err != nil {
 		return err
 	}
-	if _, err := s.log.WriteAt(buf, s.size); err != nil {
-		return err
+	if _, err := writeAt(s.log, buf, s.size); err != nil {
+		return full(err) // what was written of it lies beyond the synced length
 	}
 	if err := datasync(s.log); err != nil {
 		return err
@@ -180,7 +189,8 @@
 	return s.markTail()
 }
 
-// Snapshot starts a new generation from snap and the entries after it.
+// Snapshot starts a new generation from snap and the entries after it. After ErrFull the
+// old one stands.
 func (s *Store) Snapshot(snap quorum.Snapshot, after []quorum.Entry) (err error) {
 	defer errs.Annotate(&err, "snapshot at %d", snap.Index)
 	gen := s.gen + 1
@@ -233,6 +243,9 @@
 func (s *Store) markTail() error {
 	if s.tail == nil {
 		f, err := os.OpenFile(filepath.Join(s.dir, "tail"), os.O_RDWR|os.O_CREATE, fileMode)
+		if errors.Is(full(err), ErrFull) {
+			return nil // as below
+		}
 		if err != nil {
 			return err
 		}
@@ -242,7 +255,10 @@
 	buf = binary.LittleEndian.AppendUint64(buf, s.gen)
 	buf = binary.LittleEndian.AppendUint64(buf, uint64(s.size))
 	buf = binary.LittleEndian.AppendUint32(buf, crc32.Checksum(buf, castagnoli))
-	_, err := s.tail.WriteAt(buf, 0)
+	_, err := writeAt(s.tail, buf, 0)
+	if errors.Is(full(err), ErrFull) {
+		return nil // it is too low until the next one
+	}
 	return err
 }
 
--- a/disk/file.go
+++ b/disk/file.go
@@ -1,6 +1,7 @@
 package disk
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -38,11 +39,12 @@
 	tmp := path + tmpSuffix
 	f, err := os.OpenFile(tmp, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
 	if err != nil {
-		return err
+		return full(err)
 	}
-	if _, err := f.Write(buf); err != nil {
+	if _, err := writeAt(f, buf, 0); err != nil {
 		_ = f.Close()
-		return err
+		_ = os.Remove(tmp) // its bytes may be what is lacking
+		return full(err)
 	}
 	if err := f.Sync(); err != nil {
 		_ = f.Close()
@@ -66,6 +68,18 @@
 	return d.Sync()
 }
 
+// writeAt is replaced by tests whose disk is full.
+var writeAt = (*os.File).WriteAt
+
+// full marks the error of a write that found no room. One of a sync is not marked: what
+// that leaves on the disk is unknown.
+func full(err error) error {
+	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) {
+		return fmt.Errorf("%w: %w", ErrFull, err)
+	}
+	return err
+}
+
 // fdatasync is replaced by tests that lose power.
 var fdatasync = syscall.Fdatasync
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -20,6 +20,7 @@
 	"rudderfork.example/rudderfork/disk"
 	"rudderfork.example/rudderfork/internal/crash"
 	"rudderfork.example/rudderfork/internal/errs"
+	"rudderfork.example/rudderfork/internal/steady"
 	"rudderfork.example/rudderfork/quorum"
 	"rudderfork.example/rudderfork/state"
 )
@@ -42,6 +43,14 @@
 // whatever the number of entries: an eighth of the users' smallest disk.
 const maxLogBytes = 16 << 20
 
+const (
+	// fullPause is between two tries to write to a full disk: short beside the election
+	// timeout, so that the replica is back soon after there is room.
+	fullPause = 100 * time.Millisecond
+	// snapshotPause is the same for snapshots, which are encoded anew each time.
+	snapshotPause = 5 * time.Second
+)
+
 // Sender sends messages to other replicas; it may lose them.
 type Sender interface {
 	Send(m quorum.Message)
@@ -59,7 +68,7 @@
 	rec   rudderfork.Recorder
 	now   func() time.Time
 	send  Sender
-	store *disk.Store
+	store Store
 	every uint64 // applied entries between snapshots
 	size  int    // voters that the group is to have
 
@@ -76,6 +85,7 @@
 	waiting map[uint64]proposal // by index
 	pending []read
 	snapAt  uint64
+	snapBy  time.Time // no snapshot before, since the disk was full
 	short   shortage
 	opening opening
 	used    bool // a command was applied, in this life or before
@@ -145,8 +155,18 @@
 	Domain rudderfork.Domain
 }
 
+// Store keeps what a replica must not forget, as disk.Store does.
+type Store interface {
+	Identity() disk.Identity
+	Loaded() (hs quorum.HardState, snap quorum.Snapshot, entries []quorum.Entry)
+	// Save and Snapshot fail with disk.ErrFull where the same may be tried again.
+	Save(rd quorum.Ready) error
+	Snapshot(snap quorum.Snapshot, after []quorum.Entry) error
+	Size() int64 // of the log, bytes
+}
+
 // New returns a replica that resumes from store.
-func New(cfg Config, store *disk.Store, send Sender, log zerolog.Logger, rec rudderfork.Recorder, now func() time.Time) (r *Replica, err error) {
+func New(cfg Config, store Store, send Sender, log zerolog.Logger, rec rudderfork.Recorder, now func() time.Time) (r *Replica, err error) {
 	defer errs.Annotate(&err, "replica")
 	hs, snap, entries := store.Loaded()
 	st, err := state.Decode(snap.Data)
@@ -201,7 +221,10 @@
 			r.repair()
 		}
 		r.drain()
-		if err := r.settle(); err != nil {
+		if err := r.settle(ctx); err != nil {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
 			// What the disk holds is unknown now; only a fresh start may read it.
 			r.log.Error().Err(err).Msg("replica_failed")
 			return fmt.Errorf("%w: %w", suture.ErrTerminateSupervisorTree, err)
@@ -261,7 +284,7 @@
 }
 
 // settle does the work that the node asks for until there is none.
-func (r *Replica) settle() error {
+func (r *Replica) settle(ctx context.Context) error {
 	for {
 		rd := r.node.Ready()
 		committed := r.node.Committed()
@@ -272,7 +295,7 @@
 		if rd.Durable() {
 			crash.Point(crash.ControlSave)
 		}
-		if err := r.store.Save(rd); err != nil {
+		if err := r.save(ctx, rd); err != nil {
 			return err
 		}
 		if len(rd.Entries) > 0 {
@@ -294,6 +317,29 @@
 	return r.maybeSnapshot()
 }
 
+// save makes rd durable. While the disk is full it waits for room, as it would for a disk
+// that stands still: nothing is acknowledged meanwhile, the group goes on without this
+// replica, and its process serves what needs no disk. (On a day of two full disks, processes
+// ended by themselves 24 times.)
+func (r *Replica) save(ctx context.Context, rd quorum.Ready) error {
+	for tries := 0; ; tries++ {
+		err := r.store.Save(rd)
+		if !errors.Is(err, disk.ErrFull) {
+			if tries > 0 && err == nil {
+				r.log.Info().Int("tries", tries).Msg("disk_has_room")
+			}
+			return err
+		}
+		if tries == 0 {
+			r.log.Error().Err(err).Msg("disk_full")
+		}
+		steady.Pause(ctx, fullPause)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+}
+
 func (r *Replica) sendAll(ms []quorum.Message) {
 	for _, m := range ms {
 		r.send.Send(m)
@@ -437,7 +483,7 @@
 func (r *Replica) maybeSnapshot() error {
 	applied := uint64(r.state.Applied())
 	due := applied >= r.snapAt+r.every || applied > r.snapAt && r.store.Size() > maxLogBytes
-	if !due {
+	if !due || r.now().Before(r.snapBy) {
 		return nil
 	}
 	data, err := r.state.Encode()
@@ -445,7 +491,13 @@
 		return err
 	}
 	s := r.node.Compact(quorum.Snapshot{Index: applied, Data: data})
-	if err := r.store.Snapshot(s, r.node.After(applied)); err != nil {
+	err = r.store.Snapshot(s, r.node.After(applied))
+	if errors.Is(err, disk.ErrFull) {
+		r.snapBy = r.now().Add(snapshotPause)
+		r.log.Error().Err(err).Time("again", r.snapBy).Msg("disk_full")
+		return nil // the log goes on in its file
+	}
+	if err != nil {
 		return err
 	}
 	r.snapAt = applied
--- a/replica/report_test.go
+++ b/replica/report_test.go
@@ -225,7 +225,7 @@
 		r.join(other("c2#x"))
 		assertOne(t, linesOf(t, &out, "join_deferred"), map[string]any{"reason": joinUnsettled})
 	})
-	assert.NilError(t, r.settle())
+	assert.NilError(t, r.settle(t.Context()))
 	t.Run("a leader", func(t *testing.T) {
 		out.Reset()
 		r.join(other("c2#x"))
@@ -235,7 +235,7 @@
 		r.join(other("c3#x"))
 		assertOne(t, linesOf(t, &out, "join_deferred"), map[string]any{"reason": joinChanging})
 	})
-	assert.NilError(t, r.settle())
+	assert.NilError(t, r.settle(t.Context()))
 	t.Run("a member", func(t *testing.T) {
 		out.Reset()
 		r.join(other("c2#x"))
