Show an evacuation in the demo of the queues, and say what forecasts cost

Cause: operators had no run to look at that shows what an evacuation does to what runs and to what waits. Change: the demo evacuates the one failure domain, hands in a job, shows that it waits and that the lasting job runs on, takes the order back and sees the job completed.

--- a/cmd/demo-queues/main.go
+++ b/cmd/demo-queues/main.go
@@ -60,7 +60,7 @@
 	}
 	defer site.Close()
 	d := &demo{ctx: ctx, site: site, bin: bin, dir: dir}
-	for _, step := range []func() error{d.start, d.document, d.feed, d.roster, d.killLeader, d.show, d.cancel} {
+	for _, step := range []func() error{d.start, d.document, d.feed, d.roster, d.killLeader, d.show, d.evacuate, d.cancel} {
 		if err := step(); err != nil {
 			return err
 		}
@@ -230,12 +230,8 @@
 
 // show lets rudderctl explain.
 func (d *demo) show() error {
-	control := strings.Join(d.site.OperatorAddrs(), ",")
 	for _, args := range [][]string{{"queues"}, {"queue-vms"}, {"queue-job", "roster2"}} {
-		say("rudderctl %s", strings.Join(args, " "))
-		cmd := exec.CommandContext(d.ctx, filepath.Join(d.bin, "rudderctl"), append([]string{"-control", control}, args...)...)
-		cmd.Stdout, cmd.Stderr = os.Stdout, os.Stderr
-		if err := cmd.Run(); err != nil {
+		if err := d.rudderctl(args...); err != nil {
 			return err
 		}
 	}
@@ -249,6 +245,41 @@
 	return cmd.Run()
 }
 
+// rudderctl runs an operator's command.
+func (d *demo) rudderctl(args ...string) error {
+	say("rudderctl %s", strings.Join(args, " "))
+	control := strings.Join(d.site.OperatorAddrs(), ",")
+	cmd := exec.CommandContext(d.ctx, filepath.Join(d.bin, "rudderctl"), append([]string{"-control", control}, args...)...)
+	cmd.Stdout, cmd.Stderr = os.Stdout, os.Stderr
+	return cmd.Run()
+}
+
+// evacuate empties the failure domain that all machines are in, and takes that back.
+func (d *demo) evacuate() error {
+	say("the operator has nothing more started in the failure domain hall")
+	if err := d.rudderctl("queue-evacuate", "hall"); err != nil {
+		return err
+	}
+	if err := d.submit("roster3", "work=100ms", standin.JobStep{Count: 2, CPUMilli: 500, ExpectedMS: 100}); err != nil {
+		return err
+	}
+	if err := d.rudderctl("queue-evacuations"); err != nil {
+		return err
+	}
+	if state, n := d.state("roster3"), d.atWork(); state != "queued" || n != 2 {
+		return fmt.Errorf("roster3 is %s, and %d tasks of the feed are at work; want queued, and 2", state, n)
+	}
+	say("a new job waits, the feed runs on")
+	if err := d.rudderctl("queue-evacuate", "-end", "hall"); err != nil {
+		return err
+	}
+	if err := d.until("roster3 is completed", func() bool { return d.state("roster3") == "completed" }); err != nil {
+		return err
+	}
+	say("taken back, it is completed")
+	return nil
+}
+
 func (d *demo) cancel() error {
 	say("the client cancels the feed")
 	if status, _ := d.call(http.MethodDelete, "feed1", nil); status != http.StatusOK {
--- a/swing/swing_test.go
+++ b/swing/swing_test.go
@@ -96,3 +96,13 @@
 		assert.Assert(t, !ok)
 	})
 }
+
+// BenchmarkObserve is what one figure costs the leader: 62 VMs give 600 a second.
+func BenchmarkObserve(b *testing.B) {
+	m := New()
+	own := loadWave(10 * time.Second)
+	for i := 0; b.Loop(); i++ {
+		at := time.Duration(i) * 2 * time.Millisecond
+		m.Observe("q", stepKey(i%steps), own(i%steps, at), t0.Add(at))
+	}
+}
