--- a/dispatch/vm.go
+++ b/dispatch/vm.go
@@ -12,9 +12,7 @@
 	vm   *queue.VM
 	view VMView
 	fit  bool // may be given work at all
-
-	evacuating bool // its failure domain is
-	runs       []vmRun
+	runs []vmRun
 
 	free       rudderfork.Resources
 	full       float64 // fullness
@@ -53,8 +51,7 @@
 			pl.vms[vm.ID] = v
 		}
 		v.view = view
-		v.evacuating = p.state.Evacuating(vm.Domain)
-		v.fit = vm.Live && view.Usable && !view.Draining && !view.Closed && !v.evacuating
+		v.fit = vm.Live && view.Usable && !view.Draining && !view.Closed && !p.state.Evacuating(vm.Domain)
 		v.quarantine = false
 		if v.holdsSuspect(p) {
 			p.noteQuarantine(v)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -187,12 +187,7 @@
 		a.takeLast(m.Grant.Last)
 		if m.Grant.LeaseMS > 0 {
 			a.takeRegistered(m.Grant.Life)
-			sent := time.Unix(0, m.Grant.Sent)
-			a.keeper.Grant(m.Grant.Life, m.Grant.Epoch, runs.Lease{
-				Until:   sent.Add(time.Duration(m.Grant.LeaseMS) * time.Millisecond),
-				StartBy: sent.Add(time.Duration(m.Grant.StartMS) * time.Millisecond),
-				Closed:  m.Grant.Closed,
-			})
+			a.keeper.Grant(m.Grant.Life, m.Grant.Epoch, leaseOf(m.Grant))
 		}
 	case m.Orders != nil:
 		a.takePressures(m.Orders.Pressures)
@@ -206,3 +201,14 @@
 	}
 	a.kicked.Set()
 }
+
+// leaseOf is what a grant allows, by this process's clock.
+func leaseOf(g *wire.VMGrant) runs.Lease {
+	sent := time.Unix(0, g.Sent)
+	l := runs.Lease{Until: sent.Add(time.Duration(g.LeaseMS) * time.Millisecond), Closed: g.Closed}
+	l.StartBy = l.Until
+	if g.StartMS != nil {
+		l.StartBy = sent.Add(time.Duration(*g.StartMS) * time.Millisecond)
+	}
+	return l
+}
--- a/scheduler/vm.go
+++ b/scheduler/vm.go
@@ -158,7 +158,8 @@
 			grant.Last = append(grant.Last, k.Ref(k.Number))
 		}
 		left := v.lease.Grant(time.Unix(0, st.ContactNS), now, s.cfg.Lease)
-		grant.LeaseMS, grant.StartMS = left.Milliseconds(), s.startsLeft(left).Milliseconds()
+		starts := s.startsLeft(left).Milliseconds()
+		grant.LeaseMS, grant.StartMS = left.Milliseconds(), &starts
 	}
 	s.mu.Unlock()
 	grant.Pressures = ses.learn(now)
--- a/wire/queue.go
+++ b/wire/queue.go
@@ -123,9 +123,10 @@
 
 	// StartMS is for how long from when the beat was sent starts may be made: less than
 	// the lease, so that an order to start nothing more holds soon also for a VM that
-	// it does not reach. Closed is such an order.
-	StartMS int64 `cbor:"8,keyasint,omitempty"`
-	Closed  bool  `cbor:"9,keyasint,omitempty"`
+	// it does not reach; nil, by leaders of earlier releases, means as long as the lease.
+	// Closed is such an order.
+	StartMS *int64 `cbor:"8,keyasint,omitempty"`
+	Closed  bool   `cbor:"9,keyasint,omitempty"`
 }
 
 // PairPressure is what fillers of one image take from the headroom of serving
