--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -36,8 +36,8 @@
 	waitLimit = 60 * time.Second
 	// waveSpan is until when the wave of TestWave is to be done.
 	waveSpan = 20 * time.Second
-	host      = "desk.example"
-	lease     = 2 * time.Second
+	host     = "desk.example"
+	lease    = 2 * time.Second
 )
 
 // alone is the sender and the recorder of a replica that has no peers.
