--- a/runs/evacuate_test.go
+++ b/runs/evacuate_test.go
@@ -76,10 +76,7 @@
 			s := newSite(t, seed, 3)
 			e := newEvacuator(s)
 			s.faulty = true
-			for i := range 10 {
-				spec := queue.Spec{Payload: fmt.Sprintf("work=%dms", 100+300*i), Steps: []queue.Step{{Count: 4, Size: rudderfork.Resources{CPUMilli: taskSize}}}}
-				s.apply(queue.Command{Submit: &queue.Submit{Host: host, Path: fmt.Sprintf("/q/job%d", i), Spec: spec, KeepMS: 1 << 40}})
-			}
+			s.submitJobs()
 			for n := range evacuationSteps {
 				e.step()
 				s.step(n)
@@ -92,10 +89,7 @@
 			for n := range calmSteps {
 				s.step(n)
 			}
-			for i := range 10 {
-				j := s.state.Job(rudderfork.JobID(fmt.Sprintf("job%d", i)))
-				assert.Assert(t, j.Status.Final(), "%s is %s", j.ID, j.Status)
-			}
+			s.assertOver(t)
 			calls += e.calls
 		})
 	}
--- a/runs/shrink_test.go
+++ b/runs/shrink_test.go
@@ -67,6 +67,26 @@
 	}
 }
 
+// plainJobs is how many jobs submitJobs hands in.
+const plainJobs = 10
+
+// submitJobs hands in jobs of one step whose tasks take room.
+func (s *site) submitJobs() {
+	for i := range plainJobs {
+		spec := queue.Spec{Payload: fmt.Sprintf("work=%dms", 100+300*i), Steps: []queue.Step{{Count: 4, Size: rudderfork.Resources{CPUMilli: taskSize}}}}
+		s.apply(queue.Command{Submit: &queue.Submit{Host: host, Path: fmt.Sprintf("/q/job%d", i), Spec: spec, KeepMS: 1 << 40}})
+	}
+}
+
+// assertOver holds that the jobs of submitJobs are over.
+func (s *site) assertOver(t *testing.T) {
+	t.Helper()
+	for i := range plainJobs {
+		j := s.state.Job(rudderfork.JobID(fmt.Sprintf("job%d", i)))
+		assert.Assert(t, j.Status.Final(), "%s is %s", j.ID, j.Status)
+	}
+}
+
 // TestRoomsShrink shrinks and grows rooms in the middle of starts, while orders are
 // late, lost or doubled, leaders change, and VMs are cut off: no start brings a VM over
 // its room, and once rooms are whole again everything is done.
@@ -76,10 +96,7 @@
 			s := newSite(t, seed, 3)
 			sh := newShrinker(s)
 			s.faulty = true
-			for i := range 10 {
-				spec := queue.Spec{Payload: fmt.Sprintf("work=%dms", 100+300*i), Steps: []queue.Step{{Count: 4, Size: rudderfork.Resources{CPUMilli: taskSize}}}}
-				s.apply(queue.Command{Submit: &queue.Submit{Host: host, Path: fmt.Sprintf("/q/job%d", i), Spec: spec, KeepMS: 1 << 40}})
-			}
+			s.submitJobs()
 			for n := range shrinkSteps {
 				sh.step(n)
 				s.step(n)
@@ -93,10 +110,7 @@
 				sh.step(n)
 				s.step(n)
 			}
-			for i := range 10 {
-				j := s.state.Job(rudderfork.JobID(fmt.Sprintf("job%d", i)))
-				assert.Assert(t, j.Status.Final(), "%s is %s", j.ID, j.Status)
-			}
+			s.assertOver(t)
 		})
 	}
 }
--- a/swing/swing.go
+++ b/swing/swing.go
@@ -106,31 +106,27 @@
 
 // observe takes a figure at a phase, s, after it was held against the forecasts.
 func (s *step) observe(q *errorSums, headroom float64, at time.Time, phase float64) {
-	if s.known() {
-		s.compare(q, headroom, phase)
-	}
 	prior := [...]float64{meanVar, waveVar, waveVar}
 	for i := range s.fits {
+		f, x := &s.fits[i], basis(periods[i], phase)
+		if s.known() {
+			q.waves[i] = keepError(q.waves[i], headroom-f.Beta(0)-x[1]*f.Beta(1)-x[2]*f.Beta(2))
+		}
 		if !s.at.IsZero() && at.After(s.at) {
-			s.fits[i].Widen(regression.Growth(at.Sub(s.at), halfLife), func(j int) float64 { return prior[j] })
+			f.Widen(regression.Growth(at.Sub(s.at), halfLife), func(j int) float64 { return prior[j] })
 		}
-		s.fits[i].Update(basis(periods[i], phase), headroom, noiseVar, outlier)
+		f.Update(x, headroom, noiseVar, outlier)
+	}
+	if s.known() {
+		q.mean = keepError(q.mean, headroom-s.mean)
 	}
 	s.figures++
 	s.mean += max(meanWeight, 1/float64(s.figures)) * (headroom - s.mean)
 	s.at = at
 }
 
-// compare adds to the errors of a queue's forecasts by how much they miss a figure.
-func (s *step) compare(q *errorSums, headroom, phase float64) {
-	for i := range s.fits {
-		x := basis(periods[i], phase)
-		off := headroom - s.fits[i].Beta(0) - x[1]*s.fits[i].Beta(1) - x[2]*s.fits[i].Beta(2)
-		q.waves[i] = errorKeep*q.waves[i] + off*off
-	}
-	off := headroom - s.mean
-	q.mean = errorKeep*q.mean + off*off
-}
+// keepError adds by how much a figure was missed to a sum of squared errors.
+func keepError(sum, off float64) float64 { return errorKeep*sum + off*off }
 
 // known reports whether enough was seen of the step for a forecast.
 func (s *step) known() bool { return s.figures >= leastFigures }
