--- a/runner/look.go
+++ b/runner/look.go
@@ -7,6 +7,7 @@
 
 	"rudderfork.example/rudderfork"
 	"rudderfork.example/rudderfork/internal/steady"
+	"rudderfork.example/rudderfork/queue"
 	"rudderfork.example/rudderfork/runs"
 )
 
@@ -112,13 +113,16 @@
 	}
 	now := steady.Now()
 	a.seenAt, a.silentAt, a.unanswered, a.notReached = now, time.Time{}, 0, 0
+	a.noteAccount(life, look)
 	a.keeper.SetClock(look.ClockMS, now)
 	upTo := a.acked
 	for _, e := range look.Ended {
 		upTo = max(upTo, e.Seq)
 	}
 	noted = a.noted
-	a.reportLooked(a.keeper.Looked(look, asked), upTo)
+	ends := a.keeper.Looked(look, asked)
+	a.noteVanished(ends, look)
+	a.reportLooked(ends, upTo)
 	clear(a.rows)
 	for _, r := range look.Running {
 		a.rows[r.RunRef] = r
@@ -129,3 +133,24 @@
 	a.kicked.Set()
 	return noted, upTo > a.acked
 }
+
+// noteAccount logs what an account lists as ended, against what was acknowledged. The
+// caller holds mu.
+func (a *Agent) noteAccount(life string, look rudderfork.Look) {
+	if len(look.Ended) == 0 {
+		return
+	}
+	a.log.Info().Str("life", life).Int64("clock_ms", look.ClockMS).Uint64("acked", a.acked).Int("ends", len(look.Ended)).
+		Uint64("first", look.Ended[0].Seq).Uint64("last", look.Ended[len(look.Ended)-1].Seq).Msg("ends_listed")
+}
+
+// noteVanished logs the runs that an account should list and does not. The caller
+// holds mu.
+func (a *Agent) noteVanished(ends []queue.End, look rudderfork.Look) {
+	for _, e := range ends {
+		if e.How == queue.EndGone {
+			a.log.Warn().Str("task", e.Task.String()).Uint32("run", e.Run).Int64("clock_ms", look.ClockMS).
+				Uint64("acked", a.acked).Msg("run_vanished")
+		}
+	}
+}
