--- a/standin/executor/executor.go
+++ b/standin/executor/executor.go
@@ -44,7 +44,8 @@
 
 	mu       sync.Mutex
 	born     time.Time
-	life     string
+	id       string
+	bornMS   int64 // what it says of when its life began; 0 if it says nothing
 	until    int64
 	fence    uint64
 	room     rudderfork.Resources
@@ -53,6 +54,7 @@
 	barred   map[rudderfork.TaskID]uint32 // highest run stopped or ended
 	ended    []rudderfork.EndRow
 	seq      uint64
+	acked    uint64 // ends up to this one are listed no more, nor those that come yet
 	fate     func(call string) Fate
 	delay    func(call string) time.Duration
 	stopTime time.Duration
@@ -104,7 +106,7 @@
 	OnFinish func(r rudderfork.RunRef, how string)
 }
 
-// New returns an executor with a life.
+// New returns an executor with a life, as rudderfork.LifeName names it.
 func New(life string, cfg Config) *Executor {
 	e := &Executor{
 		now: cfg.Now, rate: cfg.Rate, room: cfg.Room, fate: cfg.Fate, delay: cfg.Delay, stopTime: cfg.StopTime,
@@ -123,25 +125,51 @@
 	return e
 }
 
-// Restart begins a new life, which runs nothing and has seen no token.
+// Restart begins a new life, which runs nothing and has seen no token. Under the same id
+// the calls that are held back reach it.
 func (e *Executor) Restart(life string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, r := range e.running {
 		e.tell(r.ref, "crashed")
 	}
-	e.life, e.born = life, e.now()
-	e.until, e.fence, e.seq = 0, 0, 0
+	before := e.id
+	e.id, e.bornMS = rudderfork.SplitLife(life)
+	e.born = e.now()
+	e.until, e.fence, e.seq, e.acked = 0, 0, 0, 0
 	e.used = rudderfork.Resources{}
 	e.running, e.barred, e.ended = map[rudderfork.TaskID]*run{}, map[rudderfork.TaskID]uint32{}, nil
-	e.late = nil
+	if e.id != before {
+		e.late = nil
+	}
+}
+
+// StartAgain begins a new life under the same id.
+func (e *Executor) StartAgain() {
+	id, born := rudderfork.SplitLife(e.Life())
+	e.Restart(rudderfork.LifeName(id, born+1))
 }
 
 // Life returns the present life.
 func (e *Executor) Life() string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.life
+	return rudderfork.LifeName(e.id, e.bornMS)
+}
+
+// named reports whether a call that is meant for a life reaches the present one: calls
+// name the id alone. The caller holds mu.
+func (e *Executor) named(life string) bool {
+	id, _ := rudderfork.SplitLife(life)
+	return id == e.id
+}
+
+// sameStart reports whether two names of one id may be of one start. One that does not
+// tell when it began contradicts none.
+func sameStart(a, b string) bool {
+	_, bornA := rudderfork.SplitLife(a)
+	_, bornB := rudderfork.SplitLife(b)
+	return bornA == 0 || bornB == 0 || bornA == bornB
 }
 
 // SetFate replaces what becomes of calls.
@@ -225,7 +253,9 @@
 	e.used = e.used.Sub(r.size)
 	e.barred[r.ref.Task] = max(e.barred[r.ref.Task], r.ref.Run)
 	e.seq++
-	e.ended = append(e.ended, rudderfork.EndRow{Seq: e.seq, RunRef: r.ref, How: how})
+	if e.seq > e.acked {
+		e.ended = append(e.ended, rudderfork.EndRow{Seq: e.seq, RunRef: r.ref, How: how})
+	}
 	e.tell(r.ref, how)
 }
 
@@ -241,7 +271,7 @@
 	defer e.mu.Unlock()
 	e.catchUp()
 	e.advance()
-	if life != e.life {
+	if !e.named(life) {
 		return rudderfork.ErrOtherLife
 	}
 	switch e.fate(name) {
@@ -253,7 +283,7 @@
 	case Postponed:
 		c := lateCall{do: func() {
 			e.advance()
-			if life == e.life {
+			if e.named(life) {
 				do()
 			}
 		}}
@@ -360,9 +390,18 @@
 // Look implements rudderfork.Executor.
 func (e *Executor) Look(ctx context.Context, life string, req rudderfork.LookRequest) (look rudderfork.Look, err error) {
 	deadline := e.now().Add(time.Duration(req.WaitMS) * time.Millisecond)
-	err = e.call("look", life, func() { e.hold(req) })
+	var asked string // the life that was
+	err = e.call("look", life, func() {
+		asked = rudderfork.LifeName(e.id, e.bornMS)
+		e.hold(req)
+	})
 	for err == nil {
-		look = e.account()
+		if look, err = e.account(asked); err != nil {
+			return look, err
+		}
+		if !sameStart(life, asked) {
+			return rudderfork.Look{}, rudderfork.ErrOtherLife
+		}
 		if len(look.Ended) > 0 || !e.now().Before(deadline) {
 			return look, nil
 		}
@@ -382,14 +421,19 @@
 	}
 	e.fence = req.Fence
 	e.until = max(e.until, req.UntilMS)
-	for len(e.ended) > 0 && e.ended[0].Seq <= req.AckedUpTo {
+	e.acked = max(e.acked, req.AckedUpTo)
+	for len(e.ended) > 0 && e.ended[0].Seq <= e.acked {
 		e.ended = e.ended[1:]
 	}
 }
 
-func (e *Executor) account() (look rudderfork.Look) {
+// account returns what the life says that was asked; one that is over says nothing.
+func (e *Executor) account(asked string) (look rudderfork.Look, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if asked != rudderfork.LifeName(e.id, e.bornMS) {
+		return look, ErrNoAnswer
+	}
 	e.catchUp()
 	e.advance()
 	look.ClockMS = e.clock()
@@ -401,5 +445,5 @@
 		}
 		look.Running = append(look.Running, row)
 	}
-	return look
+	return look, nil
 }
