Tell the starts of an executor apart, and not by its id alone

What callers saw: tasks went to an executor that had said that it leaves, and one that had ended as done was started again. Cause: an executor may start again under the id that it had, and all that was kept of the start before then stood against the new one. Its heartbeats count from 1 again, so they were taken for late ones, answered and dropped: the farewell among them. Class: a name that does not name an incarnation. Change: the name of a life now holds the id and when the start began (rudderfork.LifeName). All that agent, leader and replicated state keep by a life's name is so kept for one start: call numbers, acknowledged ends, clock, room, lease, epoch, blame, tickets, planned ends. A farewell that does not say which start leaves counts only for one that had said that it would leave about now. Why it holds: a start is compared whole wherever lives were compared before.

--- a/provider.go
+++ b/provider.go
@@ -7,9 +7,9 @@
 
 // Machine is a machine as its provider lists it.
 type Machine struct {
-	Name string
-	Up   bool   // neither moving, nor in upkeep, nor down
-	Life string // of the executor on it, or ""
+	Name     string
+	Up       bool   // neither moving, nor in upkeep, nor down
+	Executor string // id of the executor on it, which may be in any life, or ""
 }
 
 // Duty says in whose name an order to the provider is given: of two orders for a
--- /dev/null
+++ b/queue/second_start_test.go
@@ -0,0 +1,48 @@
+package queue
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"rudderfork.example/rudderfork"
+)
+
+// TestSecondStart has an executor start again under its id. What the replicated state
+// keeps of the start before says nothing of the one after it.
+func TestSecondStart(t *testing.T) {
+	first, second := rudderfork.LifeName("i-1", 1000), rudderfork.LifeName("i-1", 2000)
+	s := New()
+	apply := func(c Command) Result { return s.Apply(c, 1) }
+	apply(Command{Document: &Document{
+		Version: 1, Queues: []Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "desk", MaxAttempts: 3}}, Pools: []Pool{{Service: "desk"}},
+	}})
+	apply(Command{Submit: &Submit{Host: "h", Path: "/q/j", Spec: Spec{Steps: []Step{{Count: 1}}}}})
+	k := TaskKey{Job: "j"}
+	start := func(life string) uint32 {
+		return apply(Command{Starts: []Start{{Task: k, VM: "vm1", Life: life}}}).Numbers[0]
+	}
+	apply(Command{Register: &VM{ID: "vm1", Life: first, Service: "desk"}})
+	assert.Equal(t, start(first), uint32(1))
+	epoch := s.VM("vm1").Epoch
+
+	seen := &Crash{Life: first, Runs: []RunAge{{Task: k, Run: 1, AgeMS: 5, Seen: true}}}
+	res := apply(Command{Register: &VM{ID: "vm1", Life: second, Service: "desk"}, Crash: seen})
+	t.Run("what ran there is over, and the crash is counted", func(t *testing.T) {
+		assert.Equal(t, len(res.Gone), 1)
+		assert.Equal(t, s.Job("j").Task(k).Witnessed, 1)
+	})
+	t.Run("its orders are of another epoch", func(t *testing.T) { assert.Assert(t, s.VM("vm1").Epoch > epoch) })
+	t.Run("a start that was planned for the start before is refused", func(t *testing.T) {
+		assert.Equal(t, start(first), uint32(0))
+		assert.Equal(t, start(second), uint32(2))
+	})
+	t.Run("late words of the start before change nothing", func(t *testing.T) {
+		late := apply(Command{Ends: &Ends{VM: "vm1", Life: first, List: []End{{Task: k, Run: 2, How: EndDone}}}})
+		assert.Assert(t, !late.Taken[0])
+		assert.Equal(t, apply(Command{Lost: &Lost{VM: "vm1", Life: first, Left: true}}).Code, Stale)
+		apply(Command{Upkeep: &UpkeepNote{Wave: 1, Machine: "m", Life: first}})
+		assert.Assert(t, s.VM("vm1").Live && !s.VM("vm1").Leaving)
+		assert.Equal(t, len(s.VM("vm1").Runs()), 1)
+	})
+}
--- a/runner/life.go
+++ b/runner/life.go
@@ -21,6 +21,9 @@
 	// of lives that are over cost few calls, and short beside what a VM costs that
 	// is lost for an answer that was wrong.
 	overSpan = 3 * time.Second
+	// farewellSlack is how much sooner than it had said an executor may leave: its
+	// last description may have been under way for so long.
+	farewellSlack = 500 * time.Millisecond
 	// maxLives bounds the lives that wait to be confirmed, and those remembered as
 	// over: far above how many can have a heartbeat under way.
 	maxLives = 64
@@ -223,16 +226,29 @@
 func (a *Agent) Gone(life string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if d := a.described[life]; d != nil {
-		d.farewell = true
+	now := steady.Now()
+	for _, d := range a.described {
+		d.farewell = d.farewell || d.leaves(life, now)
 	}
-	if a.keeper.Life() != life || a.leaving {
+	present := description{vm: a.vm, draining: a.draining, leaveAt: a.leaveAt}
+	if !a.known || a.leaving || !present.leaves(life, now) {
 		return
 	}
-	a.log.Info().Str("life", life).Msg("executor_leaving")
+	a.log.Info().Str("life", a.vm.Life).Str("farewell", life).Msg("executor_leaving")
 	a.leaving = true
 }
 
+// leaves reports whether a farewell is the life's. One that names the executor's id alone
+// may come late, from a start before: it counts for a life that has said that it would
+// leave about now.
+func (d *description) leaves(farewell string, now time.Time) bool {
+	if farewell == d.vm.Life {
+		return true
+	}
+	id, _ := rudderfork.SplitLife(d.vm.Life)
+	return farewell == id && d.draining && !now.Before(d.leaveAt.Add(-farewellSlack))
+}
+
 // depart tells the leader that the life has left, so that its work begins
 // elsewhere without waiting for the lease. The caller holds mu.
 func (a *Agent) depart() {
--- /dev/null
+++ b/runner/second_start_test.go
@@ -0,0 +1,59 @@
+package runner
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/queue"
+)
+
+// The two starts of the tests' executor, under one id.
+var (
+	firstStart  = rudderfork.LifeName("i-1", 1000)
+	secondStart = rudderfork.LifeName("i-1", 2000)
+)
+
+// describe has the agent take what a start of its executor says.
+func describe(a *Agent, life string, draining bool, leave time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	d := description{vm: queue.VM{ID: "vm1", Life: life, Service: "desk"}, draining: draining}
+	d.leaveAt = time.Now().Add(leave)
+	a.take(d)
+}
+
+// TestFarewellOfWhichStart brings an agent farewells, some of which do not say which start
+// of the executor leaves. One that is believed has the leader end all that runs there,
+// once two looks have had no answer.
+func TestFarewellOfWhichStart(t *testing.T) {
+	for _, x := range []struct {
+		name     string
+		draining bool
+		leave    time.Duration
+		farewell string
+		believed bool
+	}{
+		{"its own", false, 0, secondStart, true},
+		{"that of the start before", true, 0, firstStart, false},
+		{"of the id alone, and it has said nothing of leaving", false, 0, "i-1", false},
+		{"of the id alone, and it has said that it stays for long", true, time.Minute, "i-1", false},
+		{"of the id alone, at the time that it has said", true, 0, "i-1", true},
+		{"of another id", true, 0, "i-2", false},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			a := newAgentAlone()
+			describe(a, secondStart, x.draining, x.leave)
+			a.Gone(x.farewell)
+			assert.Equal(t, a.leaving, x.believed)
+		})
+		t.Run(x.name+", before the life is confirmed", func(t *testing.T) {
+			a := newAgentAlone()
+			a.Describe(queue.VM{ID: "vm1", Life: secondStart, Service: "desk"}, x.draining, x.leave)
+			a.Gone(x.farewell)
+			assert.Equal(t, a.described[secondStart].farewell, x.believed)
+		})
+	}
+}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -258,7 +258,7 @@
 	defer p.mu.Unlock()
 	for i, e := range p.s.execs {
 		name := fmt.Sprintf("m%d", i+1)
-		list = append(list, rudderfork.Machine{Name: name, Up: time.Since(p.downNow[name]) > upkeepTakes, Life: e.Life()})
+		list = append(list, rudderfork.Machine{Name: name, Up: time.Since(p.downNow[name]) > upkeepTakes, Executor: e.Life()})
 	}
 	return list, nil
 }
--- a/scheduler/upkeep.go
+++ b/scheduler/upkeep.go
@@ -137,7 +137,7 @@
 	// asking again is harmless, and the machine counts as down already.
 	for _, name := range w.Left() {
 		if at, asked := u.begunAt[name]; asked && now.Sub(at) < settleTime {
-			u.order(ctx, w, name, byName[name].Life, now)
+			u.order(ctx, w, name, byName[name].Executor, now)
 			return
 		}
 	}
@@ -153,7 +153,7 @@
 		u.nextAt = now
 	}
 	if now.Sub(u.nextAt) >= emptyTime || rudderfork.Millis(now.Add(emptyTime)) > w.DueMS {
-		u.order(ctx, w, c.machine, byName[c.machine].Life, now)
+		u.order(ctx, w, c.machine, byName[c.machine].Executor, now)
 	}
 }
 
@@ -188,7 +188,7 @@
 			if known && !m.Up || now.Sub(u.refused[name]) < refusalRest {
 				continue
 			}
-			vm := vmOfLife(st.Queues(), m.Life)
+			vm := vmOfExecutor(st.Queues(), m.Executor)
 			switch {
 			case vm == nil:
 				list = append(list, candidate{machine: name})
@@ -200,18 +200,29 @@
 	return list
 }
 
-func vmOfLife(s *queue.State, life string) *queue.VM {
-	if life == "" {
+// vmOfExecutor returns the VM whose executor has an id, in whatever life, or nil.
+func vmOfExecutor(s *queue.State, id string) *queue.VM {
+	if id == "" {
 		return nil
 	}
 	for _, vm := range s.VMs() {
-		if vm.Life == life {
+		if known, _ := rudderfork.SplitLife(vm.Life); known == id {
 			return vm
 		}
 	}
 	return nil
 }
 
+// lifeOf returns the life that an executor is known to have, or "".
+func (s *Scheduler) lifeOf(executor string) (life string) {
+	s.rep.View(func(st *state.State) {
+		if vm := vmOfExecutor(st.Queues(), executor); vm != nil {
+			life = vm.Life
+		}
+	})
+	return life
+}
+
 // breaksBudget reports whether ending all on a VM would leave more tasks of a
 // lasting step away than it allows. The caller holds mu.
 func (s *Scheduler) breaksBudget(qs *queue.State, vm *queue.VM) bool {
@@ -256,8 +267,9 @@
 
 // order asks the provider for a machine's upkeep, which ends a life of an executor,
 // and notes what is sure.
-func (u *upkeep) order(ctx context.Context, w queue.Wave, name, life string, now time.Time) {
+func (u *upkeep) order(ctx context.Context, w queue.Wave, name, executor string, now time.Time) {
 	u.begunAt[name] = now
+	life := u.s.lifeOf(executor) // before the order: the next one may come under the same id
 	err := u.provider.Upkeep(ctx, rudderfork.Duty{Holder: u.holder, Fence: u.term}, name, w.ID)
 	u.s.log.Info().Uint64("wave", w.ID).Str("machine", name).Int("left", len(w.Left())).AnErr("error", err).Msg("upkeep_ordered")
 	switch {
