Have calls reach the start of an executor that they are meant for, or none

What callers saw: as before, a task that had ended as done was started again. Cause: a call names the executor by its id, which the next start may have. The look by which an agent finds a second start acknowledged to it what the first had listed, so that its first ends were never told; a start that was called between crash and discovery began a run there, on a lease by the wrong clock, which the leader then began elsewhere. Class: as before, a name that does not name an incarnation, here on the wire. Ruled out: a fencing token that rises with each start (agents that are new, or that speak with a leader of an earlier release, would not know it and be fenced out), and asking before each call (a restart may come in between).

--- a/executor.go
+++ b/executor.go
@@ -88,8 +88,8 @@
 // not carried out and will not be.
 var ErrNotReached = errors.New("nothing listens at the executor's address")
 
-// Executor runs tasks on one VM. Each call is meant for one life of it. After an
-// error but ErrNotReached a call may have been carried out, or may yet be, also after
+// Executor runs tasks on one VM. Each call is meant for one life of it, and carried out
+// by no other. After an error but ErrNotReached a call may have been carried out, or may yet be, also after
 // later calls; but a run that was stopped never starts afterwards.
 type Executor interface {
 	Start(ctx context.Context, life string, s RunStart) (StartOutcome, error)
