Test what a second start does to all that is kept of the first

Lease, clock, orders (runs TestSecondStart), figures, doubt, the task that ran there (scheduler TestFiguresOfStart, TestSecondStart), late accounts (runner TestLateAccountOfStart), and drawn schedules of late heartbeats and farewells under one id (runner TestLateModelSecondStarts, with names whose times do not tell the order).

--- a/runner/late_model_test.go
+++ b/runner/late_model_test.go
@@ -39,6 +39,7 @@
 // takes heartbeats as package scheduler does: from the agent's latest session only.
 type lateModel struct {
 	t    *rapid.T
+	name func(life int) string
 	exec *executor.Executor
 	life int  // of the executor, counted from 0
 	mute bool // it leaves looks unanswered
@@ -57,6 +58,7 @@
 // executorCall is a heartbeat or a farewell of a life.
 type executorCall struct {
 	life     int
+	draining bool // it says that it leaves in a while
 	farewell bool
 }
 
@@ -67,12 +69,16 @@
 	sent  map[uint64]bool // reports
 }
 
-// lifeName names a life. The names do not tell the order.
-func lifeName(i int) string { return fmt.Sprintf("i-%03d", (i+1)*619%1000) }
+// otherID names a life that has an id of its own. The names do not tell the order.
+func otherID(i int) string { return fmt.Sprintf("i-%03d", (i+1)*619%1000) }
 
-func newLateModel(t *rapid.T) *lateModel {
-	m := &lateModel{t: t, state: queue.New(), registered: -1}
-	m.exec = executor.New(lifeName(0), executor.Config{
+// sameID names a life that has the id of all others. Clocks that are set back may have a
+// later one say that it began sooner.
+func sameID(i int) string { return rudderfork.LifeName("i-1", int64((i+1)*619%1000)) }
+
+func newLateModel(t *rapid.T, name func(life int) string) *lateModel {
+	m := &lateModel{t: t, name: name, state: queue.New(), registered: -1}
+	m.exec = executor.New(name(0), executor.Config{
 		Now: func() time.Time { return time.Unix(1000, 0) },
 		Fate: func(string) executor.Fate {
 			if m.mute {
@@ -121,16 +127,20 @@
 
 func (m *lateModel) crash(*rapid.T) {
 	m.life++
-	m.exec.Restart(lifeName(m.life))
+	m.exec.Restart(m.name(m.life))
 }
 
 func (m *lateModel) leave(t *rapid.T) {
-	m.air = append(m.air, executorCall{m.life, true})
+	m.air = append(m.air, executorCall{life: m.life, farewell: true})
 	m.crash(t)
 }
 
 func (m *lateModel) heartbeat(*rapid.T) { m.air = append(m.air, executorCall{life: m.life}) }
 
+func (m *lateModel) drain(*rapid.T) {
+	m.air = append(m.air, executorCall{life: m.life, draining: true})
+}
+
 // arrive has any of the executor's calls reach the agent, perhaps not for the last
 // time.
 func (m *lateModel) arrive(t *rapid.T) {
@@ -143,10 +153,11 @@
 		m.air = slices.Delete(m.air, i, i+1)
 	}
 	if c.farewell {
-		m.a.Gone(lifeName(c.life))
+		id, _ := rudderfork.SplitLife(m.name(c.life))
+		m.a.Gone(id)
 		return
 	}
-	m.a.Describe(queue.VM{ID: modelVM, Life: lifeName(c.life), Service: "desk"}, false, 0)
+	m.a.Describe(queue.VM{ID: modelVM, Life: m.name(c.life), Service: "desk"}, c.draining, time.Minute)
 }
 
 // confirm has the agent ask about one of the lives that it heard of.
@@ -240,7 +251,7 @@
 // index returns the place of a life among all, or -1 for none.
 func (m *lateModel) index(life string) int {
 	for i := range m.life + 1 {
-		if lifeName(i) == life {
+		if m.name(i) == life {
 			return i
 		}
 	}
@@ -271,7 +282,7 @@
 // calm lets what the present life says arrive, and then all that is late.
 func (m *lateModel) calm(t *rapid.T) {
 	m.mute, m.dies = false, false
-	m.a.Describe(queue.VM{ID: modelVM, Life: lifeName(m.life), Service: "desk"}, false, 0)
+	m.a.Describe(queue.VM{ID: modelVM, Life: m.name(m.life), Service: "desk"}, false, 0)
 	for _, life := range m.a.unconfirmed() {
 		m.a.confirm(context.Background(), life)
 	}
@@ -285,7 +296,7 @@
 	}
 	m.forget(t)
 	for _, c := range m.air {
-		m.a.Describe(queue.VM{ID: modelVM, Life: lifeName(c.life), Service: "desk"}, false, 0)
+		m.a.Describe(queue.VM{ID: modelVM, Life: m.name(c.life), Service: "desk"}, false, 0)
 	}
 	for _, life := range m.a.unconfirmed() {
 		m.a.confirm(context.Background(), life)
@@ -298,11 +309,16 @@
 // TestLateModel delays, reorders and repeats what an executor's lives tell their
 // agent, and delays what the agent tells the leader, over crashes and farewells of
 // the executor and restarts of the agent.
-func TestLateModel(t *testing.T) {
+func TestLateModel(t *testing.T) { checkLate(t, otherID) }
+
+// TestLateModelSecondStarts does so with lives under one id, which alone farewells name.
+func TestLateModelSecondStarts(t *testing.T) { checkLate(t, sameID) }
+
+func checkLate(t *testing.T, name func(life int) string) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := newLateModel(t)
+		m := newLateModel(t, name)
 		t.Repeat(map[string]func(*rapid.T){
-			"": m.check, "crash": m.crash, "leave": m.leave, "heartbeat": m.heartbeat,
+			"": m.check, "crash": m.crash, "leave": m.leave, "heartbeat": m.heartbeat, "drain": m.drain,
 			"arrive": m.arrive, "arrive too": m.arrive, "confirm": m.confirm, "confirm too": m.confirm, "look": m.look,
 			"restart the agent": m.restartAgent, "reopen": m.reopen, "send": m.send,
 			"deliver": m.deliver, "deliver too": m.deliver,
--- a/runner/second_start_test.go
+++ b/runner/second_start_test.go
@@ -57,3 +57,23 @@
 		})
 	}
 }
+
+// TestLateAccountOfStart has an answer of the first start come once the second is known:
+// the ends that it lists stand, and acknowledge nothing to the second.
+func TestLateAccountOfStart(t *testing.T) {
+	a := newAgentAlone()
+	describe(a, firstStart, false, 0)
+	describe(a, secondStart, false, 0)
+	end := rudderfork.EndRow{Seq: 57, RunRef: rudderfork.RunRef{Task: "j.0.0.0", Run: 1}, How: "done"}
+	a.looked(t.Context(), firstStart, rudderfork.Look{ClockMS: 90_000, Ended: []rudderfork.EndRow{end}}, time.Now())
+	assert.Equal(t, len(a.reports), 1)
+	for id, r := range a.reports {
+		assert.Equal(t, r.ends.Life, firstStart)
+		a.takeNoted(id)
+	}
+	req, life, ok := a.nextLook()
+	assert.Assert(t, ok)
+	assert.Equal(t, life, secondStart)
+	assert.Equal(t, req.AckedUpTo, uint64(0))
+	assert.Equal(t, req.UntilMS, int64(0))
+}
--- a/scheduler/second_start_test.go
+++ b/scheduler/second_start_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -8,6 +9,9 @@
 	"rudderfork.example/rudderfork"
 	"rudderfork.example/rudderfork/internal/steady"
 	"rudderfork.example/rudderfork/queue"
+	"rudderfork.example/rudderfork/standin/executor"
+	"rudderfork.example/rudderfork/state"
+	"rudderfork.example/rudderfork/wire"
 )
 
 // The two starts of the tests' executor, under one id.
@@ -49,3 +53,41 @@
 		assert.DeepEqual(t, a.view(s, now)[step], want)
 	}
 }
+
+// TestFiguresOfStart drops what the start before has told of its runs, and the VM's doubt.
+func TestFiguresOfStart(t *testing.T) {
+	f, now := newFleet(), steady.Now()
+	v := f.vm("vm1")
+	row := rudderfork.RunRow{RunRef: rudderfork.RunRef{Task: "j.0.0.0", Run: 1}, Percent: 40}
+	f.take(v, wire.VMBeat{VM: queue.VM{ID: "vm1", Life: firstStart}, Rows: []rudderfork.RunRow{row}}, now)
+	v.addDoubt(doubtStep, now)
+	assert.Equal(t, len(v.rows), 1)
+	f.take(v, wire.VMBeat{VM: queue.VM{ID: "vm1", Life: secondStart}}, now)
+	assert.Equal(t, len(v.rows)+len(f.runs), 0)
+	assert.Equal(t, v.doubt, 0.0)
+}
+
+// TestSecondStart has an executor start again under its id while a task lasts there:
+// the leader takes note of it, and the task begins anew, once.
+func TestSecondStart(t *testing.T) {
+	s := newSite(t, nil)
+	var starts atomic.Int32
+	e := s.addVM(executor.Config{OnStart: func(rudderfork.RunRef) { starts.Add(1) }})
+	s.put(nil)
+	s.submit("feed", "", queue.Step{Count: 1, Size: small.Size, Lasting: true})
+	atWork := func(run uint32) func() bool {
+		return func() bool {
+			refs := e.Running()
+			return len(refs) == 1 && refs[0].Run == run
+		}
+	}
+	s.until("the feed is at work", atWork(1))
+	s.submit("before", "work=1ms", queue.Step{Count: 3})
+	s.untilStatus("before", queue.Completed)
+	e.StartAgain()
+	s.until("it is at work again", atWork(2))
+	s.submit("after", "work=1ms", queue.Step{Count: 3})
+	s.untilStatus("after", queue.Completed)
+	assert.Equal(t, starts.Load(), int32(2+3+3))
+	s.sched.rep.View(func(st *state.State) { assert.Equal(t, st.Queues().VM("vm1").Life, e.Life()) })
+}
