--- a/queue/apply.go
+++ b/queue/apply.go
@@ -325,7 +325,7 @@
 	res := Result{Code: OK}
 	v.Epoch, v.Leaving, v.Doubtful = 1, false, nil
 	if old := s.vms[v.ID]; old != nil {
-		same := old.Life == v.Life
+		same := continues(old.Life, v.Life)
 		seen = seen.Of(old.Life)
 		how := ending{planned: old.Leaving || seen.announced(), seen: seen, over: true}
 		res.Assessments = s.returned(old, how, same, at)
@@ -344,6 +344,14 @@
 	return res
 }
 
+// continues reports whether a life as it is named now may be the one that was named
+// before. Agents of earlier releases named lives by their ids alone; what runs in one may
+// not be taken for over because it gets to say when it began.
+func continues(before, now string) bool {
+	id, _ := rudderfork.SplitLife(now)
+	return before == now || before == id
+}
+
 func (s *State) lose(c Lost, at int64) Result {
 	vm := s.vms[c.VM]
 	if vm == nil || vm.Life != c.Life {
--- a/queue/second_start_test.go
+++ b/queue/second_start_test.go
@@ -46,3 +46,28 @@
 		assert.Equal(t, len(s.VM("vm1").Runs()), 1)
 	})
 }
+
+// TestLifeGetsBegin has an agent name a life by id and begin that one of an earlier
+// release has registered by its id. It may be the same start, whose runs go on; and were
+// it the next one, the orders of the runs would begin them there.
+func TestLifeGetsBegin(t *testing.T) {
+	named := rudderfork.LifeName("i-1", 1000)
+	for _, x := range []struct {
+		before, after string
+		goesOn        bool
+	}{{"i-1", named, true}, {named, "i-1", false}, {"i-2", named, false}} {
+		s := New()
+		apply := func(c Command) Result { return s.Apply(c, 1) }
+		apply(Command{Document: &Document{
+			Version: 1, Queues: []Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "desk", MaxAttempts: 3}}, Pools: []Pool{{Service: "desk"}},
+		}})
+		apply(Command{Submit: &Submit{Host: "h", Path: "/q/j", Spec: Spec{Steps: []Step{{Count: 1}}}}})
+		apply(Command{Register: &VM{ID: "vm1", Life: x.before, Service: "desk"}})
+		apply(Command{Starts: []Start{{Task: TaskKey{Job: "j"}, VM: "vm1", Life: x.before}}})
+		epoch := s.VM("vm1").Epoch
+		res := apply(Command{Register: &VM{ID: "vm1", Life: x.after, Service: "desk"}})
+		assert.Equal(t, s.VM("vm1").Life, x.after)
+		assert.Equal(t, len(res.Gone) == 0, x.goesOn, "%v", x)
+		assert.Equal(t, s.VM("vm1").Epoch == epoch, x.goesOn, "%v", x)
+	}
+}
