Count a group as whole once its voters are committed, in the test of lost disks

All views agree: four voters are committed, the fifth, whose disk was lost in the round before, is not promoted yet; two of the four have just lost their disks. The test's condition was wrong: it took five voters from the leader's newest entry, committed or not, and went on to lose two disks of a group that had four. It now waits until the leader's log is committed, which is stricter.

--- a/replica/losses_test.go
+++ b/replica/losses_test.go
@@ -264,8 +264,12 @@
 	})
 	h.commit()
 	h.until("the group is whole", func() bool {
+		st := h.leader().Status()
+		if st.Commit < st.Last {
+			return false // the voters may be those of a change that is not committed
+		}
 		voters := 0
-		for _, m := range h.leader().Status().Members {
+		for _, m := range st.Members {
 			h.mu.Lock()
 			runs := h.running[m.ID] != nil
 			h.mu.Unlock()
