Read an executor's account row by row

Cause: one row that cannot be read made the whole account none, so that the agent read no clock and kept no lease: all that ran there lapsed for it. Found by the issue on whose crash it was (entries of other writers). Test first: TestOddRows. Change: odd rows are set aside, logged in one line and counted; figures that cannot be read are left out. An account that lacks rows is partial: a run that it does not list may be there, so nothing is concluded from that (runs TestPartialAccount), and ends after an odd one are told and not acknowledged, since that would take the odd one for seen.

--- a/executor.go
+++ b/executor.go
@@ -57,7 +57,7 @@
 // EndRow is the end of a run as its executor lists it, until it is told that
 // the row was taken note of.
 type EndRow struct {
-	Seq uint64
+	Seq uint64 // 0 if it must not be acknowledged, since one before it could not be read
 	RunRef
 	How        string // an ending of package queue
 	Checkpoint string
@@ -68,6 +68,9 @@
 	ClockMS int64 // the executor's own clock
 	Running []RunRow
 	Ended   []EndRow
+	// Partial says that it held more, which could not be read: what it does not list may
+	// be there all the same.
+	Partial bool
 }
 
 // LookRequest asks for a Look.
--- a/runs/keeper.go
+++ b/runs/keeper.go
@@ -376,7 +376,8 @@
 		there[r.RunRef] = true
 		k.checkRunning(r.RunRef, asked)
 	}
-	maps.DeleteFunc(k.strays, func(ref rudderfork.RunRef, o *order) bool { return !there[ref] && o.stoppedBefore(asked) })
+	missing := func(ref rudderfork.RunRef) bool { return !there[ref] && !look.Partial }
+	maps.DeleteFunc(k.strays, func(ref rudderfork.RunRef, o *order) bool { return missing(ref) && o.stoppedBefore(asked) })
 	ends = Ends(look.Ended)
 	for _, e := range look.Ended {
 		there[e.RunRef] = true
@@ -385,8 +386,10 @@
 		}
 	}
 	for _, o := range k.orders {
-		k.settleClosed(o, there[o.RunRef], asked)
-		if o.ended || there[o.RunRef] || o.confirmed.IsZero() || !o.confirmed.Before(asked) {
+		if there[o.RunRef] || !look.Partial {
+			k.settleClosed(o, there[o.RunRef], asked)
+		}
+		if o.ended || !missing(o.RunRef) || o.confirmed.IsZero() || !o.confirmed.Before(asked) {
 			continue
 		}
 		key, err := queue.ParseTaskKey(string(o.Task))
