--- a/executor.go
+++ b/executor.go
@@ -92,8 +92,8 @@
 var ErrNotReached = errors.New("nothing listens at the executor's address")
 
 // Executor runs tasks on one VM. Each call is meant for one life of it, and carried out
-// by no other. After an error but ErrNotReached a call may have been carried out, or may yet be, also after
-// later calls; but a run that was stopped never starts afterwards.
+// by no other. After an error but ErrNotReached a call may have been carried out, or may
+// yet be, also after later calls; but a run that was stopped never starts afterwards.
 type Executor interface {
 	Start(ctx context.Context, life string, s RunStart) (StartOutcome, error)
 	// Stop ends a run, and keeps one that is not there from ever starting.
