Show a second start in the demo of the queues, and tell operators how it looks

The demo has an executor crash and start again under its id: the feed's task there is at work again, and each task of the next job runs once. No product code is changed.

--- a/cmd/demo-queues/main.go
+++ b/cmd/demo-queues/main.go
@@ -60,7 +60,7 @@
 	}
 	defer site.Close()
 	d := &demo{ctx: ctx, site: site, bin: bin, dir: dir}
-	for _, step := range []func() error{d.start, d.document, d.feed, d.roster, d.killLeader, d.show, d.evacuate, d.cancel} {
+	for _, step := range []func() error{d.start, d.document, d.feed, d.roster, d.killLeader, d.startAgain, d.show, d.evacuate, d.cancel} {
 		if err := step(); err != nil {
 			return err
 		}
@@ -204,7 +204,19 @@
 	if err := d.until("roster2 is completed", func() bool { return d.state("roster2") == "completed" }); err != nil {
 		return err
 	}
-	j, err := op.QueueJob(d.ctx, "roster2")
+	if err := d.ranOnce(op, "roster2"); err != nil {
+		return err
+	}
+	if n := d.atWork(); n != 2 {
+		return fmt.Errorf("%d tasks of the feed are at work; want 2", n)
+	}
+	say("each of its tasks ran once, and the feed never stopped")
+	return nil
+}
+
+// ranOnce holds that each task of a job was started once.
+func (d *demo) ranOnce(op *operator.Client, job string) error {
+	j, err := op.QueueJob(d.ctx, job)
 	if err != nil {
 		return err
 	}
@@ -213,10 +225,28 @@
 			return fmt.Errorf("%s was started %d times", t.Task, t.Runs)
 		}
 	}
-	if n := d.atWork(); n != 2 {
-		return fmt.Errorf("%d tasks of the feed are at work; want 2", n)
+	return nil
+}
+
+// startAgain has an executor crash, and start again under the id that it had.
+func (d *demo) startAgain() error {
+	say("the executor of side-1 crashes, and starts again under its id, with all its counts anew")
+	began := time.Now()
+	d.site.Runners[0].StartAgain()
+	if err := d.until("the feed's task there is at work again", func() bool { return d.atWork() == 2 }); err != nil {
+		return err
 	}
-	say("each of its tasks ran once, and the feed never stopped")
+	say("its task of the feed is at work again after %d ms", time.Since(began).Milliseconds())
+	if err := d.submit("roster4", "work=100ms", standin.JobStep{Count: 6, CPUMilli: 500, ExpectedMS: 100}); err != nil {
+		return err
+	}
+	if err := d.until("roster4 is completed", func() bool { return d.state("roster4") == "completed" }); err != nil {
+		return err
+	}
+	if err := d.ranOnce(operator.New(d.site.OperatorAddrs()), "roster4"); err != nil {
+		return err
+	}
+	say("each task of the next job ran once")
 	return nil
 }
 
