--- a/queue/second_start_test.go
+++ b/queue/second_start_test.go
@@ -71,3 +71,26 @@
 		assert.Equal(t, s.VM("vm1").Epoch == epoch, x.goesOn, "%v", x)
 	}
 }
+
+// TestOpenCaseOfStart has the lease of a start run out, under which a task had begun. The
+// next start under the id shows that it was a crash, the same one that it was none.
+func TestOpenCaseOfStart(t *testing.T) {
+	first, second := rudderfork.LifeName("i-1", 1000), rudderfork.LifeName("i-1", 2000)
+	k := TaskKey{Job: "j"}
+	for back, crashes := range map[string]int{first: 0, second: 1} {
+		s := New()
+		apply := func(c Command) Result { return s.Apply(c, 1) }
+		apply(Command{Document: &Document{
+			Version: 1, Queues: []Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "desk", MaxAttempts: 3}}, Pools: []Pool{{Service: "desk"}},
+		}})
+		apply(Command{Submit: &Submit{Host: "h", Path: "/q/j", Spec: Spec{Steps: []Step{{Count: 1}}}}})
+		apply(Command{Register: &VM{ID: "vm1", Life: first, Service: "desk"}})
+		apply(Command{Starts: []Start{{Task: k, VM: "vm1", Life: first}}})
+		seen := &Crash{Life: first, Runs: []RunAge{{Task: k, Run: 1, AgeMS: 5, Seen: true}}}
+		apply(Command{Lost: &Lost{VM: "vm1", Life: first, Crash: seen}})
+		assert.Equal(t, s.Job("j").Task(k).Doubts, 1)
+		apply(Command{Register: &VM{ID: "vm1", Life: back, Service: "desk"}})
+		assert.Equal(t, s.Job("j").Task(k).Doubts, 0)
+		assert.Equal(t, s.Job("j").Task(k).Crashes, crashes, back)
+	}
+}
--- a/runner/second_start_test.go
+++ b/runner/second_start_test.go
@@ -77,3 +77,31 @@
 	assert.Equal(t, req.AckedUpTo, uint64(0))
 	assert.Equal(t, req.UntilMS, int64(0))
 }
+
+// TestForgottenOfStart has an agent know much of the first start when the second is
+// confirmed: room, labels and draining are as that says, and all else begins anew.
+func TestForgottenOfStart(t *testing.T) {
+	run := rudderfork.RunRef{Task: "j.0.0.0", Run: 1}
+	a := newAgentAlone()
+	describe(a, firstStart, true, time.Minute)
+	a.looked(t.Context(), firstStart, rudderfork.Look{ClockMS: 90_000, Running: []rudderfork.RunRow{{RunRef: run, Load: 7}}}, time.Now())
+	a.paces[run], a.unsure[run], a.begun[run] = 30, time.Now(), time.Now()
+	a.worked = map[string]float64{"loud": 1}
+	a.Gone(firstStart)
+	a.beat()
+	assert.Assert(t, a.leaving && len(a.rows) == 1 && len(a.told) == 1)
+
+	second := queue.VM{ID: "vm1", Life: secondStart, Service: "desk", Capacity: rudderfork.Resources{CPUMilli: 8000}, Labels: []string{"b"}}
+	a.take(description{vm: second})
+	vm, draining := a.Described()
+	assert.DeepEqual(t, vm.Capacity, second.Capacity)
+	assert.DeepEqual(t, vm.Labels, second.Labels)
+	assert.Assert(t, !draining && !a.leaving)
+	for name, n := range map[string]int{
+		"rows": len(a.rows), "figures told": len(a.told), "paces": len(a.paces), "exposures": len(a.exposures),
+		"runs begun": len(a.begun), "runs that may have begun": len(a.unsure), "shares": len(a.worked),
+	} {
+		assert.Equal(t, n, 0, name)
+	}
+	assert.Assert(t, !a.isOver(secondStart, time.Now()) && a.isOver(firstStart, time.Now()))
+}
