Apply what is committed beside the group's work

Cause: the replica's loop took the state's lock to publish its status and to apply entries, so it sent and read nothing for as long as anyone held the state to read it, as a plan, an account or a metrics page does. TestHeldState holds it: on the code before nothing is committed until the reader is done (failed: timeout after 20 s), now the group commits on and the proposals are answered once they are applied.

--- a/replica/calls.go
+++ b/replica/calls.go
@@ -61,16 +61,12 @@
 }
 
 // View calls f with the state, which f must not keep or change.
-func (r *Replica) View(f func(s *state.State)) {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	f(r.state)
-}
+func (r *Replica) View(f func(s *state.State)) { r.machine.View(f) }
 
 // Status returns the replica's view of the group.
 func (r *Replica) Status() Status {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	return r.status
 }
 
@@ -82,8 +78,8 @@
 
 // Changed returns a channel that closes at the next change of state or role.
 func (r *Replica) Changed() <-chan struct{} {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	return r.change
 }
 
--- /dev/null
+++ b/replica/held_test.go
@@ -0,0 +1,59 @@
+package replica
+
+import (
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"rudderfork.example/rudderfork/queue"
+	"rudderfork.example/rudderfork/state"
+)
+
+// TestHeldState holds a leader's state for reading, as a long plan does: the group goes on
+// committing meanwhile, and what was proposed is answered once the state is free. (The
+// leader sent nothing until its reader was done, and was deposed.)
+func TestHeldState(t *testing.T) {
+	g := startProxied(t, 3, 0)
+	g.assertCommits(g.reps...)
+	lead := g.leader()
+	held, released := make(chan struct{}), make(chan struct{})
+	release := sync.OnceFunc(func() { close(released) })
+	defer release()
+	go g.reps[lead].rep.View(func(*state.State) {
+		close(held)
+		<-released
+	})
+	<-held
+
+	const commands = 3
+	results := make(chan error, commands)
+	for i := range commands {
+		before := g.reps[lead].rep.Status().Commit
+		d := queue.Document{Version: g.docs + uint64(i) + 1}
+		go func() {
+			_, err := g.reps[lead].rep.Do(t.Context(), state.Command{Queue: &queue.Command{Document: &d}})
+			results <- err
+		}()
+		for _, l := range g.reps {
+			waitCommit(t, l, before+1)
+		}
+	}
+	assert.Equal(t, len(results), 0, "answered before they were applied")
+	release()
+	for range commands {
+		assert.NilError(t, <-results)
+	}
+}
+
+// waitCommit waits until a replica knows that an index is committed.
+func waitCommit(t *testing.T, l *linked, index uint64) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if c := l.rep.Status().Commit; c < index {
+			return poll.Continue("%s has committed %d; want %d", l.self.Name, c, index)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(joinLimit))
+}
--- /dev/null
+++ b/replica/machine.go
@@ -0,0 +1,233 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/internal/crash"
+	"rudderfork.example/rudderfork/internal/errs"
+	"rudderfork.example/rudderfork/internal/wakeup"
+	"rudderfork.example/rudderfork/quorum"
+	"rudderfork.example/rudderfork/state"
+)
+
+// machine is the replicated state machine. It applies what is committed in a goroutine of
+// its own: readers may hold the state for as long as a plan takes, and the group's
+// messages, its log and its elections do not wait for them.
+type machine struct {
+	changed  func()        // called after each change of the state
+	woken    wakeup.Signal // there is work
+	progress wakeup.Signal // more was applied or encoded, or the machine has failed
+
+	applied atomic.Uint64 // index of the last applied entry
+
+	workMu  sync.Mutex // guards what follows
+	work    []work     // oldest first
+	encoded *quorum.Snapshot
+	err     error
+
+	mu    sync.RWMutex // guards what follows
+	state *state.State
+	docAt time.Time // proposer's clock at the newest change of the document; zero if not known
+}
+
+// work is one thing to do: entries to apply, a snapshot to install, or the state to be
+// encoded.
+type work struct {
+	entries  []quorum.Entry
+	replies  []pendingReply // of these, in the order of their indexes
+	snapshot *quorum.Snapshot
+	encode   bool
+}
+
+// pendingReply is a proposal that waits for the entry at an index.
+type pendingReply struct {
+	index uint64
+	proposal
+}
+
+func newMachine(st *state.State, changed func()) *machine {
+	m := &machine{changed: changed, woken: wakeup.New(), progress: wakeup.New(), state: st}
+	m.applied.Store(uint64(st.Applied()))
+	return m
+}
+
+// View calls f with the state, which f must not keep or change.
+func (m *machine) View(f func(s *state.State)) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	f(m.state)
+}
+
+// document returns the version of the newest confirmed document here, and when its
+// change was proposed; the zero time if it came with a snapshot.
+func (m *machine) document() (v uint64, at time.Time) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return version(m.state), m.docAt
+}
+
+// Add queues work.
+func (m *machine) Add(w work) {
+	m.workMu.Lock()
+	defer m.workMu.Unlock()
+	m.work = append(m.work, w)
+	m.woken.Set()
+}
+
+// Encoded returns a snapshot of the state once after each request for one.
+func (m *machine) Encoded() *quorum.Snapshot {
+	m.workMu.Lock()
+	defer m.workMu.Unlock()
+	s := m.encoded
+	m.encoded = nil
+	return s
+}
+
+// Err returns why the machine has ended, if it has.
+func (m *machine) Err() error {
+	m.workMu.Lock()
+	defer m.workMu.Unlock()
+	return m.err
+}
+
+// Run works until ctx ends or something committed cannot be applied.
+func (m *machine) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.woken:
+		}
+		m.workMu.Lock()
+		list := m.work
+		m.work = nil
+		m.workMu.Unlock()
+		for _, w := range list {
+			if err := m.do(w); err != nil {
+				m.fail(err)
+				return
+			}
+		}
+	}
+}
+
+func (m *machine) fail(err error) {
+	m.workMu.Lock()
+	defer m.workMu.Unlock()
+	m.err = err
+	m.progress.Set()
+}
+
+func (m *machine) do(w work) (err error) {
+	defer errs.Annotate(&err, "state machine")
+	switch {
+	case w.snapshot != nil:
+		err = m.install(*w.snapshot)
+	case w.encode:
+		err = m.encode()
+	default:
+		err = m.apply(w)
+	}
+	m.progress.Set()
+	return err
+}
+
+func (m *machine) install(s quorum.Snapshot) error {
+	st, err := state.Decode(s.Data)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	if version(st) != version(m.state) {
+		m.docAt = time.Time{} // a snapshot does not say when its document changed
+	}
+	m.state = st
+	m.mu.Unlock()
+	m.applied.Store(s.Index)
+	m.changed()
+	return nil
+}
+
+// encode reads the state without a lock, since only this goroutine changes it.
+func (m *machine) encode() error {
+	index := m.applied.Load()
+	data, err := m.state.Encode()
+	if err != nil {
+		return err
+	}
+	m.workMu.Lock()
+	defer m.workMu.Unlock()
+	m.encoded = &quorum.Snapshot{Index: index, Data: data}
+	return nil
+}
+
+func (m *machine) apply(w work) error {
+	commands, err := decode(w.entries)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	results := make([]state.Result, len(commands))
+	for i, e := range w.entries {
+		results[i] = m.applyEntry(e, commands[i])
+	}
+	m.mu.Unlock()
+	m.applied.Store(w.entries[len(w.entries)-1].Index)
+	m.answer(w, results)
+	m.changed()
+	return nil
+}
+
+var errEmptyEntry = errors.New("an entry holds no command")
+
+// decode returns the commands of entries; those of other kinds have none.
+func decode(es []quorum.Entry) (list []state.Command, err error) {
+	list = make([]state.Command, len(es))
+	for i, e := range es {
+		if e.Kind != quorum.EntryCommand {
+			continue
+		}
+		if len(e.Data) == 0 {
+			return nil, fmt.Errorf("entry %d: %w", e.Index, errEmptyEntry)
+		}
+		if err := cbor.Unmarshal(e.Data, &list[i]); err != nil {
+			return nil, fmt.Errorf("entry %d: %w", e.Index, err)
+		}
+	}
+	return list, nil
+}
+
+func (m *machine) applyEntry(e quorum.Entry, c state.Command) (res state.Result) {
+	if e.Kind != quorum.EntryCommand {
+		m.state.Skip(e.Index)
+		return res
+	}
+	before := version(m.state)
+	res = m.state.Apply(e.Index, c)
+	if version(m.state) != before {
+		m.docAt = rudderfork.FromMillis(c.At)
+	}
+	return res
+}
+
+// answer tells those that proposed the entries what became of them.
+func (m *machine) answer(w work, results []state.Result) {
+	first := w.entries[0].Index
+	for _, p := range w.replies {
+		crash.Point(crash.ControlApplied)
+		i := p.index - first
+		if p.term != w.entries[i].Term {
+			p.reply <- outcome{err: ErrSuperseded}
+			continue
+		}
+		p.reply <- outcome{result: results[i]}
+	}
+}
--- a/replica/metrics.go
+++ b/replica/metrics.go
@@ -81,7 +81,7 @@
 	if st.Role != quorum.Follower.String() {
 		gauge(c.present, float64(present))
 	}
-	v, at := c.rep.document()
+	v, at := c.rep.machine.document()
 	gauge(c.version, float64(v))
 	if !at.IsZero() {
 		gauge(c.age, since(at, now).Seconds())
@@ -138,11 +138,3 @@
 	}
 	return 0
 }
-
-// document returns the version of the newest confirmed document here, and when its
-// change was proposed; the zero time if it came with a snapshot.
-func (r *Replica) document() (v uint64, at time.Time) {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return version(r.state), r.docAt
-}
--- a/replica/metrics_test.go
+++ b/replica/metrics_test.go
@@ -96,15 +96,15 @@
 		assert.NilError(t, err)
 		return data
 	}
-	assert.NilError(t, r.install(quorum.Snapshot{Index: 1, Data: take(1, 7)}))
-	r.docAt = r.now()
+	assert.NilError(t, r.machine.install(quorum.Snapshot{Index: 1, Data: take(1, 7)}))
+	r.machine.docAt = r.now()
 	t.Run("the same", func(t *testing.T) {
-		assert.NilError(t, r.install(quorum.Snapshot{Index: 2, Data: take(2, 7)}))
+		assert.NilError(t, r.machine.install(quorum.Snapshot{Index: 2, Data: take(2, 7)}))
 		assertMetrics(t, r, map[string]float64{"document_version": 7})
-		assert.Assert(t, !r.docAt.IsZero())
+		assert.Assert(t, !r.machine.docAt.IsZero())
 	})
 	t.Run("another", func(t *testing.T) {
-		assert.NilError(t, r.install(quorum.Snapshot{Index: 3, Data: take(3, 8)}))
+		assert.NilError(t, r.machine.install(quorum.Snapshot{Index: 3, Data: take(3, 8)}))
 		assertMetrics(t, r, map[string]float64{"document_version": 8})
 		assertNoMetrics(t, r, "document_age_seconds")
 	})
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -8,14 +8,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/thejerf/suture/v4"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"rudderfork.example/rudderfork"
 	"rudderfork.example/rudderfork/internal/crash"
 	"rudderfork.example/rudderfork/internal/errs"
@@ -70,21 +69,23 @@
 	suspects  chan quorum.MemberID
 	callers   chan quorum.Member
 
+	machine *machine
+
 	// Owned by Serve.
-	node    *quorum.Node
-	waiting map[uint64]proposal // by index
-	pending []read
-	snapAt  uint64
-	snapBy  time.Time // no snapshot before, since the disk was full
-	short   shortage
-	opening opening
-	used    bool // a command was applied, in this life or before
-	report  *reporter
-
-	mu     sync.RWMutex // guards what follows
-	state  *state.State
+	node     *quorum.Node
+	waiting  map[uint64]proposal // by index
+	pending  []read              // that a quorum has not confirmed
+	ready    []read              // that wait until what they cover is applied
+	snapAt   uint64
+	snapBy   time.Time // no snapshot before, since the disk was full
+	encoding bool      // a snapshot was asked for
+	short    shortage
+	opening  opening
+	used     bool // a command was committed, in this life or before
+	report   *reporter
+
+	mu     sync.Mutex // guards what follows
 	status Status
-	docAt  time.Time     // proposer's clock at the newest change of the document; zero if not known
 	change chan struct{} // closed and replaced when state or status changes
 }
 
@@ -126,7 +127,7 @@
 
 type read struct {
 	at     time.Time
-	commit uint64
+	commit uint64     // index that is to be applied, once it is confirmed
 	done   chan error // buffered
 }
 
@@ -166,8 +167,9 @@
 		resigns: make(chan struct{}, 1), suspects: make(chan quorum.MemberID, maxSuspects),
 		callers: make(chan quorum.Member, maxCallers),
 		node:    node, waiting: map[uint64]proposal{}, snapAt: snap.Index, used: snap.Index > 0, report: report,
-		state: st, change: make(chan struct{}),
+		change: make(chan struct{}),
 	}
+	r.machine = newMachine(st, r.wake)
 	r.publish()
 	return r, nil
 }
@@ -177,6 +179,11 @@
 	defer errs.Annotate(&err, "replica")
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	ctx, cancel := context.WithCancel(ctx)
+	var applying sync.WaitGroup
+	defer applying.Wait()
+	defer cancel()
+	applying.Go(func() { r.machine.Run(ctx) })
 	for {
 		timer.Reset(max(0, earlier(r.node.NextDeadline(), r.report.NextDeadline()).Sub(r.now())))
 		select {
@@ -196,6 +203,7 @@
 			r.node.Suspect(id, r.now())
 		case m := <-r.callers:
 			r.node.SetDomain(m.Name, m.Domain)
+		case <-r.machine.progress:
 		case <-timer.C:
 			r.node.Tick(r.now())
 			r.repair()
@@ -256,7 +264,7 @@
 		rd.done <- ErrNotLeader
 		return
 	}
-	rd.at, rd.commit = r.now(), r.node.Commit()
+	rd.at = r.now()
 	r.pending = append(r.pending, rd)
 	if len(r.pending) == 1 {
 		r.node.Confirm(rd.at)
@@ -282,18 +290,17 @@
 			crash.Point(crash.ControlSaved)
 		}
 		if rd.Snapshot != nil {
-			if err := r.install(*rd.Snapshot); err != nil {
-				return err
-			}
+			r.install(*rd.Snapshot)
 		}
 		r.sendAll(rd.Messages)
 		r.node.Persisted(rd, r.now())
-		if err := r.apply(committed); err != nil {
-			return err
-		}
+		r.apply(committed)
 	}
 	r.finishReads()
 	r.publish()
+	if err := r.machine.Err(); err != nil {
+		return err
+	}
 	return r.maybeSnapshot()
 }
 
@@ -303,69 +310,44 @@
 	}
 }
 
-func (r *Replica) install(s quorum.Snapshot) error {
-	st, err := state.Decode(s.Data)
-	if err != nil {
-		return err
-	}
-	r.mu.Lock()
-	if version(st) != version(r.state) {
-		r.docAt = time.Time{} // a snapshot does not say when its document changed
-	}
-	r.state = st
-	r.mu.Unlock()
+func (r *Replica) install(s quorum.Snapshot) {
+	r.machine.Add(work{snapshot: &s})
 	r.snapAt = s.Index
 	r.used = true
 	r.log.Info().Uint64("index", s.Index).Msg("snapshot_installed")
-	return nil
 }
 
-func (r *Replica) apply(es []quorum.Entry) error {
+// apply hands on what is committed, with who waits for it.
+func (r *Replica) apply(es []quorum.Entry) {
 	if len(es) == 0 {
-		return nil
+		return
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	w := work{entries: es}
 	for _, e := range es {
-		res, err := r.applyEntry(e)
-		if err != nil {
-			return err
-		}
-		p, ok := r.waiting[e.Index]
-		if !ok {
-			continue
+		r.used = r.used || e.Kind == quorum.EntryCommand
+		if p, ok := r.waiting[e.Index]; ok {
+			delete(r.waiting, e.Index)
+			w.replies = append(w.replies, pendingReply{e.Index, p})
 		}
-		delete(r.waiting, e.Index)
-		crash.Point(crash.ControlApplied)
-		if p.term != e.Term {
-			p.reply <- outcome{err: ErrSuperseded}
-			continue
-		}
-		p.reply <- outcome{result: res}
 	}
-	return nil
+	r.machine.Add(w)
 }
 
-func (r *Replica) applyEntry(e quorum.Entry) (res state.Result, err error) {
-	if e.Kind != quorum.EntryCommand {
-		r.state.Skip(e.Index)
-		return res, nil
-	}
-	var c state.Command
-	if err := cbor.Unmarshal(e.Data, &c); err != nil {
-		return res, fmt.Errorf("entry %d: %w", e.Index, err)
-	}
-	r.used = true
-	before := version(r.state)
-	res = r.state.Apply(e.Index, c)
-	if version(r.state) != before {
-		r.docAt = rudderfork.FromMillis(c.At)
-	}
-	return res, nil
+// finishReads answers reads that a quorum has confirmed since they came, once all that
+// was committed by then is applied.
+func (r *Replica) finishReads() {
+	r.confirmReads()
+	applied := r.machine.applied.Load()
+	r.ready = slices.DeleteFunc(r.ready, func(rd read) bool {
+		if applied < rd.commit {
+			return false
+		}
+		rd.done <- nil
+		return true
+	})
 }
 
-// finishReads answers reads that a quorum has confirmed since they came.
-func (r *Replica) finishReads() {
+func (r *Replica) confirmReads() {
 	if len(r.pending) == 0 {
 		return
 	}
@@ -386,7 +368,8 @@
 			left = append(left, rd)
 			continue
 		}
-		rd.done <- nil
+		rd.commit = r.node.Commit()
+		r.ready = append(r.ready, rd)
 	}
 	if len(left) > 0 && len(left) < len(r.pending) {
 		r.node.Confirm(r.now()) // those that came after the last round
@@ -415,12 +398,24 @@
 		r.log.Info().Str("role", st.Role).Uint64("term", st.Term).Msg("role_changed")
 		r.rec.Record(rudderfork.Event{Kind: "role", Subject: string(st.ID), Text: fmt.Sprintf("%s in term %d", st.Role, st.Term)})
 	}
-	if old.Commit != st.Commit || old.Role != st.Role || old.Term != st.Term || old.Settled != st.Settled {
-		close(r.change)
-		r.change = make(chan struct{})
+	if old.Role != st.Role || old.Term != st.Term || old.Settled != st.Settled {
+		r.signalChange()
 	}
 }
 
+// wake wakes who waits for a change.
+func (r *Replica) wake() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.signalChange()
+}
+
+// signalChange does so; the caller holds mu.
+func (r *Replica) signalChange() {
+	close(r.change)
+	r.change = make(chan struct{})
+}
+
 // noteHeard copies when the others were heard, or keeps an earlier copy that is new
 // enough.
 func (s *Status) noteHeard(old Status, n *quorum.Node, now time.Time) {
--- a/replica/saving.go
+++ b/replica/saving.go
@@ -51,19 +51,31 @@
 	}
 }
 
-// maybeSnapshot takes a snapshot when enough was applied since the last.
+// maybeSnapshot takes a snapshot when enough was applied since the last. The state is
+// encoded beside the group's work.
 func (r *Replica) maybeSnapshot() error {
-	applied := uint64(r.state.Applied())
+	if s := r.machine.Encoded(); s != nil {
+		r.encoding = false
+		return r.takeSnapshot(*s)
+	}
+	applied := r.machine.applied.Load()
 	due := applied >= r.snapAt+r.every || applied > r.snapAt && r.store.Size() > maxLogBytes
-	if !due || r.now().Before(r.snapBy) {
-		return nil
+	if due && !r.encoding && !r.now().Before(r.snapBy) {
+		r.encoding = true
+		r.machine.Add(work{encode: true})
 	}
-	data, err := r.state.Encode()
-	if err != nil {
-		return err
+	return nil
+}
+
+// takeSnapshot replaces the log by a snapshot of the state, unless a newer one came from
+// the leader meanwhile.
+func (r *Replica) takeSnapshot(s quorum.Snapshot) error {
+	if s.Index <= r.node.SnapshotIndex() {
+		return nil
 	}
-	s := r.node.Compact(quorum.Snapshot{Index: applied, Data: data})
-	err = r.store.Snapshot(s, r.node.After(applied))
+	size := len(s.Data)
+	s = r.node.Compact(s)
+	err := r.store.Snapshot(s, r.node.After(s.Index))
 	if errors.Is(err, disk.ErrFull) {
 		r.snapBy = r.now().Add(snapshotPause)
 		r.log.Error().Err(err).Time("again", r.snapBy).Msg("disk_full")
@@ -72,7 +84,7 @@
 	if err != nil {
 		return err
 	}
-	r.snapAt = applied
-	r.log.Info().Uint64("index", applied).Int("bytes", len(data)).Msg("snapshot_taken")
+	r.snapAt = s.Index
+	r.log.Info().Uint64("index", s.Index).Int("bytes", size).Msg("snapshot_taken")
 	return nil
 }
--- a/replica/silence_test.go
+++ b/replica/silence_test.go
@@ -141,7 +141,7 @@
 	}, poll.WithTimeout(joinLimit))
 	poll.WaitOn(g.t, func(poll.LogT) poll.Result {
 		for _, l := range running {
-			if held, _ := l.rep.document(); held < d.Version {
+			if held, _ := l.rep.machine.document(); held < d.Version {
 				return poll.Continue("%s holds version %d; want %d", l.self.Name, held, d.Version)
 			}
 		}
