--- a/scheduler/metrics.go
+++ b/scheduler/metrics.go
@@ -4,7 +4,7 @@
 
 // metrics are the scheduler's own.
 type metrics struct {
-	commit, plan          prometheus.Histogram
+	commit, plan, round   prometheus.Histogram
 	starts, copies, stops prometheus.Counter
 	lost, left            prometheus.Counter
 	suspected, givenUp    prometheus.Counter
@@ -25,6 +25,7 @@
 	return &metrics{
 		commit:    prometheus.NewHistogram(histogram("commit_seconds", "From a command's proposal until it is applied.")),
 		plan:      prometheus.NewHistogram(histogram("plan_seconds", "Time taken to make one plan.")),
+		round:     prometheus.NewHistogram(histogram("round_seconds", "Time taken by one round: losses, plan, commit, orders.")),
 		starts:    prometheus.NewCounter(counter("starts_total", "Runs started.")),
 		copies:    prometheus.NewCounter(counter("copies_total", "Of these, second runs beside a first.")),
 		stops:     prometheus.NewCounter(counter("stops_total", "Runs asked to stop.")),
@@ -46,7 +47,7 @@
 	sessions := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Namespace: "rudderfork", Subsystem: "queue", Name: "sessions", Help: "Fronts and agents connected here.",
 	}, s.sessionCount)
-	return []prometheus.Collector{sessions, m.commit, m.plan, m.starts, m.copies, m.stops, m.lost, m.left, m.suspected, m.givenUp, m.ends, m.gone, m.asks, m.answer, m.wait}
+	return []prometheus.Collector{sessions, m.commit, m.plan, m.round, m.starts, m.copies, m.stops, m.lost, m.left, m.suspected, m.givenUp, m.ends, m.gone, m.asks, m.answer, m.wait}
 }
 
 func (s *Scheduler) sessionCount() float64 {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -111,9 +111,11 @@
 		}
 		s.startTerm(term)
 	}
-	s.expire(ctx)
-	s.dispatch(ctx)
-	s.wakeSessions()
+	var t roundTimes
+	t.run(&t.expire, func() { s.expire(ctx) })
+	s.dispatch(ctx, &t)
+	t.run(&t.wake, s.wakeSessions)
+	s.noteRound(&t)
 }
 
 func (s *Scheduler) currentTerm() uint64 {
@@ -213,7 +215,7 @@
 }
 
 // dispatch makes a plan and carries it out.
-func (s *Scheduler) dispatch(ctx context.Context) {
+func (s *Scheduler) dispatch(ctx context.Context, t *roundTimes) {
 	began := steady.Now()
 	var plan dispatch.Plan
 	forecasts := 0
@@ -231,7 +233,8 @@
 			forecasts = s.fleet.forecasts()
 		}
 	})
-	s.met.plan.Observe(steady.Now().Sub(began).Seconds())
+	t.plan = steady.Now().Sub(began)
+	s.met.plan.Observe(t.plan.Seconds())
 	s.logAccount(plan.Account, forecasts)
 	s.logStops(plan.Stops)
 	s.askAdviser(plan.Asks)
@@ -242,7 +245,10 @@
 	for i, st := range plan.Starts {
 		c.Starts[i] = st.Start
 	}
-	res, err := s.do(ctx, c)
+	t.starts = len(plan.Starts)
+	var res queue.Result
+	var err error
+	t.run(&t.commit, func() { res, err = s.do(ctx, c) })
 	if err != nil {
 		s.log.Warn().Int("starts", len(c.Starts)).Err(err).Msg("starts_not_committed")
 		return
