Keep a Go processor beside the one that waits for the disk

Cause: on a machine with one core the Go runtime has one processor, and a goroutine in a system call keeps it until the runtime's monitor takes it away. A sync of 6 ms, many times a second, so held the whole control process: sessions, heartbeats of the group and the proposals that would have shared the sync. That the proposals came one by one behind it is by reading.

Ruled out: plans (1 to 10 ms). Not looked at: garbage collection.

Change: control processes take one processor more than they find.

--- a/control/control.go
+++ b/control/control.go
@@ -56,6 +56,7 @@
 // formatted under a new member ID, so that the process joins the group anew.
 func New(cfg Settings, log zerolog.Logger) (p *Process, err error) {
 	defer errs.Annotate(&err, "control %s", cfg.Name)
+	daemon.ReserveProcessor()
 	store, err := replica.OpenStore(cfg.Data, cfg.Name, cfg.Group, log)
 	if err != nil {
 		return nil, err
