Write to the disk beside the group's work

Cause: the replica's loop waited for each sync, so a leader neither took the acknowledgements of others nor sent heartbeats meanwhile, and a command came to wait for about four syncs: the one under way at the leader, its own, the one under way at the followers, their own, and the next one at the leader before the answers were read.

Change: a writer makes one write at a time durable in a goroutine; what comes during it shares the next. The node is fed on meanwhile, and sends what need not wait for the disk, but nothing of a term that is still on its way there. TestHeldDisk fails on the code before (no commit in 20 s) and passes. TestJoinTold does the writes by hand, with the same checks.

--- a/quorum/node.go
+++ b/quorum/node.go
@@ -289,6 +289,16 @@
 	return rd
 }
 
+// Early returns the messages that need not wait for the disk, and forgets them. There are
+// none while a new term is not yet handed out by Ready.
+func (n *Node) Early() (ms []Message) {
+	if n.hardDirty {
+		return nil
+	}
+	ms, n.out.Early = n.out.Early, nil
+	return ms
+}
+
 // Persisted notes that rd is durable.
 func (n *Node) Persisted(rd Ready, now time.Time) {
 	if k := len(rd.Entries); k > 0 {
@@ -304,21 +314,28 @@
 	}
 }
 
-// Committed returns entries that are newly committed, and counts them applied.
+// Committed returns entries that are newly committed and durable here, and counts them
+// applied.
 func (n *Node) Committed() []Entry {
-	if n.applied >= n.commit {
+	upTo := min(n.commit, n.stable)
+	if n.applied >= upTo {
 		return nil
 	}
 	es := n.log.slice(n.applied+1, int(^uint(0)>>1))
-	if k := n.commit - n.applied; uint64(len(es)) > k {
+	if k := upTo - n.applied; uint64(len(es)) > k {
 		es = es[:k]
 	}
-	n.applied = n.commit
+	n.applied = upTo
 	return es
 }
 
-// After returns the entries after index.
-func (n *Node) After(index uint64) []Entry { return n.log.slice(index+1, int(^uint(0)>>1)) }
+// After returns the entries after index that are durable here.
+func (n *Node) After(index uint64) []Entry {
+	if index >= n.stable {
+		return nil
+	}
+	return n.log.slice(index+1, int(^uint(0)>>1))[:n.stable-index]
+}
 
 // Compact replaces the log up to s.Index, which must be applied, by s. It
 // returns the snapshot with its membership, for the disk.
--- a/quorum/quorum.go
+++ b/quorum/quorum.go
@@ -12,6 +12,9 @@
 //	n.Persisted(rd, now)      // lets the leader count its own copy
 //	apply(n.Committed())
 //
+// The node may be fed on while a save is under way; n.Early() then returns what need not
+// wait for it. The next Ready is taken once the one before is Persisted.
+//
 // Beyond the basic algorithm it has: pre-vote with leader stickiness, so a
 // replica that was cut off does not disturb the rest; step-down of a leader
 // that a quorum no longer answers; snapshots; non-voting replicas; and changes
--- a/replica/full_test.go
+++ b/replica/full_test.go
@@ -52,8 +52,8 @@
 // answers who asks for its status, and goes on once there is room.
 func TestFullDisk(t *testing.T) {
 	r := newReplica(t)
-	store := &fullStore{Store: r.store}
-	r.store = store
+	store := &fullStore{Store: r.writer.store}
+	r.writer.store = store
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- r.Serve(ctx) }()
@@ -78,9 +78,9 @@
 // TestFullDiskWhileStopping holds that a replica that is told to stop does not wait for room.
 func TestFullDiskWhileStopping(t *testing.T) {
 	r := newReplica(t)
-	store := &fullStore{Store: r.store}
+	store := &fullStore{Store: r.writer.store}
 	store.full.Store(true)
-	r.store = store
+	r.writer.store = store
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- r.Serve(ctx) }()
@@ -92,8 +92,8 @@
 // TestFullDiskAtSnapshot holds that a snapshot without room costs no command.
 func TestFullDiskAtSnapshot(t *testing.T) {
 	r := newReplica(t)
-	store := &logOnly{Store: r.store}
-	r.store, r.every = store, 3
+	store := &logOnly{Store: r.writer.store}
+	r.writer.store, r.every = store, 3
 	serve(t, r)
 	for v := range uint64(10) {
 		await(t, "a command is taken", func() bool { return put(t.Context(), r, v+1) == nil })
--- a/replica/held_test.go
+++ b/replica/held_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/poll"
 
 	"rudderfork.example/rudderfork/queue"
+	"rudderfork.example/rudderfork/quorum"
 	"rudderfork.example/rudderfork/state"
 )
 
@@ -26,7 +27,26 @@
 		<-released
 	})
 	<-held
+	assertGoesOn(t, g, lead, release)
+}
+
+// TestHeldDisk holds a sync of the leader up: the others' disks are enough, and the leader
+// answers once its own is done. (The leader neither read nor sent anything during a sync.)
+func TestHeldDisk(t *testing.T) {
+	g := startProxied(t, 3, 0)
+	g.assertCommits(g.reps...)
+	lead := g.leader()
+	released := make(chan struct{})
+	release := sync.OnceFunc(func() { close(released) })
+	defer release()
+	g.reps[lead].gate.hold(released)
+	assertGoesOn(t, g, lead, release)
+}
 
+// assertGoesOn asserts that commands given to the leader are committed by the group while
+// something holds the leader up, and answered once that is released.
+func assertGoesOn(t *testing.T, g *proxied, lead int, release func()) {
+	t.Helper()
 	const commands = 3
 	results := make(chan error, commands)
 	for i := range commands {
@@ -47,6 +67,30 @@
 	}
 }
 
+// gatedStore is a store whose saves can be held up.
+type gatedStore struct {
+	Store
+	mu   sync.Mutex
+	gate <-chan struct{} // saves wait until it is closed; nil for none
+}
+
+func (s *gatedStore) hold(until <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gate = until
+}
+
+// Save implements Store.
+func (s *gatedStore) Save(rd quorum.Ready) error {
+	s.mu.Lock()
+	gate := s.gate
+	s.mu.Unlock()
+	if gate != nil {
+		<-gate
+	}
+	return s.Store.Save(rd)
+}
+
 // waitCommit waits until a replica knows that an index is committed.
 func waitCommit(t *testing.T, l *linked, index uint64) {
 	t.Helper()
--- a/replica/peers_test.go
+++ b/replica/peers_test.go
@@ -29,6 +29,7 @@
 	rep   *Replica
 	peers *Peers
 	self  quorum.Member
+	gate  *gatedStore // of its saves
 	stop  context.CancelFunc
 }
 
@@ -60,14 +61,15 @@
 	assert.NilError(t, disk.Format(dir, id))
 	store, err := disk.Open(dir)
 	assert.NilError(t, err)
+	gate := &gatedStore{Store: store}
 	self.Voter = false
 	peers := NewPeers(self, told, dial, electionTimeout, zerolog.Nop())
 	rep, err := New(Config{
 		ElectionTimeout: electionTimeout, Heartbeat: 20 * time.Millisecond, SnapshotEvery: 1000, Seed: Seed(self.Name), Voters: 3,
 		Domain: self.Domain,
-	}, store, peers, zerolog.Nop(), nobody{}, steady.Now)
+	}, gate, peers, zerolog.Nop(), nobody{}, steady.Now)
 	assert.NilError(t, err)
-	l := &linked{rep: rep, peers: peers, self: self}
+	l := &linked{rep: rep, peers: peers, self: self, gate: gate}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /peer", peers.Accept(rep))
 	srv := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -16,7 +16,6 @@
 	"github.com/thejerf/suture/v4"
 
 	"rudderfork.example/rudderfork"
-	"rudderfork.example/rudderfork/internal/crash"
 	"rudderfork.example/rudderfork/internal/errs"
 	"rudderfork.example/rudderfork/quorum"
 	"rudderfork.example/rudderfork/state"
@@ -57,7 +56,6 @@
 	rec   rudderfork.Recorder
 	now   func() time.Time
 	send  Sender
-	store Store
 	every uint64 // applied entries between snapshots
 	size  int    // voters that the group is to have
 
@@ -70,12 +68,15 @@
 	callers   chan quorum.Member
 
 	machine *machine
+	writer  *writer
 
 	// Owned by Serve.
 	node     *quorum.Node
 	waiting  map[uint64]proposal // by index
 	pending  []read              // that a quorum has not confirmed
 	ready    []read              // that wait until what they cover is applied
+	writing  *write              // that has not ended
+	logBytes int64
 	snapAt   uint64
 	snapBy   time.Time // no snapshot before, since the disk was full
 	encoding bool      // a snapshot was asked for
@@ -161,13 +162,13 @@
 	report := newReporter(log, send, cfg.Voters, node, now())
 	report.Opened(node)
 	r = &Replica{
-		log: log, rec: rec, now: now, send: send, store: store, every: cfg.SnapshotEvery, size: cfg.Voters,
+		log: log, rec: rec, now: now, send: send, every: cfg.SnapshotEvery, size: cfg.Voters,
 		msgs: make(chan quorum.Message, maxDrain), proposals: make(chan proposal, maxDrain),
 		reads: make(chan read, maxDrain), joins: make(chan quorum.Member, 1),
 		resigns: make(chan struct{}, 1), suspects: make(chan quorum.MemberID, maxSuspects),
 		callers: make(chan quorum.Member, maxCallers),
 		node:    node, waiting: map[uint64]proposal{}, snapAt: snap.Index, used: snap.Index > 0, report: report,
-		change: make(chan struct{}),
+		change: make(chan struct{}), writer: newWriter(store, log), logBytes: store.Size(),
 	}
 	r.machine = newMachine(st, r.wake)
 	r.publish()
@@ -180,11 +181,13 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	ctx, cancel := context.WithCancel(ctx)
-	var applying sync.WaitGroup
-	defer applying.Wait()
+	var beside sync.WaitGroup
+	defer beside.Wait()
 	defer cancel()
-	applying.Go(func() { r.machine.Run(ctx) })
+	beside.Go(func() { r.machine.Run(ctx) })
+	beside.Go(func() { r.writer.Run(ctx) })
 	for {
+		var failed error
 		timer.Reset(max(0, earlier(r.node.NextDeadline(), r.report.NextDeadline()).Sub(r.now())))
 		select {
 		case <-ctx.Done():
@@ -204,12 +207,14 @@
 		case m := <-r.callers:
 			r.node.SetDomain(m.Name, m.Domain)
 		case <-r.machine.progress:
+		case w := <-r.writer.done:
+			failed = r.noteWritten(w)
 		case <-timer.C:
 			r.node.Tick(r.now())
 			r.repair()
 		}
 		r.drain()
-		if err := r.settle(ctx); err != nil {
+		if err := errors.Join(failed, r.settle()); err != nil {
 			if ctx.Err() != nil {
 				return ctx.Err()
 			}
@@ -271,37 +276,56 @@
 	}
 }
 
-// settle does the work that the node asks for until there is none.
-func (r *Replica) settle(ctx context.Context) error {
-	for {
+// settle does the work that the node asks for, as far as it does not wait for the disk.
+func (r *Replica) settle() error {
+	r.maybeSnapshot()
+	for r.writing == nil {
 		rd := r.node.Ready()
-		committed := r.node.Committed()
-		if rd.Empty() && len(committed) == 0 {
+		if rd.Empty() {
 			break
 		}
 		r.sendAll(rd.Early)
 		if rd.Durable() {
-			crash.Point(crash.ControlSave)
-		}
-		if err := r.save(ctx, rd); err != nil {
-			return err
-		}
-		if len(rd.Entries) > 0 {
-			crash.Point(crash.ControlSaved)
-		}
-		if rd.Snapshot != nil {
-			r.install(*rd.Snapshot)
+			r.write(write{ready: rd})
+			break
 		}
-		r.sendAll(rd.Messages)
-		r.node.Persisted(rd, r.now())
-		r.apply(committed)
+		r.settled(rd)
+	}
+	if r.writing != nil && r.writing.ready.HardState == nil {
+		// A term that is on its way to the disk is told to nobody.
+		r.sendAll(r.node.Early())
 	}
+	r.apply(r.node.Committed())
 	r.finishReads()
 	r.publish()
-	if err := r.machine.Err(); err != nil {
-		return err
+	return r.machine.Err()
+}
+
+// write hands on what is to be durable; no other write is under way.
+func (r *Replica) write(w write) {
+	r.writing = &w
+	r.writer.writes <- w
+}
+
+// noteWritten draws the conclusions of a write that has ended.
+func (r *Replica) noteWritten(w written) error {
+	r.writing, r.logBytes = nil, w.size
+	if w.snap != nil {
+		return r.noteSnapshot(*w.snap, w.err)
+	}
+	if w.err == nil {
+		r.settled(w.ready)
+	}
+	return w.err
+}
+
+// settled goes on with what is durable.
+func (r *Replica) settled(rd quorum.Ready) {
+	if rd.Snapshot != nil {
+		r.install(*rd.Snapshot)
 	}
-	return r.maybeSnapshot()
+	r.sendAll(rd.Messages)
+	r.node.Persisted(rd, r.now())
 }
 
 func (r *Replica) sendAll(ms []quorum.Message) {
@@ -383,7 +407,7 @@
 	r.report.Observe(n, now)
 	st := Status{
 		ID: n.ID(), Role: n.Role().String(), Term: n.Term(), Commit: n.Commit(), Last: n.Last(),
-		Snapshot: n.SnapshotIndex(), LogBytes: r.store.Size(), Settled: n.Settled() && r.opened(), Members: n.Members(),
+		Snapshot: n.SnapshotIndex(), LogBytes: r.logBytes, Settled: n.Settled() && r.opened(), Members: n.Members(),
 		ContactNS: n.QuorumContact(now).UnixNano(), Campaigns: n.Campaigns(), Leaderless: r.report.Leaderless(),
 	}
 	st.Leader, _ = n.Member(n.Leader())
--- a/replica/report_test.go
+++ b/replica/report_test.go
@@ -225,7 +225,7 @@
 		r.join(other("c2#x"))
 		assertOne(t, linesOf(t, &out, "join_deferred"), map[string]any{"reason": joinUnsettled})
 	})
-	assert.NilError(t, r.settle(t.Context()))
+	settleAll(t, r)
 	t.Run("a leader", func(t *testing.T) {
 		out.Reset()
 		r.join(other("c2#x"))
@@ -235,10 +235,22 @@
 		r.join(other("c3#x"))
 		assertOne(t, linesOf(t, &out, "join_deferred"), map[string]any{"reason": joinChanging})
 	})
-	assert.NilError(t, r.settle(t.Context()))
+	settleAll(t, r)
 	t.Run("a member", func(t *testing.T) {
 		out.Reset()
 		r.join(other("c2#x"))
 		assertOne(t, linesOf(t, &out, "join_refused"), map[string]any{"reason": joinMember})
 	})
 }
+
+// settleAll does the work of a replica that is not served, and its writes, until there is
+// none.
+func settleAll(t *testing.T, r *Replica) {
+	t.Helper()
+	assert.NilError(t, r.settle())
+	for r.writing != nil {
+		wr := <-r.writer.writes
+		assert.NilError(t, r.noteWritten(written{wr, 0, r.writer.do(t.Context(), wr)}))
+		assert.NilError(t, r.settle())
+	}
+}
