Let rounds rest, and keep VMs in order

Load: a large fleet in a burst, hundreds of commits a second, each of which asked for a round that costs something for every VM.

Change: a round is followed by a rest as long as its own work, 0.1 s at most, so that rounds take half of the processor at most at any size; VMs are kept in order; leases are looked at every 0.1 s, as often as without any change.

--- a/queue/apply.go
+++ b/queue/apply.go
@@ -340,7 +340,7 @@
 		}
 	}
 	v.Live = true
-	s.vms[v.ID] = &v
+	s.setVM(&v)
 	return res
 }
 
--- a/queue/image.go
+++ b/queue/image.go
@@ -41,7 +41,7 @@
 		s.evacuations[e.Domain] = e
 	}
 	for _, v := range im.VMs {
-		s.vms[v.ID] = v
+		s.setVM(v)
 	}
 	for _, j := range im.Jobs {
 		s.jobs[j.ID] = j
--- a/queue/state.go
+++ b/queue/state.go
@@ -1,7 +1,7 @@
 package queue
 
 import (
-	"maps"
+	"cmp"
 	"slices"
 
 	"rudderfork.example/rudderfork"
@@ -16,6 +16,7 @@
 	ended []rudderfork.JobID // oldest first
 	live  map[rudderfork.JobID]*Job
 	vms   map[rudderfork.VMID]*VM
+	order []*VM   // all of vms, by their names
 	waves []*Wave // oldest first
 	clock Clock
 	base  BaseRate
@@ -47,13 +48,19 @@
 // VM returns a VM, or nil.
 func (s *State) VM(id rudderfork.VMID) *VM { return s.vms[id] }
 
-// VMs returns all VMs in the order of their names.
-func (s *State) VMs() []*VM {
-	vs := make([]*VM, 0, len(s.vms))
-	for _, id := range slices.Sorted(maps.Keys(s.vms)) {
-		vs = append(vs, s.vms[id])
+// VMs returns all VMs in the order of their names. The list must not be changed, nor kept
+// over the next command.
+func (s *State) VMs() []*VM { return s.order }
+
+// setVM adds a VM or replaces it.
+func (s *State) setVM(vm *VM) {
+	i, there := slices.BinarySearchFunc(s.order, vm.ID, func(v *VM, id rudderfork.VMID) int { return cmp.Compare(v.ID, id) })
+	if there {
+		s.order[i] = vm
+	} else {
+		s.order = slices.Insert(s.order, i, vm)
 	}
-	return vs
+	s.vms[vm.ID] = vm
 }
 
 // Row returns the present row of a job's queue: the document's, or the one the
--- /dev/null
+++ b/queue/vms_test.go
@@ -0,0 +1,29 @@
+package queue
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"rudderfork.example/rudderfork"
+)
+
+// TestVMs holds that VMs are listed by their names, each as it last described itself, in
+// whatever order they come, and after a snapshot too.
+func TestVMs(t *testing.T) {
+	s := New()
+	for i, id := range []rudderfork.VMID{"c", "a", "b", "a", "c"} {
+		s.Apply(Command{Register: &VM{ID: id, Life: string(id) + string(rune('0'+i))}}, 1)
+	}
+	lives := func(s *State) (list []string) {
+		for _, vm := range s.VMs() {
+			assert.Equal(t, s.VM(vm.ID), vm)
+			list = append(list, vm.Life)
+		}
+		return list
+	}
+	want := []string{"a3", "b2", "c4"}
+	assert.DeepEqual(t, lives(s), want)
+	restored := Restore(s.Image())
+	assert.DeepEqual(t, lives(restored), want)
+}
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -52,6 +52,7 @@
 	regroupAt time.Time
 	moved     dispatch.Move
 	accountAt time.Time // when the fleet is summed up next
+	expireAt  time.Time // when leases are looked at next
 	short     dispatch.ShortDemand
 	worktimes *worktime.Model
 	swings    *swing.Model
--- a/scheduler/round.go
+++ b/scheduler/round.go
@@ -23,7 +23,15 @@
 	*part = steady.Now().Sub(began)
 }
 
-func (t *roundTimes) sum() time.Duration { return t.expire + t.plan + t.commit + t.wake }
+func (t roundTimes) sum() time.Duration { return t.work() + t.commit }
+
+// work is how long the round held the processor.
+func (t roundTimes) work() time.Duration { return t.expire + t.plan + t.wake }
+
+// rest is how long the next round waits, whatever changes: rounds take half of the
+// processor at most. A large fleet in a burst has hundreds of changes a second, and each
+// round costs something for every VM; what comes during a rest shares one round.
+func (t roundTimes) rest() time.Duration { return min(t.work(), roundPause) }
 
 // noteRound logs a round that has held others up.
 func (s *Scheduler) noteRound(t *roundTimes) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -84,7 +84,7 @@
 	for ctx.Err() == nil {
 		changed := s.rep.Changed()
 		if s.rep.Leads() {
-			s.round(ctx)
+			steady.Pause(ctx, s.round(ctx).rest())
 		} else {
 			s.endTerm()
 		}
@@ -102,20 +102,20 @@
 }
 
 // round does the leader's duties once.
-func (s *Scheduler) round(ctx context.Context) {
+func (s *Scheduler) round(ctx context.Context) (t roundTimes) {
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
 	if term := s.rep.Status().Term; term != s.currentTerm() {
 		if s.rep.Barrier(ctx) != nil {
-			return // leadership was lost again
+			return t // leadership was lost again
 		}
 		s.startTerm(term)
 	}
-	var t roundTimes
 	t.run(&t.expire, func() { s.expire(ctx) })
 	s.dispatch(ctx, &t)
 	t.run(&t.wake, s.wakeSessions)
 	s.noteRound(&t)
+	return t
 }
 
 func (s *Scheduler) currentTerm() uint64 {
@@ -128,8 +128,12 @@
 // an earlier leader granted until now.
 func (s *Scheduler) startTerm(term uint64) {
 	now := steady.Now()
-	var vms []*queue.VM
-	s.rep.View(func(st *state.State) { vms = st.Queues().VMs() })
+	var vms []rudderfork.VMID
+	s.rep.View(func(st *state.State) {
+		for _, vm := range st.Queues().VMs() {
+			vms = append(vms, vm.ID)
+		}
+	})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closeSessions()
@@ -137,7 +141,7 @@
 	s.fleet = newFleet()
 	s.fleet.moved.At = rudderfork.Millis(now) // the leader before may have just moved a task
 	for _, vm := range vms {
-		s.fleet.vm(vm.ID).lease.Assume(now.Add(s.cfg.Lease))
+		s.fleet.vm(vm).lease.Assume(now.Add(s.cfg.Lease))
 	}
 	s.log.Info().Uint64("term", term).Int("vms", len(vms)).Msg("queues_leading")
 }
@@ -203,6 +207,9 @@
 	s.rep.View(func(st *state.State) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
+		if !due(&s.fleet.expireAt, roundPause, now) {
+			return
+		}
 		for _, vm := range st.Queues().VMs() {
 			v := s.fleet.vm(vm.ID)
 			if !vm.Live || !v.lease.Expire(now, s.cfg.Lease) {
