Have a node wait for word of a leader

Load: a fleet that has lost its leader. Each node asks all control processes in turn, and one that knows no leader answered so at once, to be asked again after 50 ms: by reading, some ten connections a node while a leader is elected, in which the election takes part.

Change: a process that knows no leader holds a hello until it does, 0.4 s at most, and then names it or takes the session in. TestHelloWaitsForLeader fails on the code before (it names nobody). What it gains at size is not measured yet.

--- a/replica/calls.go
+++ b/replica/calls.go
@@ -76,7 +76,7 @@
 // Leads reports whether the replica was a settled leader.
 func (s Status) Leads() bool { return s.Settled && s.Role == quorum.Leader.String() }
 
-// Changed returns a channel that closes at the next change of state or role.
+// Changed returns a channel that closes at the next change of state, role or leader.
 func (r *Replica) Changed() <-chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -422,7 +422,7 @@
 		r.log.Info().Str("role", st.Role).Uint64("term", st.Term).Msg("role_changed")
 		r.rec.Record(rudderfork.Event{Kind: "role", Subject: string(st.ID), Text: fmt.Sprintf("%s in term %d", st.Role, st.Term)})
 	}
-	if old.Role != st.Role || old.Term != st.Term || old.Settled != st.Settled {
+	if old.Role != st.Role || old.Term != st.Term || old.Settled != st.Settled || old.Leader.ID != st.Leader.ID {
 		r.signalChange()
 	}
 }
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -512,3 +512,31 @@
 	assert.Assert(t, m.Welcome == nil, "welcomed in term %d", term)
 	assert.DeepEqual(t, m.Redirect.Members, []string{self.Addr, peer.Addr})
 }
+
+// TestHelloWaitsForLeader says hello to a process while a leader is elected: its first
+// answer names the leader, once there is one. (It answered that it knew none, and was asked
+// again 20 times a second by every node.)
+func TestHelloWaitsForLeader(t *testing.T) {
+	peer := quorum.Member{ID: "d#1", Name: "d", Addr: "d.example:1", Voter: true}
+	hello := func(t *testing.T, elect bool) *wire.QueueRedirect {
+		t.Helper()
+		s := &site{t: t, ctx: t.Context()}
+		rep := newReplica(t, self, peer)
+		s.serve(rep)
+		addr := listen(t, New(Settings{Lease: lease, KeepStatus: time.Minute}, rep, nil, zerolog.Nop(), alone{}))
+		c, err := wire.Dial[wire.FromNode, wire.ToQueueNode](s.ctx, "ws://"+addr+"/queues", wire.QueueSession)
+		assert.NilError(t, err)
+		defer c.Close()
+		assert.NilError(t, c.Send(s.ctx, wire.FromNode{Hello: &wire.QueueHello{Version: wire.Version, Process: "front"}}))
+		if elect {
+			steady.Pause(s.ctx, leaderWait/4)
+			rep.Step(s.ctx, quorum.Message{Type: quorum.MsgAppend, From: peer.ID, To: self.ID, Term: 100})
+		}
+		m, err := c.ReceiveWithin(s.ctx, waitLimit)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, m.Redirect.Members, []string{self.Addr, peer.Addr})
+		return m.Redirect
+	}
+	t.Run("one is elected", func(t *testing.T) { assert.Equal(t, hello(t, true).Leader, peer.Addr) })
+	t.Run("none is", func(t *testing.T) { assert.Equal(t, hello(t, false).Leader, "") })
+}
--- a/scheduler/session.go
+++ b/scheduler/session.go
@@ -21,6 +21,9 @@
 	// silenceLimit ends a session that sent nothing for so long; nodes send a
 	// heartbeat twice a second.
 	silenceLimit = 3 * time.Second
+	// leaderWait bounds how long a node waits for word of a leader: less than it waits
+	// for a process that does not answer.
+	leaderWait = 400 * time.Millisecond
 )
 
 var errNotLeading = errors.New("another control process leads")
@@ -69,7 +72,7 @@
 		woken: wakeup.New(), sent: map[rudderfork.RunRef]bool{}, stops: map[rudderfork.RunRef]bool{},
 		told: map[interference.Pair]float64{},
 	}
-	if !s.open(ses) {
+	if !s.openOrRedirect(ctx, ses) {
 		_ = c.Send(ctx, wire.ToQueueNode{Redirect: s.redirect()}) // the node asks another if it is lost
 		return
 	}
@@ -106,6 +109,31 @@
 	return true
 }
 
+// openOrRedirect takes a session in, or waits until this process knows who else leads. A
+// fleet that has lost its leader asks all processes at once, and would ask again and again
+// while one is elected.
+func (s *Scheduler) openOrRedirect(ctx context.Context, ses *session) (opened bool) {
+	limit := time.NewTimer(leaderWait)
+	defer limit.Stop()
+	for {
+		changed := s.rep.Changed()
+		if s.open(ses) {
+			return true
+		}
+		if st := s.rep.Status(); st.Leader.ID != "" && st.Leader.ID != st.ID {
+			return false
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-limit.C:
+			return false
+		case <-changed:
+		case <-time.After(roundPause):
+		}
+	}
+}
+
 // leads reports whether this process still leads in a term. Its duties may be
 // waiting for a commit that will not come, so they are not asked.
 func (s *Scheduler) leads(term uint64) bool {
