Play a leader with a fleet: bench -only fleet

The product's replicas, scheduler, sessions and fronts on loopback in one process, with modelled agents that send heartbeats and run tasks: a load a VM, a time for each sync, and the loss of the leader in the middle. It prints, and with -csv writes, what jobs and steps wait for and how the next leader takes over.

Not built: a plot, the loss of VMs, 3,900 VMs.

--- a/bench/sections.go
+++ b/bench/sections.go
@@ -9,8 +9,8 @@
 }
 
 // Sections returns the parts in the order in which they are printed. Those that
-// run real processes find them in bin.
-func Sections(bin string) []Section {
+// run real processes find them in bin. csvFile takes the figures of the fleet; "" for none.
+func Sections(bin, csvFile string) []Section {
 	pure := func(f func(w io.Writer)) func(io.Writer) error {
 		return func(w io.Writer) error { f(w); return nil }
 	}
@@ -23,6 +23,7 @@
 		{"colocation", pure(Colocation)},
 		{"scale", pure(Scale)},
 		{"crashes", pure(Crashes)},
+		{"fleet", Fleet(csvFile)},
 		{"recovery", Recovery},
 		{"commits", live(Commits)},
 		{"sessions", live(Sessions)},
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -13,10 +13,11 @@
 func main() {
 	bin := flag.String("bin", "bin", "folder with the programs")
 	only := flag.String("only", "", "sections to run, separated by commas; all by default")
+	csvFile := flag.String("csv", "", "file for the figures of the section fleet; none by default")
 	flag.Parse()
 	want := strings.Split(*only, ",")
 	failed := false
-	for _, s := range bench.Sections(*bin) {
+	for _, s := range bench.Sections(*bin, *csvFile) {
 		if *only != "" && !contains(want, s.Name) {
 			continue
 		}
