Let a leader whose disk stands still go on

Found by reading the writer beside its rules: a leader that no longer waits for its disk also no longer falls silent, so it stayed leader through a stalled sync and answered nobody, since it applied what is durable here only. TestHeldDisk now holds that the commands are answered while the leader's syncs are held (it held only that they are committed before).

--- a/quorum/node.go
+++ b/quorum/node.go
@@ -314,10 +314,14 @@
 	}
 }
 
-// Committed returns entries that are newly committed and durable here, and counts them
-// applied.
+// Committed returns entries that are newly committed, and counts them applied. A leader
+// applies what others hold durably while its own disk stands still; elsewhere entries are
+// durable here too, so that they follow a snapshot that is still being written.
 func (n *Node) Committed() []Entry {
-	upTo := min(n.commit, n.stable)
+	upTo := n.commit
+	if n.role != Leader {
+		upTo = min(upTo, n.stable)
+	}
 	if n.applied >= upTo {
 		return nil
 	}
@@ -329,6 +333,9 @@
 	return es
 }
 
+// Stable returns the highest index known durable here.
+func (n *Node) Stable() uint64 { return n.stable }
+
 // After returns the entries after index that are durable here.
 func (n *Node) After(index uint64) []Entry {
 	if index >= n.stable {
--- a/replica/held_test.go
+++ b/replica/held_test.go
@@ -27,25 +27,33 @@
 		<-released
 	})
 	<-held
-	assertGoesOn(t, g, lead, release)
+	results := assertGoesOn(t, g, lead)
+	assert.Equal(t, len(results), 0, "answered before they were applied")
+	release()
+	for range cap(results) {
+		assert.NilError(t, <-results)
+	}
 }
 
-// TestHeldDisk holds a sync of the leader up: the others' disks are enough, and the leader
-// answers once its own is done. (The leader neither read nor sent anything during a sync.)
+// TestHeldDisk holds the syncs of the leader up: the others' disks are enough, for the
+// group and for who waits for an answer. (The leader neither read nor sent anything during
+// a sync.)
 func TestHeldDisk(t *testing.T) {
 	g := startProxied(t, 3, 0)
 	g.assertCommits(g.reps...)
 	lead := g.leader()
 	released := make(chan struct{})
-	release := sync.OnceFunc(func() { close(released) })
-	defer release()
+	defer close(released)
 	g.reps[lead].gate.hold(released)
-	assertGoesOn(t, g, lead, release)
+	results := assertGoesOn(t, g, lead)
+	for range cap(results) {
+		assert.NilError(t, <-results)
+	}
 }
 
 // assertGoesOn asserts that commands given to the leader are committed by the group while
-// something holds the leader up, and answered once that is released.
-func assertGoesOn(t *testing.T, g *proxied, lead int, release func()) {
+// something holds the leader up, and returns their results as they come.
+func assertGoesOn(t *testing.T, g *proxied, lead int) <-chan error {
 	t.Helper()
 	const commands = 3
 	results := make(chan error, commands)
@@ -60,11 +68,7 @@
 			waitCommit(t, l, before+1)
 		}
 	}
-	assert.Equal(t, len(results), 0, "answered before they were applied")
-	release()
-	for range commands {
-		assert.NilError(t, <-results)
-	}
+	return results
 }
 
 // gatedStore is a store whose saves can be held up.
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -78,8 +78,9 @@
 	writing  *write              // that has not ended
 	logBytes int64
 	snapAt   uint64
-	snapBy   time.Time // no snapshot before, since the disk was full
-	encoding bool      // a snapshot was asked for
+	snapBy   time.Time        // no snapshot before, since the disk was full
+	encoding bool             // a snapshot was asked for
+	encoded  *quorum.Snapshot // that is to be written
 	short    shortage
 	opening  opening
 	used     bool // a command was committed, in this life or before
--- a/replica/saving.go
+++ b/replica/saving.go
@@ -10,12 +10,11 @@
 // maybeSnapshot takes a snapshot when enough was applied since the last. The state is
 // encoded and written beside the group's work.
 func (r *Replica) maybeSnapshot() {
-	if r.writing != nil {
-		return
-	}
 	if s := r.machine.Encoded(); s != nil {
-		r.encoding = false
-		r.takeSnapshot(*s)
+		r.encoding, r.encoded = false, s
+	}
+	if r.encoded != nil {
+		r.takeSnapshot(*r.encoded)
 		return
 	}
 	applied := r.machine.applied.Load()
@@ -26,12 +25,17 @@
 	}
 }
 
-// takeSnapshot replaces the log by a snapshot of the state, unless a newer one came from
-// the leader meanwhile.
+// takeSnapshot replaces the log by a snapshot of the state once all that it covers is
+// durable here, unless a newer one came from the leader meanwhile.
 func (r *Replica) takeSnapshot(s quorum.Snapshot) {
 	if s.Index <= r.node.SnapshotIndex() {
+		r.encoded = nil
+		return
+	}
+	if r.writing != nil || s.Index > r.node.Stable() {
 		return
 	}
+	r.encoded = nil
 	s = r.node.Compact(s)
 	r.write(write{snap: &s, after: r.node.After(s.Index)})
 }
