--- a/replica/replica.go
+++ b/replica/replica.go
@@ -79,7 +79,7 @@
 	logBytes int64
 	snapAt   uint64
 	snapBy   time.Time        // no snapshot before, since the disk was full
-	encoding bool             // a snapshot was asked for
+	snapping bool             // a snapshot is being encoded or written
 	encoded  *quorum.Snapshot // that is to be written
 	short    shortage
 	opening  opening
--- a/replica/saving.go
+++ b/replica/saving.go
@@ -11,7 +11,7 @@
 // encoded and written beside the group's work.
 func (r *Replica) maybeSnapshot() {
 	if s := r.machine.Encoded(); s != nil {
-		r.encoding, r.encoded = false, s
+		r.encoded = s
 	}
 	if r.encoded != nil {
 		r.takeSnapshot(*r.encoded)
@@ -19,8 +19,8 @@
 	}
 	applied := r.machine.applied.Load()
 	due := applied >= r.snapAt+r.every || applied > r.snapAt && r.logBytes > maxLogBytes
-	if due && !r.encoding && !r.now().Before(r.snapBy) {
-		r.encoding = true
+	if due && !r.snapping && !r.now().Before(r.snapBy) {
+		r.snapping = true
 		r.machine.Add(work{encode: true})
 	}
 }
@@ -29,7 +29,7 @@
 // durable here, unless a newer one came from the leader meanwhile.
 func (r *Replica) takeSnapshot(s quorum.Snapshot) {
 	if s.Index <= r.node.SnapshotIndex() {
-		r.encoded = nil
+		r.encoded, r.snapping = nil, false
 		return
 	}
 	if r.writing != nil || s.Index > r.node.Stable() {
@@ -43,6 +43,7 @@
 // noteSnapshot notes how writing a snapshot has ended. Without room the log goes on in
 // its file.
 func (r *Replica) noteSnapshot(s quorum.Snapshot, err error) error {
+	r.snapping = false
 	switch {
 	case errors.Is(err, disk.ErrFull):
 		r.snapBy = r.now().Add(snapshotPause)
