Log stalls without figures that the runtime does not renew

The processor times of runtime/metrics change only when a collection ends: all stalls seen had zeros there. A line now has the collections since the stall before and the heap, read only then; TestObserve.

--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -26,17 +26,16 @@
 
 // Names of runtime/metrics.
 const (
-	collecting = "/cpu/classes/gc/total:cpu-seconds"
-	working    = "/cpu/classes/user:cpu-seconds"
-	idling     = "/cpu/classes/idle:cpu-seconds"
-	cycles     = "/gc/cycles/total:gc-cycles"
-	heap       = "/memory/classes/heap/objects:bytes"
+	cyclesName = "/gc/cycles/total:gc-cycles"
+	heapName   = "/memory/classes/heap/objects:bytes"
 )
 
 // Watch is a service that looks at the clock again and again.
 type Watch struct {
 	log   zerolog.Logger
 	delay prometheus.Histogram
+	// cycles is how many garbage collections had ended at the stall before.
+	cycles uint64
 }
 
 // New returns a watch.
@@ -55,32 +54,23 @@
 
 // Serve implements suture.Service.
 func (w *Watch) Serve(ctx context.Context) error {
-	before := usage()
 	for ctx.Err() == nil {
-		began := steady.Now()
+		due := steady.Now().Add(tick)
 		steady.Pause(ctx, tick)
-		late := steady.Now().Sub(began) - tick
-		now := usage()
-		w.delay.Observe(max(0, late.Seconds()))
-		if late >= logFrom {
-			w.log.Warn().Dur("late", late).Dur("collecting", now.collecting-before.collecting).
-				Dur("working", now.working-before.working).Dur("idle", now.idle-before.idle).
-				Uint64("cycles", now.cycles-before.cycles).Uint64("heap_mb", now.heap>>20).Msg("process_stalled")
-		}
-		before = now
+		w.observe(steady.Now().Sub(due))
 	}
 	return ctx.Err()
 }
 
-// spent is what a process has used since its start, as its runtime accounts for it.
-type spent struct {
-	collecting, working, idle time.Duration
-	cycles, heap              uint64
-}
-
-func usage() spent {
-	s := []metrics.Sample{{Name: collecting}, {Name: working}, {Name: idling}, {Name: cycles}, {Name: heap}}
-	metrics.Read(s)
-	seconds := func(i int) time.Duration { return time.Duration(s[i].Value.Float64() * float64(time.Second)) }
-	return spent{seconds(0), seconds(1), seconds(2), s[3].Value.Uint64(), s[4].Value.Uint64()}
+// observe notes how late a timer was served.
+func (w *Watch) observe(late time.Duration) {
+	w.delay.Observe(max(0, late.Seconds()))
+	if late < logFrom {
+		return
+	}
+	now := []metrics.Sample{{Name: cyclesName}, {Name: heapName}}
+	metrics.Read(now)
+	cycles := now[0].Value.Uint64()
+	w.log.Warn().Dur("late", late).Uint64("collections", cycles-w.cycles).Uint64("heap_mb", now[1].Value.Uint64()>>20).Msg("process_stalled")
+	w.cycles = cycles
 }
