Commit the losses of many VMs together

Load: a rack, a failure domain or a part of the network is gone, and with it a share of the fleet. Their losses were committed one after the other, and no round was made until the last: with 12 ms a commit 138 VMs (17% of 810) take 1.7 s by arithmetic, 3.5 s with 25 ms, which is longer than a round's time for commands.

Change: the losses of a round are proposed at once and share a sync.

--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -187,19 +187,26 @@
 	return res.Queue, err
 }
 
-// expire ends the runs of VMs whose lease has run out for sure.
+// expire ends the runs of VMs whose lease has run out for sure. When many are lost at
+// once, as with a rack or a failure domain, their losses share a sync.
 func (s *Scheduler) expire(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
 	for _, lost := range s.expired() {
-		res, err := s.do(ctx, queue.Command{Lost: &lost})
-		if err != nil {
-			s.log.Warn().Str("lost_vm", string(lost.VM)).Err(err).Msg("vm_lost_not_committed")
-			continue
-		}
-		s.met.lost.Inc()
-		s.noteGone(lost.VM, lifeLapsed, res)
-		s.log.Warn().Str("lost_vm", string(lost.VM)).Str("life", lost.Life).Str("result", string(res.Code)).Msg("vm_lost")
-		s.record("vm_lost", string(lost.VM), "its lease ran out and it did not come back")
+		wg.Go(func() { s.lose(ctx, lost) })
+	}
+}
+
+func (s *Scheduler) lose(ctx context.Context, lost queue.Lost) {
+	res, err := s.do(ctx, queue.Command{Lost: &lost})
+	if err != nil {
+		s.log.Warn().Str("lost_vm", string(lost.VM)).Err(err).Msg("vm_lost_not_committed")
+		return
 	}
+	s.met.lost.Inc()
+	s.noteGone(lost.VM, lifeLapsed, res)
+	s.log.Warn().Str("lost_vm", string(lost.VM)).Str("life", lost.Life).Str("result", string(res.Code)).Msg("vm_lost")
+	s.record("vm_lost", string(lost.VM), "its lease ran out and it did not come back")
 }
 
 func (s *Scheduler) expired() (list []queue.Lost) {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -76,13 +76,19 @@
 
 // newReplica returns a replica of a group; no message of it arrives anywhere.
 func newReplica(t *testing.T, group ...quorum.Member) *replica.Replica {
+	t.Helper()
+	return newReplicaOn(t, func(s replica.Store) replica.Store { return s }, group...)
+}
+
+// newReplicaOn is newReplica with another store around its own.
+func newReplicaOn(t *testing.T, wrap func(replica.Store) replica.Store, group ...quorum.Member) *replica.Replica {
 	t.Helper()
 	dir := filepath.Join(t.TempDir(), "data")
 	assert.NilError(t, disk.Format(dir, disk.Identity{ID: self.ID, Members: group}))
 	store, err := disk.Open(dir)
 	assert.NilError(t, err)
 	rep, err := replica.New(replica.Config{ElectionTimeout: 50 * time.Millisecond, Heartbeat: 10 * time.Millisecond, SnapshotEvery: 1000},
-		store, alone{}, zerolog.Nop(), alone{}, steady.Now)
+		wrap(store), alone{}, zerolog.Nop(), alone{}, steady.Now)
 	assert.NilError(t, err)
 	return rep
 }
