--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -29,6 +29,7 @@
 	"rudderfork.example/rudderfork/replica"
 	"rudderfork.example/rudderfork/scheduler"
 	"rudderfork.example/rudderfork/session"
+	"rudderfork.example/rudderfork/state"
 	"rudderfork.example/rudderfork/wire"
 )
 
@@ -49,6 +50,7 @@
 	fleetSettle    = 2 * time.Second // before the load
 	fleetPatience  = 30 * time.Second
 	fleetSync      = 6 * time.Millisecond
+	fleetLost      = 0.14 // of the VMs
 	fleetHost      = "desk.example"
 	fleetService   = "desk"
 )
@@ -60,6 +62,7 @@
 	Span        time.Duration // of the load
 	Sync        time.Duration // that a write to a replica's disk takes beside its own time
 	LoseLeader  bool          // in the middle of the load
+	LoseVMs     float64       // share of the VMs that fall silent then
 	Seed        uint64
 	Dir         string // for the replicas' folders; it must exist
 }
@@ -75,6 +78,10 @@
 	// Of the loss of a leader: until the next one led, until the first start of a run by
 	// it, and until each VM had a lease of it; zero without a loss.
 	Led, Started, Whole time.Duration
+
+	// Lost is how long after the end of their leases the VMs that fell silent were all
+	// known as lost; zero without any.
+	Lost time.Duration
 }
 
 // fleetPlay is a group of control processes, agents and fronts in one process. All of them
@@ -149,6 +156,12 @@
 			p.loseLeader(ctx)
 		})
 	}
+	if cfg.LoseVMs > 0 {
+		p.wg.Go(func() {
+			steady.Pause(ctx, cfg.Span/2)
+			p.loseVMs(ctx)
+		})
+	}
 	p.load(ctx)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -220,8 +233,10 @@
 	for i := range p.cfg.VMs {
 		a := newFleetAgent(p, i)
 		p.agents[a.vm.ID] = a
-		p.wg.Go(func() { _ = a.session.Serve(ctx) })
-		p.wg.Go(func() { a.run(ctx) })
+		agentCtx, stop := context.WithCancel(ctx)
+		a.stop = stop
+		p.wg.Go(func() { _ = a.session.Serve(agentCtx) })
+		p.wg.Go(func() { a.run(agentCtx) })
 	}
 	for i := range p.cfg.Fronts {
 		f := front.New(fmt.Sprintf("front%d", i), p.seeds, zerolog.Nop())
@@ -332,6 +347,37 @@
 	p.figures.Led, p.figures.Whole = led, steady.Now().Sub(began)
 }
 
+// loseVMs silences a share of the VMs, and notes when all of them are known as lost.
+func (p *fleetPlay) loseVMs(ctx context.Context) {
+	lost := map[rudderfork.VMID]bool{}
+	for i := range int(p.cfg.LoseVMs * float64(p.cfg.VMs)) {
+		id := vmName(i)
+		p.agents[id].stop()
+		lost[id] = true
+	}
+	over := steady.Now().Add(fleetLease)
+	lead := p.leader(ctx, 0)
+	if lead == nil {
+		return
+	}
+	for live := len(lost); live > 0 && ctx.Err() == nil; {
+		steady.Pause(ctx, time.Millisecond)
+		live = 0
+		lead.rep.View(func(st *state.State) {
+			for id := range lost {
+				if st.Queues().VM(id).Live {
+					live++
+				}
+			}
+		})
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.figures.Lost = steady.Now().Sub(over)
+}
+
+func vmName(i int) rudderfork.VMID { return rudderfork.VMID(fmt.Sprintf("vm%04d", i)) }
+
 // leader waits for the control process that leads in a term above the one given; nil if
 // ctx ends.
 func (p *fleetPlay) leader(ctx context.Context, term uint64) *fleetReplica {
@@ -399,6 +445,7 @@
 	vm      queue.VM
 	session *session.Client
 	kicked  wakeup.Signal
+	stop    context.CancelFunc
 
 	leasedIn atomic.Uint64 // term of the newest lease
 
@@ -421,7 +468,7 @@
 
 func newFleetAgent(p *fleetPlay, i int) *fleetAgent {
 	const rackSize, domains = 20, 5
-	id := fmt.Sprintf("vm%04d", i)
+	id := string(vmName(i))
 	a := &fleetAgent{
 		p: p, kicked: wakeup.New(), runs: map[rudderfork.RunRef]*fleetRun{}, told: map[rudderfork.RunRef]rudderfork.RunRow{},
 		unsent: map[uint64]queue.Ends{}, rng: rand.New(rand.NewPCG(p.cfg.Seed, uint64(i)+100)),
@@ -573,8 +620,8 @@
 // figures to a CSV file too unless its name is empty.
 func Fleet(csvFile string) func(w io.Writer) error {
 	return func(w io.Writer) (err error) {
-		title(w, "a leader with a fleet on loopback, %v a sync; the leader is lost in the middle (ms)", fleetSync)
-		table := [][]string{{"VMs", "jobs", "first p50", "p95", "next p50", "p95", "answer p50", "p95", "led", "started", "whole", "sessions"}}
+		title(w, "a leader with a fleet on loopback, %v a sync; in the middle the leader is lost, in a second play %.0f%% of the VMs (ms)", fleetSync, 100*fleetLost)
+		table := [][]string{{"VMs", "jobs", "first p50", "p95", "next p50", "p95", "answer p50", "p95", "led", "started", "whole", "sessions", "lost"}}
 		for _, vms := range fleetSizes {
 			f, err := playFleetIn(FleetConfig{
 				VMs: vms, Fronts: max(1, vms/5), Replicas: 5, Span: 10 * time.Second, Sync: fleetSync, LoseLeader: true, Seed: 1,
@@ -582,6 +629,13 @@
 			if err != nil {
 				return err
 			}
+			g, err := playFleetIn(FleetConfig{
+				VMs: vms, Fronts: max(1, vms/5), Replicas: 5, Span: 16 * time.Second, Sync: fleetSync, LoseVMs: fleetLost, Seed: 1,
+			})
+			if err != nil {
+				return err
+			}
+			f.Lost = g.Lost
 			table = append(table, f.row())
 		}
 		for _, row := range table {
@@ -611,7 +665,7 @@
 	for _, list := range [][]time.Duration{f.FirstStart, f.NextStart, f.Answers} {
 		row = append(row, cell(quantile(list, 0.5)), cell(quantile(list, 0.95)))
 	}
-	return append(row, cell(f.Led), cell(f.Started), cell(f.Whole), strconv.Itoa(f.Opened))
+	return append(row, cell(f.Led), cell(f.Started), cell(f.Whole), strconv.Itoa(f.Opened), cell(f.Lost))
 }
 
 func writeCSV(name string, table [][]string) (err error) {
