--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -84,7 +84,7 @@
 	for ctx.Err() == nil {
 		changed := s.rep.Changed()
 		if s.rep.Leads() {
-			s.round(ctx)
+			steady.Pause(ctx, s.round(ctx).rest())
 		} else {
 			s.endTerm()
 		}
@@ -102,18 +102,20 @@
 }
 
 // round does the leader's duties once.
-func (s *Scheduler) round(ctx context.Context) {
+func (s *Scheduler) round(ctx context.Context) (t roundTimes) {
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
 	if term := s.rep.Status().Term; term != s.currentTerm() {
 		if s.rep.Barrier(ctx) != nil {
-			return // leadership was lost again
+			return t // leadership was lost again
 		}
 		s.startTerm(term)
 	}
-	s.expire(ctx)
-	s.dispatch(ctx)
-	s.wakeSessions()
+	t.run(&t.expire, func() { s.expire(ctx) })
+	s.dispatch(ctx, &t)
+	t.run(&t.wake, s.wakeSessions)
+	s.noteRound(&t)
+	return t
 }
 
 func (s *Scheduler) currentTerm() uint64 {
@@ -126,8 +128,12 @@
 // an earlier leader granted until now.
 func (s *Scheduler) startTerm(term uint64) {
 	now := steady.Now()
-	var vms []*queue.VM
-	s.rep.View(func(st *state.State) { vms = st.Queues().VMs() })
+	var vms []rudderfork.VMID
+	s.rep.View(func(st *state.State) {
+		for _, vm := range st.Queues().VMs() {
+			vms = append(vms, vm.ID)
+		}
+	})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closeSessions()
@@ -135,7 +141,7 @@
 	s.fleet = newFleet()
 	s.fleet.moved.At = rudderfork.Millis(now) // the leader before may have just moved a task
 	for _, vm := range vms {
-		s.fleet.vm(vm.ID).lease.Assume(now.Add(s.cfg.Lease))
+		s.fleet.vm(vm).lease.Assume(now.Add(s.cfg.Lease))
 	}
 	s.log.Info().Uint64("term", term).Int("vms", len(vms)).Msg("queues_leading")
 }
@@ -201,6 +207,9 @@
 	s.rep.View(func(st *state.State) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
+		if !due(&s.fleet.expireAt, roundPause, now) {
+			return
+		}
 		for _, vm := range st.Queues().VMs() {
 			v := s.fleet.vm(vm.ID)
 			if !vm.Live || !v.lease.Expire(now, s.cfg.Lease) {
@@ -213,7 +222,7 @@
 }
 
 // dispatch makes a plan and carries it out.
-func (s *Scheduler) dispatch(ctx context.Context) {
+func (s *Scheduler) dispatch(ctx context.Context, t *roundTimes) {
 	began := steady.Now()
 	var plan dispatch.Plan
 	forecasts := 0
@@ -231,7 +240,8 @@
 			forecasts = s.fleet.forecasts()
 		}
 	})
-	s.met.plan.Observe(steady.Now().Sub(began).Seconds())
+	t.plan = steady.Now().Sub(began)
+	s.met.plan.Observe(t.plan.Seconds())
 	s.logAccount(plan.Account, forecasts)
 	s.logStops(plan.Stops)
 	s.askAdviser(plan.Asks)
@@ -242,7 +252,10 @@
 	for i, st := range plan.Starts {
 		c.Starts[i] = st.Start
 	}
-	res, err := s.do(ctx, c)
+	t.starts = len(plan.Starts)
+	var res queue.Result
+	var err error
+	t.run(&t.commit, func() { res, err = s.do(ctx, c) })
 	if err != nil {
 		s.log.Warn().Int("starts", len(c.Starts)).Err(err).Msg("starts_not_committed")
 		return
