--- a/replica/group.go
+++ b/replica/group.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/rand"
 	"errors"
+	"hash/fnv"
 	"path/filepath"
 	"strings"
 
@@ -30,12 +31,9 @@
 
 // Seed makes a seed from a name, so that replicas draw different timeouts.
 func Seed(name string) uint64 {
-	const prime = 1_099_511_628_211 // FNV-1a
-	h := uint64(14_695_981_039_346_656_037)
-	for _, b := range []byte(name) {
-		h = (h ^ uint64(b)) * prime
-	}
-	return h
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name)) // it never fails
+	return h.Sum64()
 }
 
 // OpenStore opens the data folder. An empty or corrupt one is formatted under a
--- a/replica/machine.go
+++ b/replica/machine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -186,8 +185,6 @@
 	return nil
 }
 
-var errEmptyEntry = errors.New("an entry holds no command")
-
 // decode returns the commands of entries; those of other kinds have none.
 func decode(es []quorum.Entry) (list []state.Command, err error) {
 	list = make([]state.Command, len(es))
@@ -195,9 +192,6 @@
 		if e.Kind != quorum.EntryCommand {
 			continue
 		}
-		if len(e.Data) == 0 {
-			return nil, fmt.Errorf("entry %d: %w", e.Index, errEmptyEntry)
-		}
 		if err := cbor.Unmarshal(e.Data, &list[i]); err != nil {
 			return nil, fmt.Errorf("entry %d: %w", e.Index, err)
 		}
--- a/scheduler/round.go
+++ b/scheduler/round.go
@@ -16,16 +16,16 @@
 	starts                     int
 }
 
-// run calls f and notes in part how long it took.
-func (t *roundTimes) run(part *time.Duration, f func()) {
+// timed calls f and returns how long it took.
+func timed(f func()) time.Duration {
 	began := steady.Now()
 	f()
-	*part = steady.Now().Sub(began)
+	return steady.Now().Sub(began)
 }
 
 func (t roundTimes) sum() time.Duration { return t.work() + t.commit }
 
-// work is how long the round held the processor.
+// work is the round without the wait for the commit of its starts.
 func (t roundTimes) work() time.Duration { return t.expire + t.plan + t.wake }
 
 // rest is how long the next round waits, whatever changes: rounds take half of the
@@ -34,7 +34,7 @@
 func (t roundTimes) rest() time.Duration { return min(t.work(), roundPause) }
 
 // noteRound logs a round that has held others up.
-func (s *Scheduler) noteRound(t *roundTimes) {
+func (s *Scheduler) noteRound(t roundTimes) {
 	s.met.round.Observe(t.sum().Seconds())
 	if t.sum() < slowRound {
 		return
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -111,10 +111,10 @@
 		}
 		s.startTerm(term)
 	}
-	t.run(&t.expire, func() { s.expire(ctx) })
+	t.expire = timed(func() { s.expire(ctx) })
 	s.dispatch(ctx, &t)
-	t.run(&t.wake, s.wakeSessions)
-	s.noteRound(&t)
+	t.wake = timed(s.wakeSessions)
+	s.noteRound(t)
 	return t
 }
 
@@ -262,7 +262,7 @@
 	t.starts = len(plan.Starts)
 	var res queue.Result
 	var err error
-	t.run(&t.commit, func() { res, err = s.do(ctx, c) })
+	t.commit = timed(func() { res, err = s.do(ctx, c) })
 	if err != nil {
 		s.log.Warn().Int("starts", len(c.Starts)).Err(err).Msg("starts_not_committed")
 		return
