Tell which runs and starts are overdue, and what a queue's count leaves out

What callers saw: tasks that the leader took for placed did not run, and nothing in the logs said which, or what their agents waited for.

The leader logs each run of a VM in session that the VM does not report (run_overdue), an agent what keeps a start from being confirmed (start_overdue), and a count of waiting jobs says how many it leaves out that no VM has told of (queue_counted). Gauge runs_overdue, counter starts_overdue_total. No decision is changed.

--- a/runner/beat.go
+++ b/runner/beat.go
@@ -33,6 +33,7 @@
 		return b, false
 	}
 	now := steady.Now()
+	a.noteOverdue(now)
 	b = wire.VMBeat{Sent: now.UnixNano(), VM: a.vm, Draining: a.draining, Mute: a.mute(now)}
 	if b.Crash = a.crashed; b.Mute {
 		b.Crash = a.crash()
@@ -55,3 +56,11 @@
 	}
 	return b, true
 }
+
+// noteOverdue logs the starts that have become overdue. The caller holds mu.
+func (a *Agent) noteOverdue(now time.Time) {
+	for _, o := range a.keeper.Overdue(now) {
+		a.met.overdue.WithLabelValues(o.Reason).Inc()
+		a.log.Warn().Str("task", string(o.Task)).Uint32("run", o.Run).Dur("due_for", now.Sub(o.Since)).Str("reason", o.Reason).Msg("start_overdue")
+	}
+}
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -4,8 +4,8 @@
 
 // metrics are the agent's own.
 type metrics struct {
-	calls, ends *prometheus.CounterVec
-	took        *prometheus.HistogramVec
+	calls, ends, overdue *prometheus.CounterVec
+	took                 *prometheus.HistogramVec
 }
 
 func newMetrics() *metrics {
@@ -13,8 +13,9 @@
 		return prometheus.CounterOpts{Namespace: "rudderfork", Subsystem: "runner", Name: name, Help: help}
 	}
 	return &metrics{
-		calls: prometheus.NewCounterVec(counter("calls_total", "Calls of the executor, by kind and outcome."), []string{"call", "outcome"}),
-		ends:  prometheus.NewCounterVec(counter("ends_total", "Ends reported, by how."), []string{"how"}),
+		calls:   prometheus.NewCounterVec(counter("calls_total", "Calls of the executor, by kind and outcome."), []string{"call", "outcome"}),
+		ends:    prometheus.NewCounterVec(counter("ends_total", "Ends reported, by how."), []string{"how"}),
+		overdue: prometheus.NewCounterVec(counter("starts_overdue_total", "Starts that were not confirmed for long, by what they waited for."), []string{"reason"}),
 		took: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: "rudderfork", Subsystem: "runner", Name: "call_seconds", Help: "Time until the executor answered.",
 			Buckets: []float64{.001, .0025, .005, .01, .025, .05, .1, .25, .5, 1},
@@ -24,5 +25,5 @@
 
 // Collectors returns the agent's metrics, for a registry.
 func (a *Agent) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{a.met.calls, a.met.ends, a.met.took}
+	return []prometheus.Collector{a.met.calls, a.met.ends, a.met.overdue, a.met.took}
 }
--- a/runs/keeper.go
+++ b/runs/keeper.go
@@ -82,6 +82,9 @@
 	retryAt   time.Time
 	ended     bool      // its end was reported
 	roomBy    time.Time // until when room for it may come free; zero while there is some
+	dueAt     time.Time // when its start was due first; zero before
+	answer    string    // to the newest call to start it, where that did not settle it
+	overdue   bool      // told by Overdue
 }
 
 // New returns a keeper without a life of the executor.
@@ -204,6 +207,9 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(k.orders)) {
 		o := k.orders[id]
+		if o.dueAt.IsZero() {
+			o.dueAt = now
+		}
 		if e := k.turnAway(o); e != nil {
 			ends = append(ends, *e)
 		}
@@ -313,8 +319,10 @@
 		return nil
 	}
 	o.inFlight = false
+	o.answer = out.String()
 	switch {
 	case err != nil:
+		o.answer = unanswered
 		o.unsure = true
 		o.retryAt = now.Add(retryPause)
 	case o.stop:
--- a/scheduler/ask.go
+++ b/scheduler/ask.go
@@ -41,7 +41,7 @@
 		s.log.Info().Uint64("version", a.Put.Version).Int("queues", len(a.Put.Queues)).Str("result", string(ans.Code)).
 			Bool("unsure", ans.Unsure).Msg("document_put")
 	case a.Status != nil:
-		ans = s.read(ctx, func(st *queue.State) wire.AskAnswer { return statusOf(st, *a.Status) })
+		ans = s.read(ctx, func(st *queue.State) wire.AskAnswer { return s.statusOf(st, *a.Status) })
 	case a.Wave != nil:
 		ans = s.commit(ctx, queue.Command{Wave: a.Wave})
 		s.log.Info().Uint64("wave", a.Wave.ID).Int("machines", len(a.Wave.Machines)).Int("max_down", a.Wave.MaxDown).
@@ -122,7 +122,7 @@
 	return ans
 }
 
-func statusOf(st *queue.State, p wire.Place) wire.AskAnswer {
+func (s *Scheduler) statusOf(st *queue.State, p wire.Place) wire.AskAnswer {
 	doc := st.Document()
 	if doc == nil {
 		return wire.AskAnswer{Code: queue.NoDocument}
@@ -132,7 +132,7 @@
 		return wire.AskAnswer{Code: queue.NoQueue}
 	}
 	if rest == "" {
-		return wire.AskAnswer{Code: queue.OK, IsQueue: true, Waiting: st.Waiting(q.Name)}
+		return s.countOf(st, q.Name)
 	}
 	j := st.Job(rudderfork.JobID(rest))
 	if j == nil {
@@ -141,6 +141,25 @@
 	return wire.AskAnswer{Code: queue.OK, Status: j.Status}
 }
 
+// countOf counts a queue's jobs that wait, and logs what the count leaves out.
+func (s *Scheduler) countOf(st *queue.State, name string) wire.AskAnswer {
+	ans := wire.AskAnswer{Code: queue.OK, IsQueue: true, Waiting: st.Waiting(name)}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	live, unheard := 0, 0
+	for _, j := range st.Live() {
+		if j.Queue.Name != name || j.Status.Final() {
+			continue
+		}
+		live++
+		if j.Begun && !s.fleet.heardOf(j) {
+			unheard++
+		}
+	}
+	s.log.Info().Str("queue", name).Int("waiting", ans.Waiting).Int("live", live).Int("placed_unheard", unheard).Msg("queue_counted")
+	return ans
+}
+
 func waveOf(st *queue.State, id uint64) wire.AskAnswer {
 	w := st.Wave(id)
 	if w == nil {
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"rudderfork.example/rudderfork"
@@ -318,6 +319,23 @@
 	return true
 }
 
+// heardOf reports whether a task of a job is done or has failed, or a VM reports a run
+// of one.
+func (f *fleet) heardOf(j *queue.Job) bool {
+	for time, o := range j.Times {
+		for step, tasks := range o.Steps {
+			for index := range tasks {
+				t := &tasks[index]
+				k := queue.TaskKey{Job: j.ID, Time: time, Step: step, Index: index}
+				if t.Done || t.Failures > 0 || slices.ContainsFunc(t.Runs, func(r queue.Run) bool { _, seen := f.runs[k.Run(r.Number)]; return seen }) {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 // learn draws conclusions from the end of a run.
 func (f *fleet) learn(vm rudderfork.VMID, e queue.End, now time.Time) {
 	v := f.vm(vm)
--- a/scheduler/metrics.go
+++ b/scheduler/metrics.go
@@ -8,6 +8,7 @@
 	starts, copies, stops prometheus.Counter
 	lost, left            prometheus.Counter
 	suspected, givenUp    prometheus.Counter
+	overdue               prometheus.Gauge
 	ends, gone, asks      *prometheus.CounterVec
 	answer, wait          *prometheus.HistogramVec
 }
@@ -23,14 +24,17 @@
 		return prometheus.CounterOpts{Namespace: "rudderfork", Subsystem: "queue", Name: name, Help: help}
 	}
 	return &metrics{
-		commit:    prometheus.NewHistogram(histogram("commit_seconds", "From a command's proposal until it is applied.")),
-		plan:      prometheus.NewHistogram(histogram("plan_seconds", "Time taken to make one plan.")),
-		round:     prometheus.NewHistogram(histogram("round_seconds", "Time taken by one round: losses, plan, commit, orders.")),
-		starts:    prometheus.NewCounter(counter("starts_total", "Runs started.")),
-		copies:    prometheus.NewCounter(counter("copies_total", "Of these, second runs beside a first.")),
-		stops:     prometheus.NewCounter(counter("stops_total", "Runs asked to stop.")),
-		lost:      prometheus.NewCounter(counter("vms_lost_total", "VMs whose lease ran out.")),
-		left:      prometheus.NewCounter(counter("vms_left_total", "VMs whose executor left as planned.")),
+		commit: prometheus.NewHistogram(histogram("commit_seconds", "From a command's proposal until it is applied.")),
+		plan:   prometheus.NewHistogram(histogram("plan_seconds", "Time taken to make one plan.")),
+		round:  prometheus.NewHistogram(histogram("round_seconds", "Time taken by one round: losses, plan, commit, orders.")),
+		starts: prometheus.NewCounter(counter("starts_total", "Runs started.")),
+		copies: prometheus.NewCounter(counter("copies_total", "Of these, second runs beside a first.")),
+		stops:  prometheus.NewCounter(counter("stops_total", "Runs asked to stop.")),
+		lost:   prometheus.NewCounter(counter("vms_lost_total", "VMs whose lease ran out.")),
+		left:   prometheus.NewCounter(counter("vms_left_total", "VMs whose executor left as planned.")),
+		overdue: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: "rudderfork", Subsystem: "queue", Name: "runs_overdue", Help: "Runs that their VMs, which are in session, do not report.",
+		}),
 		suspected: prometheus.NewCounter(counter("suspected_total", "Tasks that were suspected of a crash of their executor.")),
 		givenUp:   prometheus.NewCounter(counter("given_up_total", "Tasks given up since executors crash under them.")),
 		ends:      prometheus.NewCounterVec(counter("ends_total", "Runs that ended, by how."), []string{"how"}),
@@ -47,7 +51,7 @@
 	sessions := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Namespace: "rudderfork", Subsystem: "queue", Name: "sessions", Help: "Fronts and agents connected here.",
 	}, s.sessionCount)
-	return []prometheus.Collector{sessions, m.commit, m.plan, m.round, m.starts, m.copies, m.stops, m.lost, m.left, m.suspected, m.givenUp, m.ends, m.gone, m.asks, m.answer, m.wait}
+	return []prometheus.Collector{sessions, m.commit, m.plan, m.round, m.starts, m.copies, m.stops, m.lost, m.left, m.overdue, m.suspected, m.givenUp, m.ends, m.gone, m.asks, m.answer, m.wait}
 }
 
 func (s *Scheduler) sessionCount() float64 {
--- /dev/null
+++ b/scheduler/overdue_test.go
@@ -0,0 +1,31 @@
+package scheduler
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"rudderfork.example/rudderfork/internal/steady"
+	"rudderfork.example/rudderfork/standin/executor"
+)
+
+// TestOverdueRuns finds a run that its VM, which is in session, does not report.
+func TestOverdueRuns(t *testing.T) {
+	s := newSite(t, nil)
+	s.put(nil)
+	e := s.addVM(executor.Config{})
+	e.SetFate(func(call string) executor.Fate {
+		if strings.Contains(call, "start") {
+			return executor.Unheard
+		}
+		return executor.Answered
+	})
+	s.submit("j", "work=20ms", small)
+	s.until("its run is overdue", func() bool { return len(s.sched.overdueRuns(steady.Now())) == 1 })
+	r := s.sched.overdueRuns(steady.Now())[0]
+	assert.Equal(t, r.String(), "j.0.0.0#1")
+	assert.Equal(t, string(r.vm), "vm1")
+	e.SetFate(func(string) executor.Fate { return executor.Answered })
+	s.until("none is", func() bool { return len(s.sched.overdueRuns(steady.Now())) == 0 })
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -65,6 +65,8 @@
 	fleet    *fleet
 	sessions map[*session]bool
 	opened   uint64 // sessions until now
+
+	overdue map[queue.RunKey]bool // runs that were logged as such; of the rounds alone
 }
 
 // New returns a scheduler over a replica.
@@ -249,7 +251,10 @@
 	})
 	t.plan = steady.Now().Sub(began)
 	s.met.plan.Observe(t.plan.Seconds())
-	s.logAccount(plan.Account, forecasts)
+	if plan.Account != nil {
+		s.logAccount(plan.Account, forecasts)
+		s.noteOverdue()
+	}
 	s.logStops(plan.Stops)
 	s.askAdviser(plan.Asks)
 	if len(plan.Starts) == 0 {
@@ -271,9 +276,6 @@
 }
 
 func (s *Scheduler) logAccount(a *dispatch.Account, forecasts int) {
-	if a == nil {
-		return
-	}
 	s.log.Info().Int("vms", a.VMs).Int("serving", a.Serving).Int("serving_images", a.ServingImages).
 		Int("fillers", a.Fillers).Int("waiting_fillers", a.WaitingFillers).Int("waiting_others", a.WaitingOthers).
 		Float64("filler_cores", a.FillerCores).Float64("paced_cores", a.PacedCores).
