Reproduce jobs that count as begun by their orders, and doubt that nothing settles

What callers saw: a queue told fewer than half of its waiting jobs; lasting tasks were not started again.

TestJobThatBeganWaitsNoMore passes, and holds the other side.

--- a/queue/crash_test.go
+++ b/queue/crash_test.go
@@ -57,3 +57,17 @@
 		})
 	}
 }
+
+// TestLossToldTwice guards against doubt in a task that nothing settles: the loss of a VM is proposed again while its commit is slow.
+func TestLossToldTwice(t *testing.T) {
+	for name, second := range map[string]Lost{"lost again": {}, "told to have left": {Left: true}} {
+		t.Run(name, func(t *testing.T) {
+			w, bad, good := two(t, one)
+			w.lose("vm1", Lost{})
+			w.lose("vm1", second)
+			w.register("vm1", oldLife)
+			checkCounts(t, w.task(bad), 0, 0)
+			checkCounts(t, w.task(good), 0, 0)
+		})
+	}
+}
--- /dev/null
+++ b/queue/waiting_test.go
@@ -0,0 +1,39 @@
+package queue
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestJobWhoseStartsFailedWaits guards against counting a job as begun by a start that no executor carried out.
+func TestJobWhoseStartsFailedWaits(t *testing.T) {
+	k := key("j", 0, 0)
+	for name, undo := range map[string]func(w *world, run uint32){
+		"refused":            func(w *world, run uint32) { w.end(k, "vm1", run, EndRefused) },
+		"unknown there":      func(w *world, run uint32) { w.end(k, "vm1", run, EndGone) },
+		"its VM is lost":     func(w *world, _ uint32) { w.lose("vm1", Lost{}) },
+		"its VM has left":    func(w *world, _ uint32) { w.lose("vm1", Lost{Left: true}) },
+		"another life began": func(w *world, _ uint32) { w.crash("vm1", "life-2") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 1)
+			w.submit("j", one)
+			undo(w, w.start(k, "vm1"))
+			assert.Equal(t, w.s.Waiting("holds"), 1)
+		})
+	}
+}
+
+// TestJobThatBeganWaitsNoMore holds that a job whose task an executor has begun stays begun.
+func TestJobThatBeganWaitsNoMore(t *testing.T) {
+	k := key("j", 0, 0)
+	for _, how := range []Ending{EndFailed, EndStopped, EndLapsed, EndBroken, EndAlone} {
+		t.Run(string(how), func(t *testing.T) {
+			w := newWorld(t, 1)
+			w.submit("j", one)
+			w.end(k, "vm1", w.start(k, "vm1"), how)
+			assert.Equal(t, w.s.Waiting("holds"), 0)
+		})
+	}
+}
--- a/scheduler/overdue_test.go
+++ b/scheduler/overdue_test.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -15,17 +14,12 @@
 	s := newSite(t, nil)
 	s.put(nil)
 	e := s.addVM(executor.Config{})
-	e.SetFate(func(call string) executor.Fate {
-		if strings.Contains(call, "start") {
-			return executor.Unheard
-		}
-		return executor.Answered
-	})
+	e.SetFate(unheardStarts)
 	s.submit("j", "work=20ms", small)
 	s.until("its run is overdue", func() bool { return len(s.sched.overdueRuns(steady.Now())) == 1 })
 	r := s.sched.overdueRuns(steady.Now())[0]
 	assert.Equal(t, r.String(), "j.0.0.0#1")
 	assert.Equal(t, string(r.vm), "vm1")
-	e.SetFate(func(string) executor.Fate { return executor.Answered })
+	e.SetFate(answerAll)
 	s.until("none is", func() bool { return len(s.sched.overdueRuns(steady.Now())) == 0 })
 }
--- /dev/null
+++ b/scheduler/waiting_test.go
@@ -0,0 +1,36 @@
+package scheduler
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"rudderfork.example/rudderfork/queue"
+	"rudderfork.example/rudderfork/standin/executor"
+	"rudderfork.example/rudderfork/wire"
+)
+
+// unheardStarts loses the calls that start runs.
+func unheardStarts(call string) executor.Fate {
+	if call == "start" {
+		return executor.Unheard
+	}
+	return executor.Answered
+}
+
+func answerAll(string) executor.Fate { return executor.Answered }
+
+// TestPlacedJobWaitsUntilItBegins guards against telling a job as begun by the order to start it.
+func TestPlacedJobWaitsUntilItBegins(t *testing.T) {
+	s := newSite(t, nil)
+	s.put(nil)
+	e := s.addVM(executor.Config{})
+	e.SetFate(unheardStarts)
+	waiting := func() int { return s.ask(wire.Ask{Status: &wire.Place{Host: host, Path: "/q/"}}).Waiting }
+	s.submit("j", "work=1m", small)
+	s.untilStatus("j", queue.Running)
+	assert.Equal(t, waiting(), 1)
+	e.SetFate(answerAll)
+	s.until("it has begun", func() bool { return len(e.Running()) == 1 })
+	s.until("it waits no more", func() bool { return waiting() == 0 })
+}
