Count a job as begun once an executor has begun one of its tasks

What callers saw: a queue told fewer than half of the jobs that waited.

Cause: the state noted a job as begun when a start of it was committed. Until the order is carried out, and for good where it never is (refused, unknown to the executor, its VM lost, or its executor replaced), the job has not begun and was not told as waiting.

Change: a job has begun once an executor lists an end of a run, or a VM tells of a run at work. The leader knows the latter from heartbeats, and adds those jobs to its next command of starts, so that a later leader knows it too (TestBegunJobIsReplicated).

--- a/queue/apply.go
+++ b/queue/apply.go
@@ -23,6 +23,7 @@
 	case c.Cancel != nil:
 		return s.cancel(*c.Cancel, at)
 	case len(c.Starts) > 0:
+		s.noteBegun(c.Begun)
 		return s.start(c.Starts, at)
 	case c.Ends != nil:
 		return s.takeEnds(*c.Ends, at)
@@ -164,6 +165,15 @@
 	return res
 }
 
+// noteBegun notes jobs of which executors have begun a task.
+func (s *State) noteBegun(ids []rudderfork.JobID) {
+	for _, id := range ids {
+		if j := s.jobs[id]; j != nil {
+			j.Begun = true
+		}
+	}
+}
+
 // startTogether starts all of the list under one number, or none.
 func (s *State) startTogether(list []Start, numbers []uint32, at int64) {
 	number := uint32(0)
@@ -183,7 +193,6 @@
 	for i, st := range list {
 		j := s.jobs[st.Task.Job]
 		j.Task(st.Task).LastRun = number
-		j.Begun = true
 		j.Status = Running
 		j.changes++
 		numbers[i] = number
@@ -239,7 +248,8 @@
 	for i, r := range t.Runs {
 		if r.VM == vm && r.Number == e.Run {
 			s.removeRun(j, e.Task, t, i)
-			if e.How != EndGone && e.How != EndRefused {
+			if e.How.began() {
+				j.Begun = true
 				t.noteEnd(e.How, at-r.StartedAt)
 			}
 			if e.How == EndDone {
--- a/queue/command.go
+++ b/queue/command.go
@@ -2,7 +2,8 @@
 
 import "rudderfork.example/rudderfork"
 
-// Command is one change of the queues. Exactly one of the pointers is set, but for Crash.
+// Command is one change of the queues. Exactly one of the fields is set, but for Crash and
+// Begun.
 type Command struct {
 	Document *Document `cbor:"1,keyasint,omitempty"`
 	Submit   *Submit   `cbor:"2,keyasint,omitempty"`
@@ -22,6 +23,9 @@
 	Clear *TaskKey `cbor:"11,keyasint,omitempty"`
 
 	Evacuate *Evacuate `cbor:"12,keyasint,omitempty"`
+
+	// Begun goes with Starts: jobs of which VMs have told since that a task is at work.
+	Begun []rudderfork.JobID `cbor:"13,keyasint,omitempty"`
 }
 
 // Submit hands in a job at a host and path, whose last part is the job's ID.
--- a/queue/model.go
+++ b/queue/model.go
@@ -200,6 +200,9 @@
 	EndGone    Ending = "gone"    // the VM knows nothing of it and never will
 )
 
+// began reports whether a run that ended so had begun: an executor has listed the end.
+func (e Ending) began() bool { return e != EndRefused && e != EndGone }
+
 // Run is one run of a task on a VM, from its start until its end is known.
 type Run struct {
 	Number    uint32          `cbor:"1,keyasint"`
@@ -287,7 +290,7 @@
 	SubmittedAt int64            `cbor:"5,keyasint"`           // leader's clock, Unix ms
 	EndedAt     int64            `cbor:"6,keyasint,omitempty"` // leader's clock, Unix ms
 	Times       []*Occurrence    `cbor:"7,keyasint"`
-	Begun       bool             `cbor:"8,keyasint,omitempty"` // some task was started
+	Begun       bool             `cbor:"8,keyasint,omitempty"` // an executor has begun some task
 	ActiveRuns  int              `cbor:"9,keyasint,omitempty"`
 	EndedClock  int64            `cbor:"10,keyasint,omitempty"` // Clock when it ended, ms
 
--- a/queue/state.go
+++ b/queue/state.go
@@ -72,14 +72,19 @@
 	return j.Queue
 }
 
-// Waiting counts the queue's accepted jobs of which no task has begun.
-func (s *State) Waiting(name string) (n int) {
+// Waiting counts the queue's accepted jobs of which no task has begun, and those of them
+// that are ordered to begin. begun reports what is known of a job beside the state.
+func (s *State) Waiting(name string, begun func(rudderfork.JobID) bool) (waiting, ordered int) {
 	for _, j := range s.live {
-		if j.Queue.Name == name && !j.Begun && !j.Status.Final() {
-			n++
+		if j.Queue.Name != name || j.Status.Final() || j.Begun || begun(j.ID) {
+			continue
+		}
+		waiting++
+		if j.ActiveRuns > 0 {
+			ordered++
 		}
 	}
-	return n
+	return waiting, ordered
 }
 
 // Runnable reports whether a task may start now, but for room and rules of
--- a/scheduler/api.go
+++ b/scheduler/api.go
@@ -132,7 +132,7 @@
 }
 
 func (a *api) queues(w http.ResponseWriter, r *http.Request) {
-	a.view(w, r, func(s *queue.State, _ dispatch.View) any { return queueViews(s) })
+	a.view(w, r, func(s *queue.State, _ dispatch.View) any { return queueViews(s, a.s.fleet) })
 }
 
 func (a *api) vms(w http.ResponseWriter, r *http.Request) {
--- a/scheduler/ask.go
+++ b/scheduler/ask.go
@@ -141,23 +141,13 @@
 	return wire.AskAnswer{Code: queue.OK, Status: j.Status}
 }
 
-// countOf counts a queue's jobs that wait, and logs what the count leaves out.
+// countOf counts a queue's jobs that wait.
 func (s *Scheduler) countOf(st *queue.State, name string) wire.AskAnswer {
-	ans := wire.AskAnswer{Code: queue.OK, IsQueue: true, Waiting: st.Waiting(name)}
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	live, unheard := 0, 0
-	for _, j := range st.Live() {
-		if j.Queue.Name != name || j.Status.Final() {
-			continue
-		}
-		live++
-		if j.Begun && !s.fleet.heardOf(j) {
-			unheard++
-		}
-	}
-	s.log.Info().Str("queue", name).Int("waiting", ans.Waiting).Int("live", live).Int("placed_unheard", unheard).Msg("queue_counted")
-	return ans
+	waiting, ordered := st.Waiting(name, s.fleet.hasBegun)
+	s.mu.Unlock()
+	s.log.Info().Str("queue", name).Int("waiting", waiting).Int("ordered", ordered).Msg("queue_counted")
+	return wire.AskAnswer{Code: queue.OK, IsQueue: true, Waiting: waiting}
 }
 
 func waveOf(st *queue.State, id uint64) wire.AskAnswer {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -234,6 +234,7 @@
 func (s *Scheduler) dispatch(ctx context.Context, t *roundTimes) {
 	began := steady.Now()
 	var plan dispatch.Plan
+	var begun []rudderfork.JobID
 	forecasts := 0
 	s.rep.View(func(st *state.State) {
 		s.mu.Lock()
@@ -245,6 +246,7 @@
 		s.fleet.setStops(plan.Stops, began)
 		s.fleet.short.Observe(plan.Short, view.Now)
 		s.fleet.last = plan.Last
+		begun = s.fleet.newlyBegun(st.Queues())
 		if plan.Account != nil {
 			forecasts = s.fleet.forecasts()
 		}
@@ -260,7 +262,7 @@
 	if len(plan.Starts) == 0 {
 		return
 	}
-	c := queue.Command{Starts: make([]queue.Start, len(plan.Starts))}
+	c := queue.Command{Starts: make([]queue.Start, len(plan.Starts)), Begun: begun}
 	for i, st := range plan.Starts {
 		c.Starts[i] = st.Start
 	}
--- a/scheduler/views.go
+++ b/scheduler/views.go
@@ -81,12 +81,13 @@
 }
 
 // queueViews returns the document's queues.
-func queueViews(s *queue.State) (views []QueueView) {
+func queueViews(s *queue.State, f *fleet) (views []QueueView) {
 	if s.Document() == nil {
 		return nil
 	}
 	for _, q := range s.Document().Queues {
-		v := QueueView{Queue: q, Waiting: s.Waiting(q.Name)}
+		v := QueueView{Queue: q}
+		v.Waiting, _ = s.Waiting(q.Name, f.hasBegun)
 		for _, j := range s.Live() {
 			if j.Queue.Name == q.Name && !j.Status.Final() {
 				v.Live++
--- a/scheduler/waiting_test.go
+++ b/scheduler/waiting_test.go
@@ -1,12 +1,14 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"rudderfork.example/rudderfork/queue"
 	"rudderfork.example/rudderfork/standin/executor"
+	"rudderfork.example/rudderfork/state"
 	"rudderfork.example/rudderfork/wire"
 )
 
@@ -34,3 +36,22 @@
 	s.until("it has begun", func() bool { return len(e.Running()) == 1 })
 	s.until("it waits no more", func() bool { return waiting() == 0 })
 }
+
+// TestBegunJobIsReplicated guards against a next leader that counts jobs at work as waiting.
+func TestBegunJobIsReplicated(t *testing.T) {
+	s := newSite(t, nil)
+	s.put(nil)
+	e := s.addVM(executor.Config{})
+	s.submit("first", "work=1m", small)
+	s.until("it has begun", func() bool { return len(e.Running()) == 1 })
+	begun := func() (ok bool) {
+		s.sched.rep.View(func(st *state.State) { ok = st.Queues().Job("first").Begun })
+		return ok
+	}
+	n := 0
+	s.until("the state has it as begun", func() bool {
+		n++
+		s.submit(fmt.Sprintf("next-%d", n), "work=1ms", queue.Step{Count: 1})
+		return begun()
+	})
+}
