Keep what is in doubt of a VM when its loss is told twice

What callers saw: nothing that the record shows by itself; a task that five such losses have met, crashes counted, is never started again, however much room there is.

Cause: a task carries a doubt for each run that ended with the lease of a VM that is not back. The runs are kept with the VM and settled when it is back. A second loss of the same life, proposed again while the commit of the first was slow, or told by an agent as a planned end after the lease had run out, replaced that list by an empty one, so that the doubts were never taken back.

Change: the loss of a life that is lost already ends nothing; that the life left as planned settles what is in doubt.

--- a/queue/apply.go
+++ b/queue/apply.go
@@ -368,11 +368,24 @@
 		return Result{Code: Stale}
 	}
 	seen := c.Crash.Of(vm.Life)
-	res := s.endLife(vm, ending{planned: c.Left || vm.Leaving || seen.announced(), seen: seen}, c.Checkpoints, at)
+	how := ending{planned: c.Left || vm.Leaving || seen.announced(), seen: seen}
+	if !vm.Live {
+		s.lostAgain(vm, how, at)
+		return Result{Code: Stale}
+	}
+	res := s.endLife(vm, how, c.Checkpoints, at)
 	vm.Live = false
 	return res
 }
 
+// lostAgain takes the loss of a life that was lost before. Its runs have ended; that it
+// left as planned may be news.
+func (s *State) lostAgain(vm *VM, how ending, at int64) {
+	if how.planned {
+		s.returned(vm, how, true, at)
+	}
+}
+
 // endAll ends every active run of a VM without a report of its own.
 func (s *State) endAll(vm *VM, checkpoints map[TaskKey]string, at int64) (gone []Gone) {
 	for _, k := range sortedKeys(vm.runs) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -205,7 +205,9 @@
 		s.log.Warn().Str("lost_vm", string(lost.VM)).Err(err).Msg("vm_lost_not_committed")
 		return
 	}
-	s.met.lost.Inc()
+	if res.Code == queue.OK {
+		s.met.lost.Inc()
+	}
 	s.noteGone(lost.VM, lifeLapsed, res)
 	s.log.Warn().Str("lost_vm", string(lost.VM)).Str("life", lost.Life).Str("result", string(res.Code)).Msg("vm_lost")
 	s.record("vm_lost", string(lost.VM), "its lease ran out and it did not come back")
