Reproduce lasting tasks that are kept waiting, by a fleet in simulated time

Callers saw lasting tasks without a run for seconds, though there was room, while others of their step started. A test fleet drives state, fleet and planner in simulated time. On this code, go test ./scheduler:

- Doubts of VMs that never come back are never settled, not by long runs either.
- A suspect's place in quarantine is where least runs, and leaves out where the task has failed.
A VM that refuses it, or where it stands still, gets it again without end.
- Its patience is counted from the end of a run by the clock of the leader then.
- A crash teaches nothing of its VM: its doubt starts at 0, the task has not failed there.

What held: 100 drawn histories of crashes, losses, elections with clocks up to 5 s apart, and VMs that fail, refuse or stand still, in which lost VMs return; and the plans of a kept planner against those of a new one over 40.

--- /dev/null
+++ b/scheduler/liveness_test.go
@@ -0,0 +1,325 @@
+package scheduler
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/dispatch"
+	"rudderfork.example/rudderfork/queue"
+)
+
+const (
+	// mostPending is how long a lasting task may lack a start that the state accepts: the
+	// users' 3 s.
+	mostPending = 3 * time.Second
+	// longRun shows by far that a task does not crash what starts it.
+	longRun = time.Minute
+	// watched is for how long a fleet in which nothing happens any more is looked at.
+	watched = 10 * time.Second
+)
+
+// assertStarted lets time pass in which nothing happens, and holds that no lasting task
+// for which there is room on two VMs lacks an accepted start for too long.
+func (s *simFleet) assertStarted() {
+	s.t.Helper()
+	clear(s.pending)
+	refused := s.refused
+	for end := s.now.Add(watched); s.now.Before(end); {
+		s.tick()
+		for k, since := range s.pending {
+			st := s.qs.Job(k.Job).Spec.Steps[k.Step]
+			assert.Assert(s.t, s.now.Sub(since) <= mostPending || s.roomy(st) < 2,
+				"%s lacks a run for %v, and %d planned starts were not accepted; %+v", k, s.now.Sub(since), s.refused-refused, *s.task(k))
+		}
+	}
+}
+
+// TestTaskOfVMsLostForGoodStartsAgain has VMs lost under a task that never come back.
+func TestTaskOfVMsLostForGoodStartsAgain(t *testing.T) {
+	k := queue.TaskKey{Job: "feed"}
+	for _, c := range []struct {
+		name string
+		span time.Duration // that the task runs on each
+	}{{"after long runs", longRun}, {"after short runs", 2 * time.Second}} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSimFleet(t, 2+queue.MostCrashes)
+			s.submit("feed", lastingStep(1))
+			for range queue.MostCrashes {
+				s.run(c.span)
+				assert.Assert(t, s.atWork(k))
+				s.lose(s.vmOf(k))
+			}
+			s.assertStarted()
+			assert.Assert(t, s.atWork(k))
+		})
+	}
+	t.Run("though it has run for long since", func(t *testing.T) {
+		s := newSimFleet(t, 2+queue.MostCrashes)
+		s.submit("feed", lastingStep(1))
+		for range queue.MostCrashes - 1 {
+			s.run(2 * time.Second)
+			s.lose(s.vmOf(k))
+		}
+		s.run(longRun)
+		assert.Assert(t, s.atWork(k))
+		s.crash(s.vmOf(k), true)
+		s.assertStarted()
+		s.run(longRun)
+		s.lose(s.vmOf(k))
+		s.assertStarted()
+		assert.Assert(t, s.atWork(k))
+	})
+}
+
+// suspectFleet returns a fleet in which a task has crashed an executor, which has
+// nothing to run any more, and all others have.
+func suspectFleet(t *testing.T, vms int) (s *simFleet, k queue.TaskKey, on *simVM) {
+	s, k = newSimFleet(t, vms), queue.TaskKey{Job: "suspect"}
+	on = s.vms[0]
+	for i, v := range s.vms[1:] {
+		id := fmt.Sprintf("beside%d", i)
+		s.submit(id, lastingStep(1))
+		s.place(queue.TaskKey{Job: rudderfork.JobID(id)}, v)
+	}
+	s.run(longRun)
+	s.submit("suspect", lastingStep(1))
+	s.place(k, on)
+	s.work(on)
+	s.crash(on, true)
+	assert.Assert(t, s.task(k).Suspect())
+	return s, k, on
+}
+
+// TestSuspectLeavesVMThatDoesNotRunIt has the VM with least to run refuse a suspect, or
+// keep it from its work.
+func TestSuspectLeavesVMThatDoesNotRunIt(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		health health
+		span   time.Duration // for two starts in vain, and one elsewhere
+	}{{"it refuses all", refusing, mostPending}, {"tasks stand still there", standing, watched}} {
+		t.Run(c.name, func(t *testing.T) {
+			s, k, bad := suspectFleet(t, 6)
+			bad.health = c.health
+			s.run(c.span)
+			assert.Assert(t, s.atWork(k) && s.vmOf(k) != bad, "%d starts", s.task(k).LastRun)
+		})
+	}
+}
+
+// TestSuspectWaitsNoLongerUnderNextLeader has a leader whose clock is ahead be followed
+// by one whose clock is right, while suspects wait for quarantine.
+func TestSuspectWaitsNoLongerUnderNextLeader(t *testing.T) {
+	const ahead = 5 * time.Second
+	s := newSimFleet(t, 4)
+	s.run(longRun)
+	s.lead(ahead)
+	for i := range 3 {
+		s.submit(fmt.Sprintf("suspect%d", i), lastingStep(1))
+		s.place(queue.TaskKey{Job: rudderfork.JobID(fmt.Sprintf("suspect%d", i))}, s.vms[0])
+	}
+	s.work(s.vms[0])
+	s.crash(s.vms[0], true)
+	s.lead(0)
+	for _, v := range s.vms {
+		v.mute = true // no run is seen to begin, and quarantine stays full
+	}
+	s.assertStarted()
+}
+
+// TestVMThatCrashesAgainAndAgainFailsNoLastingJob has the executor of one VM crash, of many,
+// whatever runs there.
+func TestVMThatCrashesAgainAndAgainFailsNoLastingJob(t *testing.T) {
+	const crashes = 20
+	for _, seen := range []bool{true, false} {
+		for _, every := range []time.Duration{time.Second, 3 * time.Second, 8 * time.Second} {
+			t.Run(fmt.Sprintf("every %v, seen by its agent: %t", every, seen), func(t *testing.T) {
+				s := newSimFleet(t, 8)
+				for i := range s.vms {
+					s.submit(fmt.Sprintf("feed%d", i), lastingStep(1))
+				}
+				s.run(longRun)
+				bad := s.vmOf(queue.TaskKey{Job: "feed0"})
+				for range crashes {
+					s.crash(bad, seen)
+					s.run(every)
+				}
+				failed := 0
+				for _, j := range s.qs.Image().Jobs {
+					if j.Status == queue.Failed {
+						failed++
+					}
+				}
+				assert.Equal(t, failed, 0, "of %d jobs, by one VM of %d", len(s.vms), len(s.vms))
+			})
+		}
+	}
+}
+
+// TestTaskFindsSoundVMAmongMany has a task tried by VMs that fail all they start, and are
+// the emptiest therefore, with some sound ones beside them.
+func TestTaskFindsSoundVMAmongMany(t *testing.T) {
+	const bad, good = 20, 4
+	for _, c := range []struct {
+		name   string
+		health health
+	}{{"failing", failing}, {"refusing", refusing}} {
+		t.Run(c.name, func(t *testing.T) {
+			s, k := newSimFleet(t, bad+good), queue.TaskKey{Job: "feed"}
+			half := queue.Step{Count: 1, Lasting: true, Size: rudderfork.Resources{CPUMilli: 4_000, MemoryMB: 100}}
+			for i, v := range s.vms[bad:] {
+				id := fmt.Sprintf("beside%d", i)
+				s.submit(id, half)
+				s.place(queue.TaskKey{Job: rudderfork.JobID(id)}, v)
+			}
+			for _, v := range s.vms[:bad] {
+				v.health = c.health
+			}
+			st := lastingStep(1)
+			st.TailMS = 0
+			s.submit("feed", st)
+			s.run(30 * time.Second)
+			assert.Assert(t, s.atWork(k) && s.vmOf(k).health == sound, "%d starts", s.task(k).LastRun)
+		})
+	}
+}
+
+// event is what may happen to a fleet.
+type event string
+
+const (
+	crashed   event = "crash"
+	crashSeen event = "crash seen"
+	lost      event = "lost"
+	back      event = "back"
+	backAnew  event = "back under another life"
+	elected   event = "elected"
+	skewed    event = "elected, with another clock"
+	ailing    event = "ailing"
+	failed    event = "failed"
+	handedIn  event = "handed in"
+)
+
+var allEvents = []event{crashed, crashSeen, lost, back, backAnew, elected, skewed, ailing, failed, handedIn}
+
+// drawnFleet is a fleet to which events happen at random.
+type drawnFleet struct {
+	*simFleet
+	rnd  *rand.Rand
+	jobs int
+}
+
+func drawFleet(t *testing.T, seed uint64) *drawnFleet {
+	rnd := rand.New(rand.NewPCG(seed, 7))
+	s := &drawnFleet{simFleet: newSimFleet(t, 4+rnd.IntN(9)), rnd: rnd}
+	for range 2 + rnd.IntN(4) {
+		s.handIn()
+	}
+	return s
+}
+
+func (s *drawnFleet) handIn() {
+	s.jobs++
+	s.submit(fmt.Sprintf("j%03d", s.jobs), lastingStep(1+s.rnd.IntN(4)))
+}
+
+// draw returns a VM that is up, or down; nil if there is none.
+func (s *drawnFleet) draw(down bool) *simVM {
+	var list []*simVM
+	for _, v := range s.vms {
+		if v.down == down {
+			list = append(list, v)
+		}
+	}
+	if len(list) == 0 || !down && len(list) < 3 {
+		return nil
+	}
+	return list[s.rnd.IntN(len(list))]
+}
+
+func (s *drawnFleet) happen(e event) {
+	v := s.draw(e == back || e == backAnew)
+	if v == nil {
+		return
+	}
+	switch e {
+	case crashed, crashSeen:
+		s.crash(v, e == crashSeen)
+	case lost:
+		s.lose(v)
+	case backAnew:
+		v.life++
+		s.register(v, nil)
+	case back:
+		s.register(v, nil)
+	case elected:
+		s.lead(s.skew)
+	case skewed:
+		s.lead(time.Duration(s.rnd.IntN(11)-5) * time.Second)
+	case ailing:
+		v.health = health(s.rnd.IntN(4))
+	case failed:
+		s.failOne(v)
+	case handedIn:
+		s.handIn()
+	}
+}
+
+// failOne has one of a VM's runs end as failed.
+func (s *drawnFleet) failOne(v *simVM) {
+	var ends []queue.End
+	for k, number := range s.qs.VM(v.id).Runs() {
+		ends = append(ends, queue.End{Task: k, Run: number, How: queue.EndFailed})
+	}
+	slices.SortFunc(ends, func(a, b queue.End) int { return a.Task.Compare(b.Task) })
+	s.end(v, ends[:min(1, len(ends))]...)
+}
+
+// drawnEvents is how many events a drawn history has.
+const drawnEvents = 60
+
+// TestLastingTasksStartAgain draws what happens to a fleet in which every VM that was
+// lost comes back in the end.
+func TestLastingTasksStartAgain(t *testing.T) {
+	for seed := range uint64(100) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := drawFleet(t, seed)
+			for range drawnEvents {
+				s.happen(allEvents[s.rnd.IntN(len(allEvents))])
+				s.run(time.Duration(s.rnd.IntN(10)) * simTick)
+			}
+			for _, v := range s.vms {
+				v.health = sound
+				if v.down {
+					v.life++
+					s.register(v, nil)
+				}
+			}
+			s.assertStarted()
+		})
+	}
+}
+
+// TestKeptPlannerPlansAsNewOne holds the plans of a leader's planner, over a drawn
+// history, against those of one that has read nothing before.
+func TestKeptPlannerPlansAsNewOne(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := drawFleet(t, seed)
+			for range drawnEvents {
+				s.happen(allEvents[s.rnd.IntN(len(allEvents))])
+				for range s.rnd.IntN(6) {
+					view := s.f.view(s.qs, s.clock())
+					assert.DeepEqual(t, s.f.planner.Plan(s.qs, view), dispatch.Make(s.qs, view))
+					s.tick()
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/scheduler/simfleet_test.go
@@ -0,0 +1,305 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/dispatch"
+	"rudderfork.example/rudderfork/queue"
+	"rudderfork.example/rudderfork/wire"
+)
+
+const (
+	// simTick is the time from one plan to the next.
+	simTick = 100 * time.Millisecond
+	// simStartup is how long a lasting task takes until it is at work.
+	simStartup = time.Second
+	simEpoch   = 1_000_000 // Unix s
+)
+
+// health says what a VM's executor does with what it is to start.
+type health int
+
+const (
+	sound health = iota
+	failing
+	refusing
+	standing // its tasks stand still
+)
+
+// simVM is a VM of a simFleet.
+type simVM struct {
+	id     rudderfork.VMID
+	life   int
+	health health
+	down   bool // nothing is heard of it
+	mute   bool // it tells of no run
+	begun  map[queue.RunKey]time.Time
+}
+
+func (v *simVM) lifeName() string { return fmt.Sprintf("%s-life-%d", v.id, v.life) }
+
+// simFleet is a replicated state, what its leader knows beside it, and VMs that do what
+// they are told, in simulated time.
+type simFleet struct {
+	t    *testing.T
+	qs   *queue.State
+	f    *fleet
+	now  time.Time
+	skew time.Duration // of the leader's clock
+	vms  []*simVM
+
+	pending map[queue.TaskKey]time.Time // since when a lasting task lacks a run
+	refused int                         // starts that the state did not accept
+}
+
+func newSimFleet(t *testing.T, vms int) *simFleet {
+	s := &simFleet{t: t, qs: queue.New(), f: newFleet(), now: time.Unix(simEpoch, 0), pending: map[queue.TaskKey]time.Time{}}
+	s.apply(queue.Command{Document: &queue.Document{
+		Version: 1, Queues: []queue.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "desk", MaxAttempts: 2, Stretch: 1.5, LatencyMS: 250}},
+		Pools: []queue.Pool{{Service: "desk"}},
+	}})
+	for range vms {
+		s.addVM()
+	}
+	return s
+}
+
+func (s *simFleet) addVM() {
+	v := &simVM{id: rudderfork.VMID(fmt.Sprintf("vm%03d", len(s.vms))), begun: map[queue.RunKey]time.Time{}}
+	s.vms = append(s.vms, v)
+	s.register(v, nil)
+}
+
+// place starts a task on a VM, whatever a plan would do.
+func (s *simFleet) place(k queue.TaskKey, v *simVM) {
+	s.t.Helper()
+	res := s.apply(queue.Command{Starts: []queue.Start{{Task: k, VM: v.id, Life: v.lifeName()}}})
+	assert.Assert(s.t, res.Numbers[0] > 0, "%s was not started on %s", k, v.id)
+}
+
+func (s *simFleet) task(k queue.TaskKey) *queue.Task { return s.qs.Job(k.Job).Task(k) }
+
+// vmOf returns the VM that a task is to run on, or nil.
+func (s *simFleet) vmOf(k queue.TaskKey) *simVM {
+	for _, r := range s.task(k).Runs {
+		for _, v := range s.vms {
+			if v.id == r.VM {
+				return v
+			}
+		}
+	}
+	return nil
+}
+
+// atWork reports whether a run of a task has begun.
+func (s *simFleet) atWork(k queue.TaskKey) bool {
+	v := s.vmOf(k)
+	return v != nil && !v.begun[k.Run(s.task(k).Runs[0].Number)].IsZero()
+}
+
+// roomy counts the VMs that answer and have room for a task.
+func (s *simFleet) roomy(st queue.Step) (n int) {
+	for _, v := range s.vms {
+		vm := s.qs.VM(v.id)
+		if !v.down && vm.Live && vm.Used().Add(st.Size).Fits(vm.Capacity) {
+			n++
+		}
+	}
+	return n
+}
+
+// clock is the leader's.
+func (s *simFleet) clock() time.Time { return s.now.Add(s.skew) }
+
+func (s *simFleet) apply(c queue.Command) queue.Result {
+	return s.qs.Apply(c, rudderfork.Millis(s.clock()))
+}
+
+func (s *simFleet) submit(id string, steps ...queue.Step) {
+	s.t.Helper()
+	res := s.apply(queue.Command{Submit: &queue.Submit{Host: "h", Path: "/q/" + id, Spec: queue.Spec{Steps: steps}, KeepMS: 1 << 40}})
+	assert.Equal(s.t, res.Code, queue.OK)
+}
+
+// lastingStep is a step of serving tasks, of which a VM has room for 16.
+func lastingStep(count int) queue.Step {
+	return queue.Step{Count: count, Size: rudderfork.Resources{CPUMilli: 500, MemoryMB: 100}, Lasting: true, Image: "s", TailMS: 20}
+}
+
+func (s *simFleet) register(v *simVM, seen *queue.Crash) {
+	s.apply(queue.Command{Crash: seen, Register: &queue.VM{
+		ID: v.id, Life: v.lifeName(), Service: "desk", Rack: "r", Capacity: rudderfork.Resources{CPUMilli: 8_000, MemoryMB: 16_000},
+	}})
+	v.down = false
+	s.admit(v)
+}
+
+// admit gives a VM its session and lease.
+func (s *simFleet) admit(v *simVM) {
+	info := s.f.vm(v.id)
+	info.session = &session{}
+	info.lease.Renew()
+	info.lease.Assume(s.clock().Add(time.Hour))
+	s.beat(v)
+}
+
+// crash has the executor of a VM begin another life. If the agent saw it, it tells the
+// ages of the runs.
+func (s *simFleet) crash(v *simVM, seen bool) {
+	c := &queue.Crash{Life: v.lifeName()}
+	for k, at := range v.begun {
+		c.Runs = append(c.Runs, queue.RunAge{Task: k.TaskKey, Run: k.Number, AgeMS: s.now.Sub(at).Milliseconds(), Seen: true})
+	}
+	slices.SortFunc(c.Runs, func(a, b queue.RunAge) int { return a.Task.Compare(b.Task) })
+	if !seen {
+		c = nil
+	}
+	v.life++
+	clear(v.begun)
+	s.register(v, c)
+}
+
+// lead has another leader, whose clock is off, take over.
+func (s *simFleet) lead(skew time.Duration) {
+	s.skew = skew
+	s.f = newFleet()
+	for _, v := range s.vms {
+		if !v.down {
+			s.admit(v)
+		}
+	}
+}
+
+// lose ends a VM's lease.
+func (s *simFleet) lose(v *simVM) {
+	v.down = true
+	s.f.vm(v.id).session = nil
+	clear(v.begun)
+	s.apply(queue.Command{Lost: &queue.Lost{VM: v.id, Life: v.lifeName()}})
+}
+
+func (s *simFleet) beat(v *simVM) {
+	b := wire.VMBeat{VM: queue.VM{ID: v.id, Life: v.lifeName()}}
+	for k, at := range v.begun {
+		if v.mute {
+			break
+		}
+		percent := min(fullPercent, int(fullPercent*s.now.Sub(at)/simStartup))
+		if v.health == standing {
+			percent = 0
+		}
+		b.Rows = append(b.Rows, rudderfork.RunRow{RunRef: k.Ref(k.Number), Percent: percent})
+	}
+	s.f.take(s.f.vm(v.id), b, s.clock())
+}
+
+// work has a VM do what it was told, and report.
+func (s *simFleet) work(v *simVM) {
+	vm := s.qs.VM(v.id)
+	var ends []queue.End
+	for k, number := range vm.Runs() {
+		run := k.Run(number)
+		at, begun := v.begun[run]
+		_, stop := s.f.stops[k.Ref(number)]
+		switch {
+		case stop:
+			ends = append(ends, queue.End{Task: k, Run: number, How: queue.EndStopped})
+		case begun && v.health == failing && s.now.Sub(at) > simStartup/2:
+			ends = append(ends, queue.End{Task: k, Run: number, How: queue.EndFailed})
+		case begun:
+		case v.health == refusing:
+			ends = append(ends, queue.End{Task: k, Run: number, How: queue.EndRefused, Reason: "503"})
+		default:
+			v.begun[run] = s.now
+		}
+	}
+	slices.SortFunc(ends, func(a, b queue.End) int { return a.Task.Compare(b.Task) })
+	s.end(v, ends...)
+	for run := range v.begun {
+		if vm.Runs()[run.TaskKey] != run.Number {
+			delete(v.begun, run)
+		}
+	}
+	s.beat(v)
+}
+
+// end commits ends and learns of them, as a session does.
+func (s *simFleet) end(v *simVM, ends ...queue.End) {
+	if len(ends) == 0 {
+		return
+	}
+	res := s.apply(queue.Command{Ends: &queue.Ends{VM: v.id, Life: v.lifeName(), List: ends}})
+	for i, e := range ends {
+		if res.Taken[i] {
+			s.f.learn(v.id, e, s.clock())
+		}
+	}
+}
+
+// plan makes a plan and commits its starts.
+func (s *simFleet) plan() (plan dispatch.Plan) {
+	view := s.f.view(s.qs, s.clock())
+	plan = s.f.planner.Plan(s.qs, view)
+	s.f.setStops(plan.Stops, s.clock())
+	s.f.short.Observe(plan.Short, view.Now)
+	if len(plan.Starts) == 0 {
+		return plan
+	}
+	c := queue.Command{}
+	for _, st := range plan.Starts {
+		c.Starts = append(c.Starts, st.Start)
+	}
+	for _, n := range s.apply(c).Numbers {
+		if n == 0 {
+			s.refused++
+		}
+	}
+	return plan
+}
+
+// tick lets time pass until the next plan, which it makes.
+func (s *simFleet) tick() dispatch.Plan {
+	s.now = s.now.Add(simTick)
+	for _, v := range s.vms {
+		if !v.down {
+			s.work(v)
+		}
+	}
+	plan := s.plan()
+	for _, k := range s.lasting() {
+		if len(s.qs.Job(k.Job).Task(k).Runs) > 0 {
+			delete(s.pending, k)
+		} else if _, known := s.pending[k]; !known {
+			s.pending[k] = s.now
+		}
+	}
+	return plan
+}
+
+func (s *simFleet) run(span time.Duration) {
+	for end := s.now.Add(span); s.now.Before(end); {
+		s.tick()
+	}
+}
+
+// lasting returns the lasting tasks of jobs that go on.
+func (s *simFleet) lasting() (list []queue.TaskKey) {
+	for _, j := range s.qs.Live() {
+		if j.Status.Final() {
+			continue
+		}
+		for step, st := range j.Spec.Steps {
+			for index := 0; st.Lasting && index < st.Count; index++ {
+				list = append(list, queue.TaskKey{Job: j.ID, Step: step, Index: index})
+			}
+		}
+	}
+	slices.SortFunc(list, queue.TaskKey.Compare)
+	return list
+}
