--- /dev/null
+++ b/internal/regression/regression_test.go
@@ -0,0 +1,24 @@
+package regression
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestFitAfterLongRest widens a fit by a span over which errors grow past all numbers.
+func TestFitAfterLongRest(t *testing.T) {
+	f := Fit{}
+	for range 2 {
+		f.Grow(1, 0.5)
+	}
+	f.Update([]float64{1, 1}, 3, 0.1, 0)
+	f.Widen(Growth(24*time.Hour, time.Minute), func(int) float64 { return 0.5 })
+	f.Update([]float64{1, 1}, 3, 0.1, 0)
+	for i := range f.Size() {
+		assert.Assert(t, f.Beta(i) > 0 && f.Beta(i) < 3, "coefficient %d is %v", i, f.Beta(i))
+		assert.Assert(t, !math.IsNaN(f.Variance(i)) && f.Variance(i) <= 0.5, "its variance is %v", f.Variance(i))
+	}
+}
--- a/scheduler/liveness_test.go
+++ b/scheduler/liveness_test.go
@@ -323,3 +323,16 @@
 		})
 	}
 }
+
+// TestServingTaskStartsAfterQueueHasRested has a queue of fillers rest for a day, and a
+// serving task be handed in.
+func TestServingTaskStartsAfterQueueHasRested(t *testing.T) {
+	s := newSimFleet(t, 2)
+	filler := queue.Step{Count: 1, Size: rudderfork.Resources{CPUMilli: 500, MemoryMB: 100}, Filler: true, Image: "f", ExpectedMS: 500}
+	for i := range 2 {
+		s.f.worktimes.Observe("q", queue.StepKey{Job: "done"}, &filler, 200, s.now.Add(time.Duration(i-1)*24*time.Hour))
+	}
+	s.submit("filler", filler)
+	s.submit("feed", lastingStep(2))
+	s.assertStarted()
+}
--- a/worktime/worktime_test.go
+++ b/worktime/worktime_test.go
@@ -87,3 +87,13 @@
 		assert.Equal(t, m.Changes(), uint64(0))
 	})
 }
+
+// TestExpectationAfterLongRest expects something of a queue that had no task for a day.
+func TestExpectationAfterLongRest(t *testing.T) {
+	m, st := New(), &queue.Step{Count: 1, ExpectedMS: 100}
+	for i := range 2 {
+		m.Observe("q", queue.StepKey{Job: "a"}, st, 200, t0.Add(time.Duration(i)*24*time.Hour))
+	}
+	got := m.Expect("q", queue.StepKey{Job: "b"}, st)
+	assert.Assert(t, got > 0 && !math.IsInf(got, 1), "%v ms", got)
+}
