Reproduce failures that the next plan does not know

A session learns from the end of a run once it has its commit's answer, under another lock than the state's. A plan made in between finds the task without a run and its VM without a failure, and starts it there again: least cost 0.00 where the failure costs 8. Where the session ends first, nobody ever learns, since an end that is told again is not taken again; so a short task with two attempts loses its second on a VM that fails all it starts.

--- /dev/null
+++ b/scheduler/learning_test.go
@@ -0,0 +1,179 @@
+package scheduler
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/dispatch"
+	"rudderfork.example/rudderfork/internal/steady"
+	"rudderfork.example/rudderfork/internal/wakeup"
+	"rudderfork.example/rudderfork/queue"
+	"rudderfork.example/rudderfork/replica"
+	"rudderfork.example/rudderfork/state"
+	"rudderfork.example/rudderfork/wire"
+)
+
+// teller is a leader and the session of a VM, "vm1", which is the cheapest of two.
+type teller struct {
+	*site
+	store *heldStore
+	ses   *session
+}
+
+var tellerTask = queue.TaskKey{Job: "job"}
+
+// newTeller hands in a job of one task, which is started on vm1.
+func newTeller(t *testing.T, st queue.Step) *teller {
+	store := &heldStore{}
+	rep := newReplicaOn(t, func(s replica.Store) replica.Store { store.Store = s; return store }, self)
+	s := &teller{site: &site{t: t, ctx: t.Context()}, store: store}
+	s.serve(rep)
+	s.until("it leads", rep.Leads)
+	s.sched = New(Settings{Lease: time.Hour}, rep, nil, zerolog.Nop(), alone{})
+	s.sched.startTerm(rep.Status().Term)
+	s.do(queue.Command{Document: &queue.Document{
+		Version: 1, Queues: []queue.Queue{{Name: "q", Host: host, Prefix: "/q/", Service: "desk", MaxAttempts: 2}},
+		Pools: []queue.Pool{{Service: "desk"}},
+	}})
+	s.ses = s.admit("vm1")
+	s.admit("vm2")
+	s.do(queue.Command{Submit: &queue.Submit{Host: host, Path: "/q/job", Spec: queue.Spec{Steps: []queue.Step{st}}}})
+	s.plan()
+	assert.Equal(t, s.run().VM, rudderfork.VMID("vm1"))
+	return s
+}
+
+func (s *teller) do(c queue.Command) {
+	s.t.Helper()
+	_, err := s.sched.do(s.ctx, c)
+	assert.NilError(s.t, err)
+}
+
+// admit registers a VM, which is in session.
+func (s *teller) admit(id rudderfork.VMID) *session {
+	vm := queue.VM{ID: id, Life: string(id) + "-life", Service: "desk", Capacity: rudderfork.Resources{CPUMilli: 4_000, MemoryMB: 1_000}}
+	s.do(queue.Command{Register: &vm})
+	ses := &session{s: s.sched, vm: id, life: vm.Life, out: make(chan wire.ToQueueNode, outQueue), woken: wakeup.New(), cancel: func() {}}
+	s.sched.mu.Lock()
+	defer s.sched.mu.Unlock()
+	v := s.sched.fleet.vm(id)
+	v.session = ses
+	v.lease.Assume(steady.Now().Add(time.Hour))
+	s.sched.fleet.take(v, wire.VMBeat{VM: vm}, steady.Now())
+	return ses
+}
+
+// plan has the leader make a plan and carry it out.
+func (s *teller) plan() {
+	s.sched.mu.Lock()
+	s.sched.fleet.answer(steady.Now())
+	s.sched.mu.Unlock()
+	s.sched.dispatch(s.ctx, &roundTimes{})
+}
+
+// answer has all VMs have answered just now, whatever the machine's load.
+func (f *fleet) answer(now time.Time) {
+	for _, v := range f.vms {
+		v.beatAt = now
+	}
+}
+
+// run returns the active run of the task; the zero run if there is none.
+func (s *teller) run() (r queue.Run) {
+	s.sched.rep.View(func(st *state.State) {
+		if list := st.Queues().Job(tellerTask.Job).Task(tellerTask).Runs; len(list) > 0 {
+			r = list[0]
+		}
+	})
+	return r
+}
+
+// tell has vm1 report the end of the run, up to where it is proposed.
+func (s *teller) tell(ctx context.Context, how queue.Ending) (commit func(), told chan error) {
+	s.t.Helper()
+	gate := make(chan struct{})
+	s.store.gate.Store(&gate)
+	last := s.sched.rep.Status().Last
+	told = make(chan error, 1)
+	go func() {
+		told <- s.ses.ends(ctx, wire.EndsReport{Seq: 1, Ends: queue.Ends{
+			VM: "vm1", Life: "vm1-life", List: []queue.End{{Task: tellerTask, Run: 1, How: how}},
+		}})
+	}()
+	s.until("the end is proposed", func() bool { return s.sched.rep.Status().Last == last+1 })
+	return func() {
+		s.store.gate.Store(nil)
+		close(gate)
+		s.until("the end is committed", func() bool { return s.run().Number == 0 })
+	}, told
+}
+
+// lessons are ends of a first run that tell of its VM.
+var lessons = []struct {
+	name    string
+	lasting bool
+	how     queue.Ending
+	stop    string // why the leader stopped the run, if it did
+}{
+	{"a short task that has one attempt left", false, queue.EndFailed, ""},
+	{"a lasting task", true, queue.EndFailed, ""},
+	{"a lasting task that was refused", true, queue.EndRefused, ""},
+	{"a lasting task that stood still", true, queue.EndStopped, dispatch.Stuck},
+}
+
+// forLessons calls a test for each of the lessons, before the end is told.
+func forLessons(t *testing.T, test func(s *teller, how queue.Ending)) {
+	for _, l := range lessons {
+		t.Run(l.name, func(t *testing.T) {
+			step := small
+			step.Lasting = l.lasting
+			s := newTeller(t, step)
+			if l.stop != "" {
+				s.sched.mu.Lock()
+				s.sched.fleet.setStops([]dispatch.Stop{{Task: tellerTask, Run: 1, VM: "vm1", Reason: l.stop}}, steady.Now())
+				s.sched.mu.Unlock()
+			}
+			test(s, l.how)
+		})
+	}
+}
+
+// TestFailureIsKnownThoughItsSessionEnds has a session end before it hears that a failure
+// is committed.
+func TestFailureIsKnownThoughItsSessionEnds(t *testing.T) {
+	forLessons(t, func(s *teller, how queue.Ending) {
+		ctx, cancel := context.WithCancel(s.ctx)
+		commit, told := s.tell(ctx, how)
+		cancel()
+		assert.Assert(s.t, <-told != nil)
+		commit()
+		s.plan()
+		assert.Assert(s.t, s.run().VM != "vm1", "it is started again where it has just failed")
+	})
+}
+
+// TestFirstPlanAfterFailureKnowsIt makes a plan as soon as a failure is committed, before
+// its session has got any further.
+func TestFirstPlanAfterFailureKnowsIt(t *testing.T) {
+	forLessons(t, func(s *teller, how queue.Ending) {
+		commit, told := s.tell(s.ctx, how)
+		s.sched.mu.Lock()
+		commit()
+		var plan dispatch.Plan
+		s.sched.rep.View(func(st *state.State) {
+			f, now := s.sched.fleet, steady.Now()
+			f.answer(now)
+			plan = f.planner.Plan(st.Queues(), f.view(st.Queues(), now))
+		})
+		s.sched.mu.Unlock()
+		assert.NilError(s.t, <-told)
+		for _, st := range plan.Starts {
+			assert.Assert(s.t, st.VM != "vm1", "it is started again where it has just failed: %s", st.Reason)
+		}
+	})
+}
