--- a/scheduler/simfleet_test.go
+++ b/scheduler/simfleet_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"rudderfork.example/rudderfork"
@@ -121,6 +122,11 @@
 	return s.qs.Apply(c, rudderfork.Millis(s.clock()))
 }
 
+// leader is a scheduler that knows what the leader does.
+func (s *simFleet) leader() *Scheduler {
+	return &Scheduler{fleet: s.f, log: zerolog.Nop(), rec: alone{}, met: newMetrics()}
+}
+
 func (s *simFleet) submit(id string, steps ...queue.Step) {
 	s.t.Helper()
 	res := s.apply(queue.Command{Submit: &queue.Submit{Host: "h", Path: "/q/" + id, Spec: queue.Spec{Steps: steps}, KeepMS: 1 << 40}})
@@ -133,9 +139,10 @@
 }
 
 func (s *simFleet) register(v *simVM, seen *queue.Crash) {
-	s.apply(queue.Command{Crash: seen, Register: &queue.VM{
+	res := s.apply(queue.Command{Crash: seen, Register: &queue.VM{
 		ID: v.id, Life: v.lifeName(), Service: "desk", Rack: "r", Capacity: rudderfork.Resources{CPUMilli: 8_000, MemoryMB: 16_000},
 	}})
+	s.leader().noteGone(v.id, lifeReplaced, res)
 	v.down = false
 	s.admit(v)
 }
@@ -181,7 +188,8 @@
 	v.down = true
 	s.f.vm(v.id).session = nil
 	clear(v.begun)
-	s.apply(queue.Command{Lost: &queue.Lost{VM: v.id, Life: v.lifeName()}})
+	res := s.apply(queue.Command{Lost: &queue.Lost{VM: v.id, Life: v.lifeName()}})
+	s.leader().noteGone(v.id, lifeLapsed, res)
 }
 
 func (s *simFleet) beat(v *simVM) {
