Reproduce steps that their adviser is never asked about rightly

An adviser is asked about the 30 cheapest VMs without a ticket. What it has refused is not remembered, though its answer for a step does not change, so the same 30 are asked about again; a step that may run only on others never starts. Steps are asked for in the order of the plan, once they have rested for 300 ms: where calls take longer, the first two take turns, and a third one is never asked for.

--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -200,6 +200,9 @@
 type adviser struct {
 	mu    sync.Mutex
 	allow func(life string) bool
+	// allowStep says which steps any life may run; nil for all.
+	allowStep func(step string) bool
+
 	calls int
 	lives int
 }
@@ -214,7 +217,7 @@
 	}
 	tickets := map[string]string{}
 	for _, l := range lives {
-		if a.allow(l) {
+		if a.allow(l) && (a.allowStep == nil || a.allowStep(step)) {
 			tickets[l] = "ticket for " + step + " on " + l
 		}
 	}
