Learn from the end of a run before it is committed

A short task with two attempts whose VM fails all that it starts loses the second one there, and its job.

Cause: the session learned from an end once it had the answer to its commit. The leader's round sees the committed state as soon as it is applied, and made its plan in between. Where the session ended first, nobody ever learned: an end told again is not taken again.

Change: what an end teaches of its VM is learned when it is reported, if its run is active, and before it is proposed. If it is not committed after all, the leader has gone, and what it knew with it.

--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"rudderfork.example/rudderfork"
@@ -344,6 +345,9 @@
 
 func (f *fleet) failedOn(k queue.TaskKey, vm rudderfork.VMID) {
 	list := f.failed[k]
+	if slices.Contains(list, vm) {
+		return
+	}
 	if len(list) >= maxFailedOn {
 		list = list[1:]
 	}
--- a/scheduler/vm.go
+++ b/scheduler/vm.go
@@ -278,7 +278,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
-	worked := ses.s.workedOf(r.Ends)
+	worked := ses.s.learnEnds(r.Ends)
 	res, err := ses.s.do(ctx, queue.Command{Ends: &r.Ends})
 	if err != nil {
 		return err
@@ -295,7 +295,7 @@
 			continue
 		}
 		ses.s.met.ends.WithLabelValues(string(e.How)).Inc()
-		ses.learnEnd(r.Ends.VM, e, worked[i], now)
+		ses.learnWorktime(e, worked[i], now)
 		ses.s.log.Info().Str("task", e.Task.String()).Uint32("run", e.Run).Str("on", string(r.Ends.VM)).
 			Str("how", string(e.How)).Str("reason", e.Reason).Msg("task_ended")
 		ses.s.record("task_ended", e.Task.String(), "on "+string(r.Ends.VM)+": "+string(e.How)+" "+e.Reason)
@@ -303,12 +303,31 @@
 	return nil
 }
 
-// learnEnd draws conclusions from the end of a run.
-func (ses *session) learnEnd(vm rudderfork.VMID, e queue.End, worked float64, now time.Time) {
+// learnEnds draws conclusions on a VM from the ends that it reports, before they are
+// committed: the plan that finds a task without a run is to know why it is. It returns what
+// each run worked, which is dropped with the run. A run that is not active was learned of
+// before.
+func (s *Scheduler) learnEnds(ends queue.Ends) (worked []float64) {
+	worked = make([]float64, len(ends.List))
+	s.rep.View(func(st *state.State) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		now, v, vm := steady.Now(), s.fleet.vm(ends.VM), st.Queues().VM(ends.VM)
+		for i, e := range ends.List {
+			worked[i] = v.workedOf(e, now)
+			if vm != nil && vm.Life == ends.Life && vm.Runs()[e.Task] == e.Run {
+				s.fleet.learn(ends.VM, e, now)
+			}
+		}
+	})
+	return worked
+}
+
+// learnWorktime draws on how long a run worked that has ended.
+func (ses *session) learnWorktime(e queue.End, worked float64, now time.Time) {
 	ses.s.rep.View(func(st *state.State) {
 		ses.s.mu.Lock()
 		defer ses.s.mu.Unlock()
-		ses.s.fleet.learn(vm, e, now)
 		ses.s.fleet.learnWorktime(st.Queues(), e, worked, now)
 	})
 }
--- a/scheduler/worktimes.go
+++ b/scheduler/worktimes.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"rudderfork.example/rudderfork/internal/steady"
 	"rudderfork.example/rudderfork/queue"
 )
 
@@ -44,16 +43,3 @@
 	}
 	f.worktimes.Observe(s.Row(j).Name, e.Task.StepKey(), &j.Spec.Steps[e.Task.Step], worked, now)
 }
-
-// workedOf is vmInfo.workedOf for each end of a report. It is asked before the ends are
-// committed, since what is known of a run is dropped with it.
-func (s *Scheduler) workedOf(ends queue.Ends) []float64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := steady.Now()
-	list := make([]float64, len(ends.List))
-	for i, e := range ends.List {
-		list[i] = s.fleet.vm(ends.VM).workedOf(e, now)
-	}
-	return list
-}
