--- a/scheduler/advice_test.go
+++ b/scheduler/advice_test.go
@@ -42,11 +42,17 @@
 func (s *teller) advise(calls int) {
 	s.t.Helper()
 	for range calls {
-		s.plan()
-		s.until("the adviser has answered", func() bool { return !s.asking() })
+		s.planAdvised()
 		s.rest()
 	}
+	s.planAdvised()
+}
+
+// planAdvised makes a plan, and waits for the adviser's answer to what it asks.
+func (s *teller) planAdvised() {
+	s.t.Helper()
 	s.plan()
+	s.until("the adviser has answered", func() bool { return !s.asking() })
 }
 
 // asking reports whether a call to the adviser is under way.
