Learn from a crash which VM its executor is on

What callers saw: lasting jobs shown as failed though they could be done, and all their tasks gone. One VM of eight whose executor crashes every 1, 3 or 8 s had 8 of 8 lasting jobs given up, while seven sound VMs had room: it is the emptiest after each crash, so the same tasks went back there, and five crashes under a task give its job up whatever it is suspected of.

Cause: the leader drew its conclusions on VMs from the ends that agents report alone. What ended with a life of an executor taught nothing, and a new life began without any doubt.

Change: a task that was at work when its executor crashed has failed on that VM, and a VM whose executor has crashed twice or more lately is in doubt, so that others are taken before it (TestNewTaskAvoidsVMThatCrashesAgainAndAgain; without the doubt 2 of its 4 subtests fail). One crash tells nothing of the VM. Both are learned before the new life is committed, as for other ends.

--- a/queue/apply.go
+++ b/queue/apply.go
@@ -336,8 +336,7 @@
 	v.Epoch, v.Leaving, v.Doubtful = 1, false, nil
 	if old := s.vms[v.ID]; old != nil {
 		same := continues(old.Life, v.Life)
-		seen = seen.Of(old.Life)
-		how := ending{planned: old.Leaving || seen.announced(), seen: seen, over: true}
+		how := endingOf(old, seen)
 		res.Assessments = s.returned(old, how, same, at)
 		if !same {
 			ended := s.endLife(old, how, nil, at)
@@ -354,6 +353,29 @@
 	return res
 }
 
+// endingOf is how a life of a VM's executor has ended that another one follows.
+func endingOf(old *VM, seen *Crash) ending {
+	seen = seen.Of(old.Life)
+	return ending{planned: old.Leaving || seen.announced(), seen: seen, over: true}
+}
+
+// CrashedUnder returns the tasks whose runs ended with the life of an executor that v
+// follows; crashed is false if v follows none, or one that was to end.
+func (s *State) CrashedUnder(v VM, seen *Crash) (tasks []TaskKey, crashed bool) {
+	old := s.vms[v.ID]
+	if old == nil || continues(old.Life, v.Life) {
+		return nil, false
+	}
+	how := endingOf(old, seen)
+	if how.planned {
+		return nil, false
+	}
+	for _, r := range s.atWorkOf(old, how.seen, 0) {
+		tasks = append(tasks, r.Task)
+	}
+	return tasks, true
+}
+
 // continues reports whether a life as it is named now may be the one that was named
 // before. Agents of earlier releases named lives by their ids alone; what runs in one may
 // not be taken for over because it gets to say when it began.
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -24,6 +25,9 @@
 	// long it takes to lose half of it.
 	doubtStep = 0.5
 	doubtHalf = 3 * time.Second
+	// crashHalf is how long it takes until a crash of a VM's executor counts half. The first
+	// one is an ordinary crash; each further one adds doubtStep to the VM's doubt.
+	crashHalf = 10 * time.Second
 	// maxFailedOn bounds the VMs remembered for a task.
 	maxFailedOn = 8
 	// heldDown is the percent by which a filler is paced down that counts as being
@@ -79,6 +83,10 @@
 	rows     map[queue.TaskKey]*runInfo
 	doubt    float64
 	doubtAt  time.Time
+
+	crashes     float64 // of its executor, at crashAt; newer ones count more
+	crashAt     time.Time
+	crashedLife string // the one whose crash was counted last
 }
 
 // vmVersion tells whether a VM's runs have changed.
@@ -200,17 +208,33 @@
 
 // addDoubt counts a failure, or with a negative step a success.
 func (v *vmInfo) addDoubt(step float64, now time.Time) {
-	v.doubt = max(0, v.doubtNow(now)+step)
+	v.doubt = max(0, halved(v.doubt, now.Sub(v.doubtAt), doubtHalf)+step)
 	v.doubtAt = now
 }
 
-// doubtNow is the doubt, which halves every doubtHalf.
+// doubtNow is the doubt, which halves every doubtHalf, with that of the executor's crashes.
 func (v *vmInfo) doubtNow(now time.Time) float64 {
-	d := v.doubt
-	for span := now.Sub(v.doubtAt); span >= doubtHalf && d > 0.01; span -= doubtHalf {
-		d /= 2
+	return halved(v.doubt, now.Sub(v.doubtAt), doubtHalf) + doubtStep*max(0, v.crashesNow(now)-1)
+}
+
+// halved is what is left of a value that halves with each half life.
+func halved(value float64, span, half time.Duration) float64 {
+	for ; span >= half && value > 0.01; span -= half {
+		value /= 2
+	}
+	return value
+}
+
+func (v *vmInfo) crashesNow(now time.Time) float64 {
+	return v.crashes * math.Exp2(-max(0, now.Sub(v.crashAt).Seconds())/crashHalf.Seconds())
+}
+
+// addCrash counts the crash of a life of the VM's executor, once.
+func (v *vmInfo) addCrash(life string, now time.Time) {
+	if v.crashedLife == life {
+		return
 	}
-	return d
+	v.crashes, v.crashAt, v.crashedLife = v.crashesNow(now)+1, now, life
 }
 
 // view returns what dispatch reads. It is good until the next change of the fleet.
@@ -343,6 +367,18 @@
 	}
 }
 
+// learnCrash draws conclusions from a life of a VM's executor that a new one follows.
+func (f *fleet) learnCrash(s *queue.State, vm queue.VM, crash *queue.Crash, now time.Time) {
+	tasks, crashed := s.CrashedUnder(vm, crash)
+	if !crashed {
+		return
+	}
+	f.vm(vm.ID).addCrash(s.VM(vm.ID).Life, now)
+	for _, k := range tasks {
+		f.failedOn(k, vm.ID)
+	}
+}
+
 func (f *fleet) failedOn(k queue.TaskKey, vm rudderfork.VMID) {
 	list := f.failed[k]
 	if slices.Contains(list, vm) {
--- a/scheduler/liveness_test.go
+++ b/scheduler/liveness_test.go
@@ -336,3 +336,31 @@
 	s.submit("feed", lastingStep(2))
 	s.assertStarted()
 }
+
+// TestNewTaskAvoidsVMThatCrashesAgainAndAgain has all VMs hold work but the one whose
+// executor crashes.
+func TestNewTaskAvoidsVMThatCrashesAgainAndAgain(t *testing.T) {
+	for _, c := range []struct {
+		crashes int
+		avoided bool
+	}{{0, false}, {1, false}, {2, true}, {4, true}} {
+		t.Run(fmt.Sprintf("after %d crashes", c.crashes), func(t *testing.T) {
+			s := newSimFleet(t, 4)
+			bad := s.vms[0]
+			plain := lastingStep(1)
+			plain.TailMS = 0
+			for i, v := range s.vms[1:] {
+				id := fmt.Sprintf("beside%d", i)
+				s.submit(id, plain)
+				s.place(queue.TaskKey{Job: rudderfork.JobID(id)}, v)
+			}
+			for range c.crashes {
+				s.crash(bad, true)
+				s.run(time.Second)
+			}
+			s.submit("new", plain)
+			s.tick()
+			assert.Equal(t, s.vmOf(queue.TaskKey{Job: "new"}) != bad, c.avoided)
+		})
+	}
+}
--- a/scheduler/simfleet_test.go
+++ b/scheduler/simfleet_test.go
@@ -139,9 +139,11 @@
 }
 
 func (s *simFleet) register(v *simVM, seen *queue.Crash) {
-	res := s.apply(queue.Command{Crash: seen, Register: &queue.VM{
+	vm := queue.VM{
 		ID: v.id, Life: v.lifeName(), Service: "desk", Rack: "r", Capacity: rudderfork.Resources{CPUMilli: 8_000, MemoryMB: 16_000},
-	}})
+	}
+	s.f.learnCrash(s.qs, vm, seen, s.clock())
+	res := s.apply(queue.Command{Crash: seen, Register: &vm})
 	s.leader().noteGone(v.id, lifeReplaced, res)
 	v.down = false
 	s.admit(v)
--- a/scheduler/vm.go
+++ b/scheduler/vm.go
@@ -201,6 +201,7 @@
 		return nil
 	}
 	defer ses.endRegistration(v)
+	ses.s.learnCrash(vm, crash)
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
 	res, err := ses.s.do(ctx, queue.Command{Register: &vm, Crash: crash})
@@ -219,6 +220,16 @@
 	return nil
 }
 
+// learnCrash draws conclusions on a VM from the end of the life that a new one follows,
+// before that is committed.
+func (s *Scheduler) learnCrash(vm queue.VM, crash *queue.Crash) {
+	s.rep.View(func(st *state.State) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.fleet.learnCrash(st.Queues(), vm, crash, steady.Now())
+	})
+}
+
 // mayRegister reports whether a VM may be registered, and gives it time to fetch
 // its first lease. While its loss is being committed it may not: a lease granted
 // after that would outlive the runs it was granted for. Nor while it is registered
