Send a suspect of a crash elsewhere than where it has failed

What callers saw: a task that waits though sound VMs have room: a suspect's start was refused by one VM 11 times in 3 s, and stood still on one 4 times in 10 s.

Cause: a suspect runs where least runs, whatever spoke against the VM. That is often the VM whose executor has just crashed, or one that refuses all that it is to start.

Change: VMs where the task has failed, or that are in doubt, come after the others.

--- a/dispatch/quarantine.go
+++ b/dispatch/quarantine.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -61,8 +62,9 @@
 	return v, reason, false
 }
 
-// chooseApart returns the VM with the fewest runs of those that are not in quarantine; nil
-// if there is none, or enough are.
+// chooseApart returns the VM with the fewest runs of those that are not in quarantine, of
+// those where nothing speaks against the task if there are any; nil if there is none, or
+// enough are in quarantine.
 func (p *planner) chooseApart(c *candidates, k queue.TaskKey) (best *vmNote) {
 	if p.quarantines >= max(1, len(p.vms)/quarantinePart) {
 		return nil
@@ -72,9 +74,22 @@
 		if math.IsInf(cost, 1) || v.quarantine || c.class.runsOn(k, v) {
 			continue
 		}
-		if best == nil || len(v.runs)+v.added < len(best.runs)+best.added {
+		if best == nil || p.compareApart(k, v, best) < 0 {
 			best = v
 		}
 	}
 	return best
 }
+
+// compareApart compares VMs as places for a suspect, the better one first.
+func (p *planner) compareApart(k queue.TaskKey, v, o *vmNote) int {
+	return cmp.Or(
+		compareBool(p.objectionable(k, v), p.objectionable(k, o)),
+		cmp.Compare(len(v.runs)+v.added, len(o.runs)+o.added),
+	)
+}
+
+// objectionable reports whether the task has failed on a VM, or the VM is in doubt.
+func (p *planner) objectionable(k queue.TaskKey, v *vmNote) bool {
+	return v.view.Doubt >= doubtful || p.failedCost(k, v) > 0
+}
