Let a suspect wait by no clock of an earlier leader

What callers saw: lasting tasks without a run for 6.3 s after a change of the leader, 1.3 s where the leaders' clocks agree.

Cause: a suspect's patience was counted from the end of its run, by the clock of the leader then. Where that was 5 s ahead of the next one's, nothing had been waited for yet.

Change: an end that lies ahead is waited for by nobody.

--- a/dispatch/quarantine.go
+++ b/dispatch/quarantine.go
@@ -55,13 +55,20 @@
 	if v = p.chooseApart(c, k); v != nil {
 		return v, "a suspect of a crash, in quarantine where least runs", false
 	}
-	if c.able > 0 && p.view.Now-t.EndedAt < patienceMS {
+	if c.able > 0 && p.isPatient(t) {
 		return nil, "", true
 	}
 	v, reason = p.choose(c, k)
 	return v, reason, false
 }
 
+// isPatient reports whether a suspect waits on for a place apart. An end by the clock of
+// an earlier leader may lie ahead; nothing waits for that.
+func (p *planner) isPatient(t *queue.Task) bool {
+	waited := p.view.Now - t.EndedAt
+	return waited >= 0 && waited < patienceMS
+}
+
 // chooseApart returns the VM with the fewest runs of those that are not in quarantine, of
 // those where nothing speaks against the task if there are any; nil if there is none, or
 // enough are in quarantine.
