Keep figures finite that nothing was observed of for long

What callers would see: no serving task starts any more once a queue of fillers has rested for 18 hours.

Cause: the errors of a fit double with each half life of rest. After 1,024 of them they are infinite, what is weighed by them is no number, nor is any VM's cost for a serving task, and none is chosen.

Change: 40 half lives count at most. The fits of pressures, loads and slowdowns use the same function.

--- a/internal/regression/regression.go
+++ b/internal/regression/regression.go
@@ -96,7 +96,11 @@
 	}
 }
 
+// mostHalves bounds the half lives that count: by then nothing is left of what was
+// observed, and figures stay finite.
+const mostHalves = 40
+
 // Growth is by how much variances grow over a span, with a half life.
 func Growth(span, half time.Duration) float64 {
-	return math.Exp2(float64(span) / float64(half))
+	return math.Exp2(min(mostHalves, float64(span)/float64(half)))
 }
