Remember more of the VMs on which a task has failed

What callers saw: a lone task that was started 43 times in 30 s by VMs that fail all they start, and by none of four sound ones beside twenty of those.

The VMs that fail everything are the emptiest, so that the first of them came round again.

Change: 64 failures are remembered of a task. Only tasks that have failed have any.

--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -29,7 +29,7 @@
 	// one is an ordinary crash; each further one adds doubtStep to the VM's doubt.
 	crashHalf = 10 * time.Second
 	// maxFailedOn bounds the VMs remembered for a task.
-	maxFailedOn = 8
+	maxFailedOn = 64
 	// heldDown is the percent by which a filler is paced down that counts as being
 	// held back: what a place where it could begin would gain it, with what a move
 	// costs.
