Ask an adviser about no VM that it has ruled out

What callers would see: a step that never starts, since only VMs beyond the 30 cheapest may run it, and one that is never asked for behind two that nothing may run.

Cause: only tickets were kept of an adviser's answers. The same 30 VMs were asked about again and again, and what the first steps asked for left the adviser no time.

Change: what an adviser has ruled out for a step is kept, by life; which VMs may run a step does not change.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -62,6 +62,8 @@
 	// Tickets holds, for steps of queues with an adviser, the VMs that may run
 	// them, with the adviser's tickets.
 	Tickets map[queue.StepKey]map[rudderfork.VMID]string
+	// Barred holds, for these steps, the VMs that the adviser has ruled out.
+	Barred map[queue.StepKey]map[rudderfork.VMID]bool
 	// Pressure is what fillers of one image take from the headroom of serving
 	// tasks of another, as package interference gives it.
 	Pressure pace.Pressures
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -207,7 +207,7 @@
 	}
 	var options []option
 	for _, v := range p.vms {
-		if p.able(&free, v) && cl.tickets[v.vm.ID] == "" && !cl.runsOn(k, v) {
+		if p.able(&free, v) && cl.tickets[v.vm.ID] == "" && !p.view.Barred[cl.key][v.vm.ID] && !cl.runsOn(k, v) {
 			options = append(options, option{v.vm.ID, p.cost(&free, v) + p.failedCost(k, v)})
 		}
 	}
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -29,7 +29,12 @@
 // leave is what an adviser said of a step.
 type leave struct {
 	tickets map[rudderfork.VMID]ticket
-	askAt   time.Time // not before
+	barred  map[rudderfork.VMID]string // lives that may not run the step, which does not change
+	askAt   time.Time                  // not before
+}
+
+func newLeave() *leave {
+	return &leave{tickets: map[rudderfork.VMID]ticket{}, barred: map[rudderfork.VMID]string{}}
 }
 
 // ticket is valid for one life of a VM, until a time.
@@ -41,6 +46,30 @@
 
 func newAdvice() *advice { return &advice{steps: map[queue.StepKey]*leave{}} }
 
+// bar notes the lives that were asked about in vain.
+func (l *leave) bar(asked map[string]rudderfork.VMID, good map[string]string) {
+	for life, vm := range asked {
+		if _, ok := good[life]; !ok {
+			l.barred[vm] = life
+		}
+	}
+}
+
+// barred returns the VMs that are known not to run a step.
+func (a *advice) barred(s *queue.State) map[queue.StepKey]map[rudderfork.VMID]bool {
+	all := map[queue.StepKey]map[rudderfork.VMID]bool{}
+	for k, l := range a.steps {
+		list := map[rudderfork.VMID]bool{}
+		for id, life := range l.barred {
+			if vm := s.VM(id); vm != nil && vm.Life == life {
+				list[id] = true
+			}
+		}
+		all[k] = list
+	}
+	return all
+}
+
 // view returns the tickets that are valid, and drops those of steps that are
 // over.
 func (a *advice) view(s *queue.State, now time.Time) map[queue.StepKey]map[rudderfork.VMID]string {
@@ -83,7 +112,7 @@
 			continue
 		}
 		if l == nil {
-			a.steps[ask.Step] = &leave{tickets: map[rudderfork.VMID]ticket{}}
+			a.steps[ask.Step] = newLeave()
 		}
 		a.busy = true
 		go s.advise(a, ask)
@@ -108,6 +137,9 @@
 		return // the job is over
 	}
 	l.askAt = now.Add(adviceAgain)
+	if err == nil {
+		l.bar(lives, tickets)
+	}
 	for life, text := range tickets {
 		// It holds from the answer on; the call's begin is surely before that.
 		l.tickets[lives[life]] = ticket{text, life, began.Add(validity)}
