Show what waits for commits beside it

What callers saw: starts that come late while commits are slow.

Cause: a session reads the next message once the report before is committed, so that heartbeats wait behind reports: the VM becomes unusable, or is given up. A heartbeat that has waited counts as fresh when it is read, while its agent counts the grant from when it was sent, and makes no start with it. A round plans once the losses of VMs are committed.

--- /dev/null
+++ b/scheduler/beside_test.go
@@ -0,0 +1,128 @@
+package scheduler
+
+import (
+	"context"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"rudderfork.example/rudderfork/queue"
+	"rudderfork.example/rudderfork/replica"
+	"rudderfork.example/rudderfork/wire"
+)
+
+// heldSite is a site whose commits wait while a gate is closed. Its rounds are made by the
+// test.
+type heldSite struct {
+	*site
+	rep   *replica.Replica
+	store *heldStore
+}
+
+func newHeldSite(t *testing.T, cfg Settings) *heldSite {
+	store := &heldStore{}
+	rep := newReplicaOn(t, func(s replica.Store) replica.Store { store.Store = s; return store }, self)
+	h := &heldSite{site: &site{t: t, ctx: t.Context()}, rep: rep, store: store}
+	h.sched = New(cfg, rep, nil, zerolog.Nop(), alone{})
+	h.addr = listen(t, h.sched)
+	h.serve(rep)
+	h.until("it leads", rep.Leads)
+	h.sched.startTerm(rep.Status().Term)
+	return h
+}
+
+// hold closes the gate until the test ends.
+func (h *heldSite) hold() {
+	gate := make(chan struct{})
+	h.store.gate.Store(&gate)
+	h.t.Cleanup(func() { h.store.gate.Store(nil); close(gate) })
+}
+
+// agentOf opens a session as the agent of a VM, and registers it.
+func (h *heldSite) agentOf(vm queue.VM) *wire.Conn[wire.FromNode, wire.ToQueueNode] {
+	h.t.Helper()
+	c, err := wire.Dial[wire.FromNode, wire.ToQueueNode](h.ctx, "ws://"+h.addr+"/queues", wire.QueueSession)
+	assert.NilError(h.t, err)
+	h.t.Cleanup(c.Close)
+	assert.NilError(h.t, c.Send(h.ctx, wire.FromNode{Hello: &wire.QueueHello{Version: wire.Version, Process: string(vm.ID)}}))
+	h.beat(c, vm, 1)
+	g := h.nextGrant(c)
+	assert.Assert(h.t, g != nil && g.LeaseMS > 0, "%+v", g)
+	return c
+}
+
+func (h *heldSite) beat(c *wire.Conn[wire.FromNode, wire.ToQueueNode], vm queue.VM, sent int64) {
+	h.t.Helper()
+	assert.NilError(h.t, c.Send(h.ctx, wire.FromNode{Beat: &wire.VMBeat{Sent: sent, VM: vm}}))
+}
+
+// nextGrant returns the next grant, or nil if the session ends first.
+func (h *heldSite) nextGrant(c *wire.Conn[wire.FromNode, wire.ToQueueNode]) *wire.VMGrant {
+	for {
+		m, err := c.ReceiveWithin(h.ctx, waitLimit)
+		if err != nil {
+			return nil
+		}
+		if m.Grant != nil {
+			return m.Grant
+		}
+	}
+}
+
+var lonely = queue.VM{ID: "vm1", Life: "vm1-life-1", Domain: "hall", Service: "desk"}
+
+// TestHeartbeatWaitsForReport guards against a VM that is given up while its agent's
+// reports wait for their commits.
+func TestHeartbeatWaitsForReport(t *testing.T) {
+	h := newHeldSite(t, Settings{Lease: lease})
+	c := h.agentOf(lonely)
+	h.hold()
+	last := h.rep.Status().Last
+	ends := queue.Ends{VM: lonely.ID, Life: lonely.Life, List: []queue.End{{Task: queue.TaskKey{Job: "j"}, Run: 1, How: queue.EndDone}}}
+	assert.NilError(t, c.Send(h.ctx, wire.FromNode{Ends: &wire.EndsReport{Seq: 1, Ends: ends}}))
+	h.until("the report is proposed", func() bool { return h.rep.Status().Last > last })
+	h.beat(c, lonely, 2)
+	g := h.nextGrant(c)
+	assert.Assert(t, g != nil, "the session ended while the heartbeat waited")
+	assert.Equal(t, g.Sent, int64(2))
+}
+
+// TestStartsWaitForLosses guards against starts that are not proposed while the loss of
+// another VM waits for its commit.
+func TestStartsWaitForLosses(t *testing.T) {
+	h := newHeldSite(t, Settings{Lease: waitLimit})
+	vm := lonely
+	vm.Capacity.CPUMilli = small.Size.CPUMilli
+	c := h.agentOf(vm)
+	h.do(queue.Command{Register: &queue.VM{ID: "gone", Life: "life"}})
+	h.do(queue.Command{Document: &queue.Document{
+		Version: 1, Queues: []queue.Queue{{Name: "q", Host: host, Prefix: "/q/", Service: "desk", MaxAttempts: 2}},
+		Pools: []queue.Pool{{Service: "desk"}},
+	}})
+	h.do(queue.Command{Submit: &queue.Submit{Host: host, Path: "/q/j", Spec: queue.Spec{Steps: []queue.Step{small}}}})
+	h.hold()
+	last := h.rep.Status().Last
+	h.beat(c, vm, 2)
+	assert.Assert(t, h.nextGrant(c) != nil)
+	ctx, cancel := context.WithCancel(h.ctx)
+	ended := make(chan struct{})
+	go func() { defer close(ended); h.sched.round(ctx) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	h.until("the loss is proposed", func() bool { return h.rep.Status().Last > last })
+	h.until("the start is proposed too, or the round has ended", func() bool {
+		select {
+		case <-ended:
+			return true
+		default:
+			return h.rep.Status().Last == last+2
+		}
+	})
+	assert.Equal(t, h.rep.Status().Last, last+2)
+}
+
+func (h *heldSite) do(c queue.Command) {
+	h.t.Helper()
+	_, err := h.sched.do(h.ctx, c)
+	assert.NilError(h.t, err)
+}
