Send orders again to an agent that does not have them

What callers saw: tasks that are placed and never begin, each of them for good, on a VM that counts as usable and is the emptiest.

Cause: an agent that is answered once as by another life takes its executor's life for over and forgets all orders, and takes the same life up again 3 s later. The leader had sent that session the full list of the VM's epoch, and sends it once. An agent takes no lease and no order of an epoch whose list it does not have; its heartbeats go on.

What an agent lacks showed nowhere: neither side compared.

Change: a heartbeat names the epoch whose full list the agent has. Where that is another than the VM's a second after the list was sent, the leader logs orders_missing and sends it again. A full list changes nothing at an agent that has it.

--- a/runner/beat.go
+++ b/runner/beat.go
@@ -34,7 +34,8 @@
 	}
 	now := steady.Now()
 	a.noteOverdue(now)
-	b = wire.VMBeat{Sent: now.UnixNano(), VM: a.vm, Draining: a.draining, Mute: a.mute(now)}
+	epoch := a.keeper.Epoch()
+	b = wire.VMBeat{Sent: now.UnixNano(), VM: a.vm, Draining: a.draining, Mute: a.mute(now), Epoch: &epoch}
 	if b.Crash = a.crashed; b.Mute {
 		b.Crash = a.crash()
 	}
--- a/runs/keeper.go
+++ b/runs/keeper.go
@@ -108,6 +108,14 @@
 // Fence returns the fencing token for the executor.
 func (k *Keeper) Fence() uint64 { return k.term }
 
+// Epoch returns the one whose full list of orders is here, or 0.
+func (k *Keeper) Epoch() uint64 {
+	if !k.synced {
+		return 0
+	}
+	return k.epoch
+}
+
 // SetDraining tells whether the executor is draining.
 func (k *Keeper) SetDraining(leave bool) { k.leave = leave }
 
--- a/scheduler/session.go
+++ b/scheduler/session.go
@@ -21,6 +21,9 @@
 	// silenceLimit ends a session that sent nothing for so long; nodes send a
 	// heartbeat twice a second.
 	silenceLimit = 3 * time.Second
+	// fullSpan is how long after a full list was sent an agent may not have told that it has
+	// it: two of its heartbeats.
+	fullSpan = time.Second
 	// leaderWait bounds how long a node waits for word of a leader: less than it waits
 	// for a process that does not answer.
 	leaderWait = 400 * time.Millisecond
@@ -44,7 +47,9 @@
 	life  string          // of its executor
 	epoch uint64          // of the VM; 0 until registered
 	full  bool            // the full list was sent in this epoch
-	seen  vmVersion       // for which orders were worked out last
+	// fullBy is until when the agent may not have told that it has the full list.
+	fullBy time.Time
+	seen   vmVersion // for which orders were worked out last
 
 	closed bool // the last orders said that nothing more is started on the VM
 	sent   map[rudderfork.RunRef]bool
--- a/scheduler/vm.go
+++ b/scheduler/vm.go
@@ -38,6 +38,9 @@
 		return o
 	}
 	o.Full = !ses.full
+	if o.Full {
+		ses.fullBy = steady.Now().Add(fullSpan)
+	}
 	ses.full = true
 	ses.seen = versionOf(vm)
 	o.Closed = qs.Evacuating(vm.Domain)
@@ -153,6 +156,7 @@
 	fresh := v.session != ses
 	v.session = ses
 	s.fleet.take(v, b, now)
+	ses.checkEpoch(b, now)
 	if !b.Mute && ses.epoch != 0 && ses.life == b.VM.Life {
 		for _, k := range s.fleet.last[b.VM.ID] {
 			grant.Last = append(grant.Last, k.Ref(k.Number))
@@ -270,15 +274,31 @@
 			return
 		}
 		if ses.epoch != known.Epoch {
-			ses.vm, ses.life, ses.epoch, ses.full = vm.ID, known.Life, known.Epoch, false
-			clear(ses.sent)
-			clear(ses.stops)
-			ses.woken.Set()
+			ses.vm, ses.life, ses.epoch = vm.ID, known.Life, known.Epoch
+			ses.sendFull()
 		}
 	})
 	return ok
 }
 
+// sendFull has the full list of orders sent. The caller holds mu.
+func (ses *session) sendFull() {
+	ses.full = false
+	clear(ses.sent)
+	clear(ses.stops)
+	ses.woken.Set()
+}
+
+// checkEpoch sends an agent the full list again that does not have it, as one that took
+// its executor's life for over and takes it up again. The caller holds mu.
+func (ses *session) checkEpoch(b wire.VMBeat, now time.Time) {
+	if b.Epoch == nil || *b.Epoch == ses.epoch || ses.life != b.VM.Life || !ses.full || now.Before(ses.fullBy) {
+		return
+	}
+	ses.s.log.Warn().Str("vm", string(ses.vm)).Str("life", ses.life).Uint64("epoch", ses.epoch).Uint64("agent_epoch", *b.Epoch).Msg("orders_missing")
+	ses.sendFull()
+}
+
 // ends commits the ends that a VM reports, then says so. A session that was left
 // reports none: its agent may have been refused a start that the next one made again,
 // and taking the refusal would let the run start elsewhere beside it. An agent that
--- a/wire/queue.go
+++ b/wire/queue.go
@@ -106,6 +106,10 @@
 	// Crash is what is known of the executor's life while it does not answer, and of
 	// the life before until the present one is registered.
 	Crash *queue.Crash `cbor:"9,keyasint,omitempty"`
+
+	// Epoch is the one whose full list of orders the agent has, 0 for none; nil from agents
+	// of earlier releases, which do not tell.
+	Epoch *uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // VMGrant answers a VMBeat: the VM may run what it is ordered to for so long
