Start tasks while losses of VMs wait for their commits

What callers saw: starts that come late, for as long as the loss of any VM waits for its commit, 3 s at most a round. In that time neither the tasks of other VMs nor short jobs that come were started; after 3 s the starts' own time was used up too.

Cause: a round waited for the commits of all losses before it planned, within one limit for both.

Change: losses are proposed beside the round, each once until it is answered. What ran on a lost VM is planned when its loss is committed, as before (TestManyLost).

--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -74,6 +74,7 @@
 	// heartbeat; registering says that one of them registers the VM.
 	spoken      uint64
 	registering bool
+	losing      bool // its loss is on its way
 
 	beatAt  time.Time
 	changes uint64 // rises with each change of rows
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -66,6 +66,7 @@
 	sessions map[*session]bool
 	opened   uint64 // sessions until now
 
+	losses  sync.WaitGroup        // on their way
 	overdue map[queue.RunKey]bool // runs that were logged as such; of the rounds alone
 }
 
@@ -83,6 +84,7 @@
 
 // Serve implements suture.Service.
 func (s *Scheduler) Serve(ctx context.Context) error {
+	defer s.losses.Wait()
 	for ctx.Err() == nil {
 		changed := s.rep.Changed()
 		if s.rep.Leads() {
@@ -105,16 +107,16 @@
 
 // round does the leader's duties once.
 func (s *Scheduler) round(ctx context.Context) (t roundTimes) {
-	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	bounded, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
 	if term := s.rep.Status().Term; term != s.currentTerm() {
-		if s.rep.Barrier(ctx) != nil {
+		if s.rep.Barrier(bounded) != nil {
 			return t // leadership was lost again
 		}
 		s.startTerm(term)
 	}
 	t.expire = timed(func() { s.expire(ctx) })
-	s.dispatch(ctx, &t)
+	s.dispatch(bounded, &t)
 	t.wake = timed(s.wakeSessions)
 	s.noteRound(t)
 	return t
@@ -189,31 +191,41 @@
 	return res.Queue, err
 }
 
-// expire ends the runs of VMs whose lease has run out for sure. When many are lost at
-// once, as with a rack or a failure domain, their losses share a sync.
+// expire proposes the losses of VMs whose lease has run out for sure. Their commits share
+// syncs, and the round does not wait for them: what is to start elsewhere can.
 func (s *Scheduler) expire(ctx context.Context) {
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	for _, lost := range s.expired() {
-		wg.Go(func() { s.lose(ctx, lost) })
+	for _, l := range s.expired() {
+		s.losses.Go(func() { s.lose(ctx, l) })
 	}
 }
 
-func (s *Scheduler) lose(ctx context.Context, lost queue.Lost) {
-	res, err := s.do(ctx, queue.Command{Lost: &lost})
+// loss is the loss of a VM on its way.
+type loss struct {
+	queue.Lost
+	info *vmInfo
+}
+
+func (s *Scheduler) lose(ctx context.Context, l loss) {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	res, err := s.do(ctx, queue.Command{Lost: &l.Lost})
+	s.mu.Lock()
+	l.info.losing = false
+	s.mu.Unlock()
 	if err != nil {
-		s.log.Warn().Str("lost_vm", string(lost.VM)).Err(err).Msg("vm_lost_not_committed")
+		s.log.Warn().Str("lost_vm", string(l.VM)).Err(err).Msg("vm_lost_not_committed")
 		return
 	}
 	if res.Code == queue.OK {
 		s.met.lost.Inc()
 	}
-	s.noteGone(lost.VM, lifeLapsed, res)
-	s.log.Warn().Str("lost_vm", string(lost.VM)).Str("life", lost.Life).Str("result", string(res.Code)).Msg("vm_lost")
-	s.record("vm_lost", string(lost.VM), "its lease ran out and it did not come back")
+	s.noteGone(l.VM, lifeLapsed, res)
+	s.log.Warn().Str("lost_vm", string(l.VM)).Str("life", l.Life).Str("result", string(res.Code)).Msg("vm_lost")
+	s.record("vm_lost", string(l.VM), "its lease ran out and it did not come back")
 }
 
-func (s *Scheduler) expired() (list []queue.Lost) {
+// expired returns the losses that are not on their way yet.
+func (s *Scheduler) expired() (list []loss) {
 	now := steady.Now()
 	s.rep.View(func(st *state.State) {
 		s.mu.Lock()
@@ -223,10 +235,11 @@
 		}
 		for _, vm := range st.Queues().VMs() {
 			v := s.fleet.vm(vm.ID)
-			if !vm.Live || !v.lease.Expire(now, s.cfg.Lease) {
+			if !vm.Live || v.losing || !v.lease.Expire(now, s.cfg.Lease) {
 				continue
 			}
-			list = append(list, queue.Lost{VM: vm.ID, Life: vm.Life, Checkpoints: v.checkpoints(), Crash: v.beat.Crash})
+			v.losing = true
+			list = append(list, loss{queue.Lost{VM: vm.ID, Life: vm.Life, Checkpoints: v.checkpoints(), Crash: v.beat.Crash}, v})
 		}
 	})
 	return list
