Grant leases while an agent's reports wait for their commits

What callers saw: tasks that are placed on usable VMs and begin late. While commits are slow a VM is given up for it: after 3 s its session ends, after the lease all its runs.

Cause: a session read the next message once the report before was committed. After an outage an agent has up to 32 reports to send, and its heartbeats wait behind them; a heartbeat that has waited counts as fresh at the leader, while the agent counts its grant from when it was sent, and starts nothing with it.

Change: reports are committed beside the session, in order.

--- a/scheduler/session.go
+++ b/scheduler/session.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -42,6 +43,8 @@
 	out    chan wire.ToQueueNode
 	woken  wakeup.Signal // orders may have changed
 
+	reports *reports // of an agent
+
 	// Guarded by the scheduler's mu.
 	vm    rudderfork.VMID // of an agent, once its first heartbeat came
 	life  string          // of its executor
@@ -77,6 +80,7 @@
 		woken: wakeup.New(), sent: map[rudderfork.RunRef]bool{}, stops: map[rudderfork.RunRef]bool{},
 		told: map[interference.Pair]float64{},
 	}
+	ses.reports = newReports(ses.ends)
 	if !s.openOrRedirect(ctx, ses) {
 		_ = c.Send(ctx, wire.ToQueueNode{Redirect: s.redirect()}) // the node asks another if it is lost
 		return
@@ -173,40 +177,46 @@
 }
 
 func (ses *session) run(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	go func() {
 		defer ses.conn.Close()
-		defer cancel()
+		defer cancel(nil)
 		ses.write(ctx)
 	}()
+	go func() { cancel(ses.reports.Run(ctx)) }()
 	ses.reply(wire.ToQueueNode{Welcome: &wire.QueueWelcome{Term: ses.term, Members: addrsOf(ses.s.rep.Status())}})
 	for {
 		m, err := ses.conn.ReceiveWithin(ctx, silenceLimit)
 		if err != nil {
-			return err
+			return cmp.Or(context.Cause(ctx), err)
 		}
-		if !ses.s.leads(ses.term) {
-			return errNotLeading // the node finds the one that does
-		}
-		switch {
-		case m.Ask != nil:
-			go ses.ask(ctx, *m.Ask)
-		case m.Beat != nil:
-			err = ses.beat(ctx, *m.Beat)
-		case m.Ends != nil:
-			err = ses.ends(ctx, *m.Ends)
-		case len(m.Learned) > 0:
-			ses.s.assume(m.Learned)
-		case m.Ping != 0:
-			ses.reply(wire.ToQueueNode{Pong: m.Ping})
-		}
-		if err != nil {
+		if err := ses.take(ctx, m); err != nil {
 			return err
 		}
 	}
 }
 
+// take takes a message of the node.
+func (ses *session) take(ctx context.Context, m wire.FromNode) error {
+	if !ses.s.leads(ses.term) {
+		return errNotLeading // the node finds the one that does
+	}
+	switch {
+	case m.Ask != nil:
+		go ses.ask(ctx, *m.Ask)
+	case m.Beat != nil:
+		return ses.beat(ctx, *m.Beat)
+	case m.Ends != nil:
+		return ses.reports.Add(ctx, *m.Ends)
+	case len(m.Learned) > 0:
+		ses.s.assume(m.Learned)
+	case m.Ping != 0:
+		ses.reply(wire.ToQueueNode{Pong: m.Ping})
+	}
+	return nil
+}
+
 // reply queues a message; a node that reads too little loses the session.
 func (ses *session) reply(m wire.ToQueueNode) {
 	select {
--- a/scheduler/vm.go
+++ b/scheduler/vm.go
@@ -195,11 +195,15 @@
 	return list
 }
 
-// register commits the VM's description if it is new.
+// register commits the VM's description if it is new, behind the ends that were reported
+// before: with a new life, what ran in the one before is over.
 func (ses *session) register(ctx context.Context, vm queue.VM, crash *queue.Crash) error {
 	if ses.registered(vm) {
 		return nil
 	}
+	if err := ses.reports.Wait(ctx); err != nil {
+		return err
+	}
 	v, ok := ses.mayRegister(vm.ID)
 	if !ok {
 		return nil
