--- a/scheduler/beside_test.go
+++ b/scheduler/beside_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"rudderfork.example/rudderfork/internal/steady"
 	"rudderfork.example/rudderfork/queue"
 	"rudderfork.example/rudderfork/replica"
 	"rudderfork.example/rudderfork/wire"
@@ -32,20 +34,19 @@
 	return h
 }
 
-// hold closes the gate until the test ends.
-func (h *heldSite) hold() {
+// hold closes the gate until release is called, or the test ends.
+func (h *heldSite) hold() (release func()) {
 	gate := make(chan struct{})
 	h.store.gate.Store(&gate)
-	h.t.Cleanup(func() { h.store.gate.Store(nil); close(gate) })
+	release = sync.OnceFunc(func() { h.store.gate.Store(nil); close(gate) })
+	h.t.Cleanup(release)
+	return release
 }
 
 // agentOf opens a session as the agent of a VM, and registers it.
 func (h *heldSite) agentOf(vm queue.VM) *wire.Conn[wire.FromNode, wire.ToQueueNode] {
 	h.t.Helper()
-	c, err := wire.Dial[wire.FromNode, wire.ToQueueNode](h.ctx, "ws://"+h.addr+"/queues", wire.QueueSession)
-	assert.NilError(h.t, err)
-	h.t.Cleanup(c.Close)
-	assert.NilError(h.t, c.Send(h.ctx, wire.FromNode{Hello: &wire.QueueHello{Version: wire.Version, Process: string(vm.ID)}}))
+	c := h.dial(string(vm.ID))
 	h.beat(c, vm, 1)
 	g := h.nextGrant(c)
 	assert.Assert(h.t, g != nil && g.LeaseMS > 0, "%+v", g)
@@ -126,3 +127,23 @@
 	_, err := h.sched.do(h.ctx, c)
 	assert.NilError(h.t, err)
 }
+
+// TestUsableWithoutOrders guards against starts on a VM whose present session has no epoch
+// and therefore tells its agent of none.
+func TestUsableWithoutOrders(t *testing.T) {
+	h := newHeldSite(t, Settings{Lease: lease})
+	c := h.agentOf(lonely)
+	h.hold()
+	last := h.rep.Status().Last
+	grown := lonely
+	grown.Capacity.CPUMilli++
+	h.beat(c, grown, 2)
+	h.until("its description is proposed", func() bool { return h.rep.Status().Last > last })
+	c = h.dial(string(lonely.ID))
+	h.beat(c, grown, 3)
+	g := h.nextGrant(c)
+	assert.Assert(t, g != nil && g.Epoch == 0, "%+v", g)
+	h.sched.mu.Lock()
+	defer h.sched.mu.Unlock()
+	assert.Assert(t, !h.sched.fleet.vm(lonely.ID).usable(steady.Now()))
+}
