Place nothing on a VM whose session has no orders to give

What callers saw: tasks placed on a VM whose agent is told of none, until its next heartbeat after the registration, 3 s at most.

Cause: a heartbeat made its VM usable also in a session that has no epoch yet, since another session of the agent registers the VM.

Change: a VM is usable once its session has the epoch of its orders. The test fleet's sessions have one, as real ones do.

--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -203,8 +203,9 @@
 	return run
 }
 
+// usable reports whether the VM's agent can be told what to start, and can start it.
 func (v *vmInfo) usable(now time.Time) bool {
-	return v.session != nil && !v.beat.Mute && now.Sub(v.beatAt) < beatLimit && v.lease.Leased(now)
+	return v.session != nil && v.session.epoch != 0 && !v.beat.Mute && now.Sub(v.beatAt) < beatLimit && v.lease.Leased(now)
 }
 
 // addDoubt counts a failure, or with a negative step a success.
--- a/scheduler/learning_test.go
+++ b/scheduler/learning_test.go
@@ -58,7 +58,7 @@
 func (s *teller) admit(id rudderfork.VMID) *session {
 	vm := queue.VM{ID: id, Life: string(id) + "-life", Service: "desk", Capacity: rudderfork.Resources{CPUMilli: 4_000, MemoryMB: 1_000}}
 	s.do(queue.Command{Register: &vm})
-	ses := &session{s: s.sched, vm: id, life: vm.Life, out: make(chan wire.ToQueueNode, outQueue), woken: wakeup.New(), cancel: func() {}}
+	ses := &session{s: s.sched, vm: id, life: vm.Life, epoch: 1, out: make(chan wire.ToQueueNode, outQueue), woken: wakeup.New(), cancel: func() {}}
 	s.sched.mu.Lock()
 	defer s.sched.mu.Unlock()
 	v := s.sched.fleet.vm(id)
--- a/scheduler/simfleet_test.go
+++ b/scheduler/simfleet_test.go
@@ -152,7 +152,7 @@
 // admit gives a VM its session and lease.
 func (s *simFleet) admit(v *simVM) {
 	info := s.f.vm(v.id)
-	info.session = &session{}
+	info.session = &session{epoch: 1}
 	info.lease.Renew()
 	info.lease.Assume(s.clock().Add(time.Hour))
 	s.beat(v)
