Answer commands whose entries another leader has replaced

What callers saw: calls without an answer for 3 s after a change of the leader, and a leader in its next term that takes no session meanwhile, while a round of its earlier term waits for the commit of its starts.

Cause: a command was answered when its index was applied here. Where the next leader's log is shorter, nothing stands at that index, and the command waited until its caller gave up.

Change: once the term has changed, commands whose entries the log holds no more are answered: their fate is unknown.

--- a/quorum/node.go
+++ b/quorum/node.go
@@ -111,6 +111,12 @@
 // an election.
 func (n *Node) LastTerm() uint64 { return n.log.lastTerm() }
 
+// Holds reports whether the log has an entry of a term at an index, and has not compacted it.
+func (n *Node) Holds(index, term uint64) bool {
+	t, ok := n.log.term(index)
+	return ok && t == term
+}
+
 // SnapshotIndex returns the index of the newest snapshot.
 func (n *Node) SnapshotIndex() uint64 { return n.log.snap.Index }
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -73,6 +73,7 @@
 	// Owned by Serve.
 	node     *quorum.Node
 	waiting  map[uint64]proposal // by index
+	proposed uint64              // term of the newest of them
 	pending  []read              // that a quorum has not confirmed
 	ready    []read              // that wait until what they cover is applied
 	writing  *write              // that has not ended
@@ -252,10 +253,24 @@
 		p.reply <- outcome{err: ErrNotLeader}
 		return
 	}
-	p.term = term
+	p.term, r.proposed = term, term
 	r.waiting[index] = p
 }
 
+// answerGone answers commands whose entries are gone from the log: a later leader has put
+// others in their place, or a snapshot.
+func (r *Replica) answerGone() {
+	if len(r.waiting) == 0 || r.node.Term() == r.proposed {
+		return
+	}
+	for index, p := range r.waiting {
+		if !r.node.Holds(index, p.term) {
+			delete(r.waiting, index)
+			p.reply <- outcome{err: ErrUnknown}
+		}
+	}
+}
+
 // opened reports whether the group takes commands.
 func (r *Replica) opened() bool {
 	open, short := r.opening.Opened(r.used, r.node.Settled(), r.node.Voters(), r.size, r.now())
@@ -297,6 +312,7 @@
 		r.sendAll(r.node.Early())
 	}
 	r.apply(r.node.Committed())
+	r.answerGone()
 	r.finishReads()
 	r.publish()
 	return r.machine.Err()
