Have the tests of a held leader bear the stalls of a busy machine

Traced by the roles and terms of a failing run: the leader was deposed, with an election timeout of 100 ms, between two commands, and the next one was refused by the one that no longer led. Nothing held it up but the machine.

The groups of TestHeldState and TestHeldDisk have an election timeout of 2 s.

--- a/replica/held_test.go
+++ b/replica/held_test.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
@@ -12,11 +13,15 @@
 	"rudderfork.example/rudderfork/state"
 )
 
+// heldPatience is an election timeout far above the stalls of a busy machine: a leader that
+// is held up without end is deposed all the same.
+const heldPatience = 2 * time.Second
+
 // TestHeldState holds a leader's state for reading, as a long plan does: the group goes on
 // committing meanwhile, and what was proposed is answered once the state is free. (The
 // leader sent nothing until its reader was done, and was deposed.)
 func TestHeldState(t *testing.T) {
-	g := startProxied(t, 3, 0)
+	g := startPatient(t, heldPatience, 3, 0)
 	g.assertCommits(g.reps...)
 	lead := g.leader()
 	held, released := make(chan struct{}), make(chan struct{})
@@ -39,7 +44,7 @@
 // group and for who waits for an answer. (The leader neither read nor sent anything during
 // a sync.)
 func TestHeldDisk(t *testing.T) {
-	g := startProxied(t, 3, 0)
+	g := startPatient(t, heldPatience, 3, 0)
 	g.assertCommits(g.reps...)
 	lead := g.leader()
 	released := make(chan struct{})
--- a/replica/peers_test.go
+++ b/replica/peers_test.go
@@ -56,6 +56,12 @@
 // runLinked runs a replica on an empty folder of the given identity. dial says, by
 // member name, where the others are reached.
 func runLinked(t *testing.T, ln net.Listener, self quorum.Member, id disk.Identity, told []string, dial map[string]string) *linked {
+	t.Helper()
+	return runPatient(t, electionTimeout, ln, self, id, told, dial)
+}
+
+// runPatient is runLinked with another election timeout.
+func runPatient(t *testing.T, patience time.Duration, ln net.Listener, self quorum.Member, id disk.Identity, told []string, dial map[string]string) *linked {
 	t.Helper()
 	dir := filepath.Join(t.TempDir(), "data")
 	assert.NilError(t, disk.Format(dir, id))
@@ -63,9 +69,9 @@
 	assert.NilError(t, err)
 	gate := &gatedStore{Store: store}
 	self.Voter = false
-	peers := NewPeers(self, told, dial, electionTimeout, zerolog.Nop())
+	peers := NewPeers(self, told, dial, patience, zerolog.Nop())
 	rep, err := New(Config{
-		ElectionTimeout: electionTimeout, Heartbeat: 20 * time.Millisecond, SnapshotEvery: 1000, Seed: Seed(self.Name), Voters: 3,
+		ElectionTimeout: patience, Heartbeat: 20 * time.Millisecond, SnapshotEvery: 1000, Seed: Seed(self.Name), Voters: 3,
 		Domain: self.Domain,
 	}, gate, peers, zerolog.Nop(), nobody{}, steady.Now)
 	assert.NilError(t, err)
--- a/replica/silence_test.go
+++ b/replica/silence_test.go
@@ -35,12 +35,19 @@
 	reps     []*linked                   // that were started
 	links    map[[2]int]*faultlink.Proxy // by the one that dials and the one dialled
 	docs     uint64                      // versions proposed
+	patience time.Duration               // election timeout
 }
 
 // startProxied runs founders that form a group. Joiners are only prepared.
 func startProxied(t *testing.T, founders, joiners int) *proxied {
 	t.Helper()
-	g := &proxied{t: t, founders: founders, links: map[[2]int]*faultlink.Proxy{}}
+	return startPatient(t, electionTimeout, founders, joiners)
+}
+
+// startPatient is startProxied with another election timeout.
+func startPatient(t *testing.T, patience time.Duration, founders, joiners int) *proxied {
+	t.Helper()
+	g := &proxied{t: t, founders: founders, patience: patience, links: map[[2]int]*faultlink.Proxy{}}
 	for i := range founders + joiners {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(t, err)
@@ -67,7 +74,7 @@
 	} else {
 		told = []string{g.proxy(i, 0, g.members[0]), g.proxy(i, 1, g.members[1])}
 	}
-	g.reps = append(g.reps, runLinked(g.t, g.lns[i], g.members[i], id, told, g.dial(i, g.members)))
+	g.reps = append(g.reps, runPatient(g.t, g.patience, g.lns[i], g.members[i], id, told, g.dial(i, g.members)))
 }
 
 // proxy returns the address of the proxy that one replica dials another by.
