--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,172 @@
+//go:build proof
+
+// Package soak runs the platform's path as real processes under faults drawn from a
+// seed, and checks what clients and executors see of it.
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"rudderfork.example/rudderfork/platform/standin"
+)
+
+var (
+	firstSeed = flag.Uint64("seed", 1, "first seed")
+	seeds     = flag.Int("seeds", 1, "number of seeds")
+	machines  = flag.Int("machines", 12, "side machines")
+	seconds   = flag.Int("seconds", 45, "of traffic")
+	stutter   = flag.Int("stutter", 0, "percent of orders that are lost or carried out late, all the time")
+	keep      = flag.String("keep", "", "folder for the files of runs; those of a failed run are kept")
+	programs  = flag.String("bin", os.Getenv("RUDDER_BIN"), "folder of the programs")
+)
+
+const (
+	startLimit = 30 * time.Second
+	// finish is how long short jobs may take once the traffic has ended.
+	finish = 14 * time.Second
+	// settle is between that and the last questions, in which lasting tasks are watched.
+	settle = 10 * time.Second
+)
+
+func TestSoak(t *testing.T) {
+	assert.Assert(t, *programs != "", "-bin or RUDDER_BIN names the folder of the programs")
+	for i := range *seeds {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { run(t, seed) })
+	}
+}
+
+func run(t *testing.T, seed uint64) {
+	dir := t.TempDir()
+	if *keep != "" {
+		dir = filepath.Join(*keep, fmt.Sprintf("seed-%d", seed))
+		assert.NilError(t, os.RemoveAll(dir))
+		assert.NilError(t, os.MkdirAll(dir, 0o755))
+	}
+	line, err := os.Create(filepath.Join(dir, "timeline"))
+	assert.NilError(t, err)
+	defer line.Close()
+	w := newWatch(func(text string) { fmt.Fprintln(line, text) })
+	s, err := newSite(*programs, dir, seed, *machines, w)
+	assert.NilError(t, err)
+	t.Cleanup(s.close)
+	begin(t, s)
+	length := time.Duration(*seconds) * time.Second
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	c := &clients{site: s, watch: w, seed: seed, rnd: rand.New(rand.NewPCG(seed, 2))}
+	w.begin = time.Now()
+	c.ask(ctx)
+	c.wait.Go(func() { s.inject(plan(rand.New(rand.NewPCG(seed, 1)), length, *machines)) })
+	c.traffic(ctx, length, *machines)
+	c.finish(ctx)
+	cancel()
+	c.wait.Wait()
+	t.Logf("%d jobs taken, %d refused; %d counts judged; overdue in the logs: %v", c.taken.Load(), c.refused.Load(), w.counts, overdue(dir))
+	for _, text := range w.broken {
+		t.Error(text)
+	}
+}
+
+// begin starts the whole site and hands in the document.
+func begin(t *testing.T, s *site) {
+	for _, p := range append(append([]*process{}, s.cores...), s.entries...) {
+		assert.NilError(t, s.start(p, true))
+	}
+	for _, m := range s.machines {
+		m.exec.SetFate(s.usual())
+		assert.NilError(t, s.start(m.agent, true))
+		assert.NilError(t, s.up(m))
+	}
+	until(t, "the document is taken", func(ctx context.Context) bool {
+		status, _, err := standin.Call(ctx, http.MethodPut, "http://"+s.addr(coreIP(0), portControl)+"/config", "", document())
+		return err == nil && status == http.StatusOK
+	})
+	until(t, "the entries serve both queues", func(ctx context.Context) bool {
+		ok := true
+		for e := range entries {
+			for _, q := range []string{shortQueue, lastQueue} {
+				status, _, err := standin.Call(ctx, http.MethodGet, "http://"+s.front(e)+q, host, nil)
+				ok = ok && err == nil && status == http.StatusOK
+			}
+		}
+		return ok && s.whole()
+	})
+}
+
+func until(t *testing.T, what string, ok func(ctx context.Context) bool) {
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if ok(ctx) {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(startLimit), poll.WithDelay(100*time.Millisecond))
+}
+
+func document() any {
+	route := func(name, prefix string, priority int) any {
+		return map[string]any{
+			"name": name, "host": host, "path_prefix": prefix, "timeout_ms": 3000, "service": service, "priority": priority,
+			"max_attempts": attempts, "stretch": 2, "target_latency_ms": 1000,
+		}
+	}
+	return map[string]any{
+		"version": 1, "services": []any{map[string]any{"name": service, "rejects_overload": true}},
+		"routes": []any{route("short", shortQueue, 1), route("lasts", lastQueue, 0)},
+	}
+}
+
+// finish waits for the short jobs, and asks for all jobs at the end.
+func (c *clients) finish(ctx context.Context) {
+	c.watch.say("the traffic ends")
+	for end := time.Now().Add(finish); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		js := c.watch.open()
+		if len(js) == 0 {
+			break
+		}
+		for i, j := range js {
+			c.state(ctx, i%entries, j)
+		}
+	}
+	open := c.watch.open()
+	time.Sleep(settle)
+	c.watch.mu.Lock()
+	for _, j := range open {
+		c.watch.breaks("LOST: %s has no end %v after the traffic's end, %d of %d tasks done", j.id, finish, c.watch.doneTasks(j), j.tasks)
+	}
+	c.watch.mu.Unlock()
+	for i, j := range c.watch.all() {
+		if c.state(ctx, i%entries, j) == 0 && c.state(ctx, (i+1)%entries, j) == 0 {
+			c.watch.mu.Lock()
+			c.watch.breaks("LOST: no answer for %s at the end", j.id)
+			c.watch.mu.Unlock()
+		}
+	}
+}
+
+// overdue counts the log lines of runs and starts that are overdue.
+func overdue(dir string) map[string]int {
+	n := map[string]int{}
+	logs, _ := filepath.Glob(filepath.Join(dir, "*.log")) // the pattern is sound
+	for _, path := range logs {
+		text, _ := os.ReadFile(path) // one that is not there counts for nothing
+		for _, event := range []string{"run_overdue", "start_overdue", "vm_lost", "panic:"} {
+			n[event] += strings.Count(string(text), event)
+		}
+	}
+	return n
+}
--- a/standin/executor/executor.go
+++ b/standin/executor/executor.go
@@ -61,6 +61,7 @@
 	forgets  bool
 	late     []lateCall
 	sizes    func(payload string) rudderfork.Resources
+	behave   func(ref rudderfork.RunRef, payload string) string
 	onStart  func(rudderfork.RunRef)
 	onFinish func(rudderfork.RunRef, string)
 }
@@ -92,6 +93,8 @@
 	Rate float64
 	// Sizes tells what a task takes, by its payload; nil means nothing.
 	Sizes func(payload string) rudderfork.Resources
+	// Behave returns the words that a run goes by; nil means its payload.
+	Behave func(ref rudderfork.RunRef, payload string) string
 	// Fate decides what becomes of each call; nil means that all are answered.
 	Fate func(call string) Fate
 	// Delay tells how long a postponed call is held back; nil means until Flush.
@@ -110,7 +113,7 @@
 func New(life string, cfg Config) *Executor {
 	e := &Executor{
 		now: cfg.Now, rate: cfg.Rate, room: cfg.Room, fate: cfg.Fate, delay: cfg.Delay, stopTime: cfg.StopTime,
-		forgets: cfg.Forgets, sizes: cfg.Sizes, onStart: cfg.OnStart, onFinish: cfg.OnFinish,
+		forgets: cfg.Forgets, sizes: cfg.Sizes, behave: cfg.Behave, onStart: cfg.OnStart, onFinish: cfg.OnFinish,
 	}
 	if e.rate == 0 {
 		e.rate = 1
@@ -118,6 +121,9 @@
 	if e.fate == nil {
 		e.fate = func(string) Fate { return Answered }
 	}
+	if e.behave == nil {
+		e.behave = func(_ rudderfork.RunRef, payload string) string { return payload }
+	}
 	if e.sizes == nil {
 		e.sizes = func(string) rudderfork.Resources { return rudderfork.Resources{} }
 	}
@@ -316,7 +322,7 @@
 		return rudderfork.StartNoRoom
 	}
 	r := &run{ref: s.RunRef, size: size, pacedAt: now, percent: 100}
-	r.read(s.Payload)
+	r.read(e.behave(s.RunRef, s.Payload))
 	e.running[s.Task] = r
 	e.used = e.used.Add(size)
 	if e.onStart != nil {
