Show that a VM whose executor is disowned once begins nothing any more

Callers had jobs accepted that no executor began, while the queue's count did not tell them as waiting, and lasting tasks that were not started again.

An answer of another life to one call has the agent forget its executor for 3 s. It takes the same life up again, in the same session and within the lease, with no orders. The leader knows the life and its epoch, and sends no full list; the agent passes over all other orders and grants. So the VM counts as usable and empty.

The test has one call answered as another life answers, with leases as long as the users'. Leases of 2 s, which the package's other tests have, run out before the life is taken up again, and hide it.

--- a/standin/executor/executor.go
+++ b/standin/executor/executor.go
@@ -35,6 +35,7 @@
 	Unheard        // it is not carried out, and not answered
 	Lost           // it is carried out, and not answered
 	Postponed      // it is not answered, and carried out once its Delay is over, or with the next Flush
+	Disowned       // it is not carried out, and answered as another life answers
 )
 
 // Executor is one VM's stand-in. It is safe for concurrent use.
@@ -167,6 +168,9 @@
 	return id == e.id && (born == 0 || born == e.bornMS)
 }
 
+// Room returns what the executor has room for.
+func (e *Executor) Room() rudderfork.Resources { return e.room }
+
 // SetFate replaces what becomes of calls.
 func (e *Executor) SetFate(f func(call string) Fate) {
 	e.mu.Lock()
@@ -287,6 +291,8 @@
 		}
 		e.late = append(e.late, c)
 		return ErrNoAnswer
+	case Disowned:
+		return rudderfork.ErrOtherLife
 	case Answered:
 	}
 	do()
