--- a/cmd/demo-queues/main.go
+++ b/cmd/demo-queues/main.go
@@ -17,8 +17,10 @@
 	"time"
 
 	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/internal/steady"
 	"rudderfork.example/rudderfork/operator"
 	"rudderfork.example/rudderfork/platform/standin"
+	"rudderfork.example/rudderfork/standin/executor"
 )
 
 const (
@@ -85,13 +87,13 @@
 			return err
 		}
 	}
-	for i := range sides {
-		if err := d.site.StartSide(i, rudderfork.Resources{CPUMilli: 4000, MemoryMB: 8000}); err != nil {
+	for range sides {
+		room := rudderfork.Resources{CPUMilli: 4000, MemoryMB: 8000}
+		if err := d.site.StartSide(executor.Config{Now: steady.Now, Room: room}); err != nil {
 			return err
 		}
-		go d.site.Runners[i].Report(d.ctx, d.site.AgentAddr(i))
 	}
-	return d.site.StartEntry()
+	return d.site.StartEntry(0)
 }
 
 // until waits for a condition.
@@ -116,7 +118,7 @@
 }
 
 func (d *demo) call(method, id string, body any) (status int, answer []byte) {
-	status, answer, err := standin.Call(d.ctx, method, "http://"+d.site.FrontAddr()+"/rosters/"+id, host, body)
+	status, answer, err := standin.Call(d.ctx, method, "http://"+d.site.FrontAddr(0)+"/rosters/"+id, host, body)
 	if err != nil {
 		return 0, nil
 	}
@@ -176,19 +178,11 @@
 // killLeader kills the leader with a job on its way.
 func (d *demo) killLeader() error {
 	op := operator.New(d.site.OperatorAddrs())
-	leader := ""
-	for i, addr := range d.site.OperatorAddrs() {
-		resp, err := http.DefaultTransport.RoundTrip(mustRequest(d.ctx, "http://"+addr+"/v1/queues"))
-		if err == nil {
-			_ = resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				leader = fmt.Sprintf("core-%d", i+1)
-			}
-		}
-	}
-	if leader == "" {
+	at := d.site.Leader(d.ctx)
+	if at < 0 {
 		return errors.New("nobody leads")
 	}
+	leader := fmt.Sprintf("core-%d", at+1)
 	if err := d.submit("roster2", "work=500ms", standin.JobStep{Count: 6, CPUMilli: 500, ExpectedMS: 500}); err != nil {
 		return err
 	}
@@ -250,14 +244,6 @@
 	return nil
 }
 
-func mustRequest(ctx context.Context, url string) *http.Request {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		panic(err) // the URL is made here
-	}
-	return req
-}
-
 // show lets rudderctl explain.
 func (d *demo) show() error {
 	for _, args := range [][]string{{"queues"}, {"queue-vms"}, {"queue-job", "roster2"}} {
