Let the soak's executors answer twice, the second time late

The fault has an executor answer each call of some seconds a second time, up to 1.5 s later, and begin another life meanwhile whose connections stay.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -142,7 +142,7 @@
 	case "sick-executors":
 		return each(ms, func(m *machine) { m.sick.Store(true) }, func(m *machine) { m.sick.Store(false) })
 	case "stutter":
-		return each(ms, func(m *machine) { m.twice.Store(true) }, func(m *machine) { m.twice.Store(false) })
+		return each(ms, s.stutter, func(m *machine) { m.twice.Store(false) })
 	case "late-executors":
 		return each(ms, s.holdBack, func(m *machine) { s.Execs[m.index].SetFate(usual) })
 	case "disown-calls":
@@ -197,6 +197,18 @@
 	return back
 }
 
+// stutter has an executor answer each call twice, and begin another life while its
+// connections stay.
+func (s *site) stutter(m *machine) {
+	m.twice.Store(true)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.up {
+		m.lives++
+		s.Execs[m.index].Restart(fmt.Sprintf("i-%d-%d", m.index+1, m.lives))
+	}
+}
+
 // dark kills every process at once, the executors' work with them, and loses disks.
 func (s *site) dark(list []int) (back func()) {
 	var others []program
--- a/soak/watch_test.go
+++ b/soak/watch_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -212,7 +213,7 @@
 		}
 		if n > 1 && !t.told {
 			t.told = true
-			w.breaks("TWICE: %s is at work on %v", id, t.active)
+			w.breaks("TWICE: %s is at work on machines %v, counted from 0", id, slices.Sorted(maps.Keys(t.active)))
 		}
 	}
 	w.measureRoom(now)
