--- /dev/null
+++ b/soak/site_test.go
@@ -0,0 +1,216 @@
+//go:build proof
+
+package soak
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/internal/steady"
+	"rudderfork.example/rudderfork/platform/standin"
+	"rudderfork.example/rudderfork/standin/executor"
+)
+
+const (
+	cores   = 5
+	entries = 2
+	maxLost = 2    // core disks that may be lost at once
+	cpuRoom = 4000 // of a machine
+)
+
+// site is one deployment of real processes on loopback.
+type site struct {
+	*standin.Site
+	seed     uint64
+	watch    *watch
+	machines []*machine
+	disks    sync.Mutex // held while some are lost
+}
+
+// machine is a side machine: an agent, and a stand-in for the executor beside it.
+type machine struct {
+	index int
+	agent string
+	sick  atomic.Bool // fails all that it starts
+	twice atomic.Bool // answers each call a second time, late
+
+	mu    sync.Mutex
+	lives int
+	up    bool
+}
+
+func newSite(bin, dir string, seed uint64, w *watch) (s *site, err error) {
+	under, err := standin.NewSite(bin, dir, cores, maxLost)
+	s = &site{Site: under, seed: seed, watch: w}
+	under.Wrap = func(i int, ln net.Listener) net.Listener { return stutterListener{ln, s.machines[i]} }
+	return s, err
+}
+
+// stutterListener is that of a machine's executor, which answers twice at times.
+type stutterListener struct {
+	net.Listener
+	m *machine
+}
+
+// Accept implements net.Listener.
+func (l stutterListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return stutterConn{c, l.m}, err
+}
+
+// stutterConn writes what is written again, some time later.
+type stutterConn struct {
+	net.Conn
+	m *machine
+}
+
+// Write implements net.Conn.
+func (c stutterConn) Write(b []byte) (n int, err error) {
+	if c.m.twice.Load() {
+		again := slices.Clone(b)
+		time.AfterFunc(time.Duration(20+rand.IntN(1500))*time.Millisecond, func() { _, _ = c.Conn.Write(again) }) // it may be closed
+	}
+	return c.Conn.Write(b)
+}
+
+// start starts the whole site.
+func (s *site) start(machines int) error {
+	for i := range cores {
+		if err := s.StartCore(i, true); err != nil {
+			return err
+		}
+	}
+	for i := range entries {
+		if err := s.StartEntry(i); err != nil {
+			return err
+		}
+	}
+	for i := range machines {
+		m := &machine{index: i, agent: fmt.Sprintf("side-%d", i+1), up: true}
+		s.machines = append(s.machines, m)
+		if err := s.StartSide(executor.Config{
+			Now: steady.Now, Room: rudderfork.Resources{CPUMilli: cpuRoom, MemoryMB: 8000}, Sizes: size,
+			Behave:   func(ref rudderfork.RunRef, payload string) string { return s.behave(m, ref, payload) },
+			OnStart:  func(ref rudderfork.RunRef) { s.watch.started(i, ref) },
+			OnFinish: func(ref rudderfork.RunRef, how string) { s.watch.finished(i, ref, how) },
+			Fate:     usual,
+			Delay:    func(string) time.Duration { return time.Duration(2000+rand.IntN(10_000)) * time.Millisecond },
+		}); err != nil {
+			return err
+		}
+		s.Runners[i].Mute()
+		s.watch.up(i, true)
+	}
+	return nil
+}
+
+// usual is what becomes of executors' calls beside faults.
+func usual(call string) executor.Fate {
+	if call != "start" && call != "stop" || rand.IntN(100) >= *stutter {
+		return executor.Answered
+	}
+	return []executor.Fate{executor.Unheard, executor.Lost, executor.Postponed}[rand.IntN(3)]
+}
+
+// size is what a payload says in its word cpu.
+func size(payload string) rudderfork.Resources {
+	_, after, _ := strings.Cut(payload, "cpu=")
+	n, _ := strconv.ParseInt(after, 10, 64) // it is the last word, and the clients write numbers
+	return rudderfork.Resources{CPUMilli: n}
+}
+
+// behave lets runs fail: all on a sick machine, else some, drawn from seed and run.
+func (s *site) behave(m *machine, ref rudderfork.RunRef, payload string) string {
+	if m.sick.Load() {
+		return "work=100ms fail"
+	}
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%s %d", ref.Task, ref.Run)
+	r := rand.New(rand.NewPCG(s.seed, h.Sum64()))
+	switch {
+	case strings.Contains(payload, "lasts") && r.IntN(10) < 6:
+		return fmt.Sprintf("work=%dms fail", 200+r.IntN(30_000))
+	case strings.Contains(payload, "work=") && r.IntN(50) == 0:
+		return payload + " fail"
+	}
+	return payload
+}
+
+// bringUp begins the executor's interface and its heartbeats.
+func (s *site) bringUp(m *machine) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.up {
+		return
+	}
+	if err := s.StartExecutor(m.index); err != nil {
+		s.watch.say("  executor of %s: %v", m.agent, err)
+		return
+	}
+	m.up = true
+	s.Runners[m.index].Mute()
+	s.watch.up(m.index, true)
+}
+
+// crash ends the executor's life; the next one has another id.
+func (s *site) crash(m *machine) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.up {
+		m.up = false
+		m.lives++
+		s.watch.up(m.index, false)
+		s.CrashExecutor(m.index, fmt.Sprintf("i-%d-%d", m.index+1, m.lives))
+	}
+}
+
+// leader returns the core process that leads, or the first.
+func (s *site) leader() int {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return max(0, s.Leader(ctx))
+}
+
+// program is one that a fault ends, and how it is started again.
+type program struct {
+	node  string
+	start func() error
+}
+
+func (s *site) core(i int) program {
+	return program{fmt.Sprintf("core-%d", i+1), func() error { return s.StartCore(i, false) }}
+}
+
+func (s *site) entry(i int) program {
+	return program{fmt.Sprintf("edge-%d", i+1), func() error { return s.StartEntry(i) }}
+}
+
+func (s *site) agent(m *machine) program {
+	return program{m.agent, func() error { return s.StartAgent(m.index) }}
+}
+
+// kill ends programs at once, and returns what starts them again.
+func (s *site) kill(ps []program) (back func()) {
+	var wait sync.WaitGroup
+	for _, p := range ps {
+		wait.Go(func() { _ = s.Kill(p.node) }) // one that has ended by itself shows it in its log
+	}
+	wait.Wait()
+	return func() {
+		for _, p := range ps {
+			if err := p.start(); err != nil {
+				s.watch.say("  %s: %v", p.node, err)
+			}
+		}
+	}
+}
--- a/standin/executor/executor.go
+++ b/standin/executor/executor.go
@@ -35,6 +35,7 @@
 	Unheard        // it is not carried out, and not answered
 	Lost           // it is carried out, and not answered
 	Postponed      // it is not answered, and carried out once its Delay is over, or with the next Flush
+	Disowned       // it is not carried out, and answered as another life answers
 )
 
 // Executor is one VM's stand-in. It is safe for concurrent use.
@@ -61,6 +62,7 @@
 	forgets  bool
 	late     []lateCall
 	sizes    func(payload string) rudderfork.Resources
+	behave   func(ref rudderfork.RunRef, payload string) string
 	onStart  func(rudderfork.RunRef)
 	onFinish func(rudderfork.RunRef, string)
 }
@@ -92,6 +94,8 @@
 	Rate float64
 	// Sizes tells what a task takes, by its payload; nil means nothing.
 	Sizes func(payload string) rudderfork.Resources
+	// Behave returns the words that a run goes by; nil means its payload.
+	Behave func(ref rudderfork.RunRef, payload string) string
 	// Fate decides what becomes of each call; nil means that all are answered.
 	Fate func(call string) Fate
 	// Delay tells how long a postponed call is held back; nil means until Flush.
@@ -110,7 +114,7 @@
 func New(life string, cfg Config) *Executor {
 	e := &Executor{
 		now: cfg.Now, rate: cfg.Rate, room: cfg.Room, fate: cfg.Fate, delay: cfg.Delay, stopTime: cfg.StopTime,
-		forgets: cfg.Forgets, sizes: cfg.Sizes, onStart: cfg.OnStart, onFinish: cfg.OnFinish,
+		forgets: cfg.Forgets, sizes: cfg.Sizes, behave: cfg.Behave, onStart: cfg.OnStart, onFinish: cfg.OnFinish,
 	}
 	if e.rate == 0 {
 		e.rate = 1
@@ -118,6 +122,9 @@
 	if e.fate == nil {
 		e.fate = func(string) Fate { return Answered }
 	}
+	if e.behave == nil {
+		e.behave = func(_ rudderfork.RunRef, payload string) string { return payload }
+	}
 	if e.sizes == nil {
 		e.sizes = func(string) rudderfork.Resources { return rudderfork.Resources{} }
 	}
@@ -161,6 +168,9 @@
 	return id == e.id && (born == 0 || born == e.bornMS)
 }
 
+// Room returns what the executor has room for.
+func (e *Executor) Room() rudderfork.Resources { return e.room }
+
 // SetFate replaces what becomes of calls.
 func (e *Executor) SetFate(f func(call string) Fate) {
 	e.mu.Lock()
@@ -281,6 +291,8 @@
 		}
 		e.late = append(e.late, c)
 		return ErrNoAnswer
+	case Disowned:
+		return rudderfork.ErrOtherLife
 	case Answered:
 	}
 	do()
@@ -316,7 +328,7 @@
 		return rudderfork.StartNoRoom
 	}
 	r := &run{ref: s.RunRef, size: size, pacedAt: now, percent: 100}
-	r.read(s.Payload)
+	r.read(e.behave(s.RunRef, s.Payload))
 	e.running[s.Task] = r
 	e.used = e.used.Add(size)
 	if e.onStart != nil {
