--- a/queue/crash_test.go
+++ b/queue/crash_test.go
@@ -71,3 +71,37 @@
 		})
 	}
 }
+
+// TestCrashingTaskOfSlowExecutors guards against a lasting task that takes down executors
+// without bound while those it took down before have not come back yet.
+func TestCrashingTaskOfSlowExecutors(t *testing.T) {
+	lasting := one
+	lasting.Lasting = true
+	const away = 4 // VMs that crash until the first one is back
+	w := newWorld(t, 12)
+	w.submit("j1", lasting)
+	k := key("j1", 0, 0)
+	var down []rudderfork.VMID
+	crashes := 0
+	back := func(vm rudderfork.VMID) {
+		w.register(vm, fmt.Sprintf("life-%s-%d", vm, crashes))
+	}
+	for range 12 {
+		vm, ok := w.startAnywhere(k)
+		if !ok {
+			break
+		}
+		crashes++
+		run := w.task(k).LastRun
+		w.lose(vm, Lost{Crash: &Crash{Life: w.s.VM(vm).Life, Runs: []RunAge{aged(k, run, 0)}}})
+		if down = append(down, vm); len(down) > away {
+			back(down[0])
+			down = down[1:]
+		}
+	}
+	for _, vm := range down {
+		back(vm)
+	}
+	assert.Assert(t, crashes <= mostCrashes, "%d executors crashed", crashes)
+	assert.Equal(t, w.status("j1"), Failed)
+}
--- a/scheduler/advice_test.go
+++ b/scheduler/advice_test.go
@@ -113,3 +113,15 @@
 	s.advise(adviserCalls)
 	assert.Assert(t, s.started("job-3"), "after %d calls", adv.calls-1)
 }
+
+// TestWrongAdviceBarsVMs guards against a step that never starts after one answer of its
+// adviser that was not its own or not whole.
+func TestWrongAdviceBarsVMs(t *testing.T) {
+	adv := &adviser{}
+	s := newAdvised(t, adv, 2)
+	wrong := adv.calls + 1
+	adv.allow = func(string) bool { return adv.calls > wrong }
+	s.handIn("job")
+	s.advise(adviserCalls)
+	assert.Assert(t, s.started("job"), "after %d calls", adv.calls-1)
+}
