Have the second start's test use an executor that tells when it began

Its executor told no begin in its first life, so that the stand-in took what was meant for that life in its second one as well. A look that the agent made between the restart and the next description brought the acknowledgement of the first life's three ends with it. The second life then listed none of its own ends 1 to 3: the agent found three runs gone, and they were made again.

No real executor gets there: one that starts again under its id tells its begin in all that it says, so that its agent knows it by that, and its connections are asked for it first; any other has a new id, and answers 421.

The test now has such an executor and asserts what it did before; the look that is held back is a test of its own; and the stand-in refuses to start again without telling its begin.

--- a/scheduler/second_start_test.go
+++ b/scheduler/second_start_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"context"
 	"sync/atomic"
 	"testing"
 
@@ -67,12 +68,21 @@
 	assert.Equal(t, v.doubt, 0.0)
 }
 
+// addTelling is addVM with an executor that tells when it began, as one does that may
+// start again under its id. What is meant for an id alone would reach its next start.
+func (s *site) addTelling(cfg executor.Config) *executor.Executor {
+	cfg.Now, cfg.Room = steady.Now, rudderfork.Resources{CPUMilli: 4000, MemoryMB: 1000}
+	e := executor.New(firstStart, cfg)
+	s.addAgent("vm1", e, e.Life, cfg.Room)
+	return e
+}
+
 // TestSecondStart has an executor start again under its id while a task lasts there:
 // the leader takes note of it, and the task begins anew, once.
 func TestSecondStart(t *testing.T) {
 	s := newSite(t, nil)
 	var starts atomic.Int32
-	e := s.addVM(executor.Config{OnStart: func(rudderfork.RunRef) { starts.Add(1) }})
+	e := s.addTelling(executor.Config{OnStart: func(rudderfork.RunRef) { starts.Add(1) }})
 	s.put(nil)
 	s.submit("feed", "", queue.Step{Count: 1, Size: small.Size, Lasting: true})
 	atWork := func(run uint32) func() bool {
@@ -91,3 +101,41 @@
 	assert.Equal(t, starts.Load(), int32(2+3+3))
 	s.sched.rep.View(func(st *state.State) { assert.Equal(t, st.Queues().VM("vm1").Life, e.Life()) })
 }
+
+// betweenLooks holds a look back that acknowledges ends, until the executor has started again.
+type betweenLooks struct {
+	*executor.Executor
+	atLeast atomic.Uint64 // ends that the look acknowledges; 0 holds none back
+	held    chan struct{}
+	release chan struct{}
+}
+
+// Look implements rudderfork.Executor.
+func (e *betweenLooks) Look(ctx context.Context, life string, req rudderfork.LookRequest) (rudderfork.Look, error) {
+	if n := e.atLeast.Load(); n > 0 && req.AckedUpTo >= n && e.atLeast.CompareAndSwap(n, 0) {
+		close(e.held)
+		<-e.release
+	}
+	return e.Executor.Look(ctx, life, req)
+}
+
+// TestLookOfStartBefore has a look for the first start reach the executor in its second: it
+// acknowledges none of the ends there, whose runs would be found gone and be started again.
+func TestLookOfStartBefore(t *testing.T) {
+	s := newSite(t, nil)
+	var starts atomic.Int32
+	room := rudderfork.Resources{CPUMilli: 4000, MemoryMB: 1000}
+	cfg := executor.Config{Now: steady.Now, Room: room, OnStart: func(rudderfork.RunRef) { starts.Add(1) }}
+	e := &betweenLooks{Executor: executor.New(firstStart, cfg), held: make(chan struct{}), release: make(chan struct{})}
+	e.atLeast.Store(3)
+	s.addAgent("vm1", e, e.Life, room)
+	s.put(nil)
+	s.submit("before", "work=1ms", queue.Step{Count: 3})
+	s.untilStatus("before", queue.Completed)
+	<-e.held
+	e.StartAgain()
+	close(e.release)
+	s.submit("after", "work=1ms", queue.Step{Count: 3})
+	s.untilStatus("after", queue.Completed)
+	assert.Equal(t, starts.Load(), int32(3+3))
+}
--- a/standin/executor/executor.go
+++ b/standin/executor/executor.go
@@ -141,9 +141,13 @@
 	e.late = nil
 }
 
-// StartAgain begins a new life under the same id.
+// StartAgain begins a new life under the same id. Only an executor that tells when it
+// began may do so: callers know any other by its id alone.
 func (e *Executor) StartAgain() {
 	id, born := rudderfork.SplitLife(e.Life())
+	if born == 0 {
+		panic("an executor that does not tell when it began starts again under its id")
+	}
 	e.Restart(rudderfork.LifeName(id, born+1))
 }
 
