--- a/standin/executor/executor.go
+++ b/standin/executor/executor.go
@@ -292,9 +292,12 @@
 }
 
 // Start implements rudderfork.Executor.
-func (e *Executor) Start(_ context.Context, life string, s rudderfork.RunStart) (out rudderfork.StartOutcome, err error) {
-	err = e.call("start", life, func() { out = e.start(s) })
-	return out, err
+func (e *Executor) Start(_ context.Context, life string, s rudderfork.RunStart) (rudderfork.StartOutcome, error) {
+	var out rudderfork.StartOutcome // not to be read without an answer: a postponed call sets it later
+	if err := e.call("start", life, func() { out = e.start(s) }); err != nil {
+		return 0, err
+	}
+	return out, nil
 }
 
 func (e *Executor) start(s rudderfork.RunStart) rudderfork.StartOutcome {
