--- a/standin/executor/executor.go
+++ b/standin/executor/executor.go
@@ -148,9 +148,13 @@
 	e.late = nil
 }
 
-// StartAgain begins a new life under the same id.
+// StartAgain begins a new life under the same id. Only an executor that tells when it
+// began may do so: callers know any other by its id alone.
 func (e *Executor) StartAgain() {
 	id, born := rudderfork.SplitLife(e.Life())
+	if born == 0 {
+		panic("an executor that does not tell when it began starts again under its id")
+	}
 	e.Restart(rudderfork.LifeName(id, born+1))
 }
 
@@ -300,9 +304,12 @@
 }
 
 // Start implements rudderfork.Executor.
-func (e *Executor) Start(_ context.Context, life string, s rudderfork.RunStart) (out rudderfork.StartOutcome, err error) {
-	err = e.call("start", life, func() { out = e.start(s) })
-	return out, err
+func (e *Executor) Start(_ context.Context, life string, s rudderfork.RunStart) (rudderfork.StartOutcome, error) {
+	var out rudderfork.StartOutcome // not to be read without an answer: a postponed call sets it later
+	if err := e.call("start", life, func() { out = e.start(s) }); err != nil {
+		return 0, err
+	}
+	return out, nil
 }
 
 func (e *Executor) start(s rudderfork.RunStart) rudderfork.StartOutcome {
