Hold silences that agents tell of against lasting tasks too

What callers would see: a lasting task that crashes every executor takes down nine where five are allowed, if executors take longer to come back than their leases last.

Change: of the open cases those count for a lasting task of which an agent has told; a VM that is silent as a whole tells nothing, and keeps none waiting.

--- a/queue/apply.go
+++ b/queue/apply.go
@@ -335,7 +335,7 @@
 func (s *State) register(v VM, seen *Crash, at int64) Result {
 	res := Result{Code: OK}
 	v.Epoch, v.Leaving = 1, false
-	v.Doubtful, v.DoubtfulAt, v.Settled = nil, 0, false
+	v.Doubtful, v.DoubtfulAt, v.Settled, v.Silent = nil, 0, false, false
 	if old := s.vms[v.ID]; old != nil {
 		same := continues(old.Life, v.Life)
 		how := endingOf(old, seen)
--- a/queue/blame.go
+++ b/queue/blame.go
@@ -204,11 +204,11 @@
 
 // reachesMost reports whether one more run of the task might be one too many, should
 // those that are active crash their executors too, and those in doubt have done so. A task
-// that lasts does not wait for what is in doubt: its users are without it meanwhile.
+// that lasts waits only for what agents have told: its users are without it meanwhile.
 func (t *Task) reachesMost(lasting bool) bool {
-	most := t.Crashes + len(t.Runs)
-	if !lasting {
-		most += t.Doubts
+	doubts := t.Doubts
+	if lasting {
+		doubts = t.Silences
 	}
-	return most >= MostCrashes
+	return t.Crashes+doubts+len(t.Runs) >= MostCrashes
 }
--- a/queue/doubt.go
+++ b/queue/doubt.go
@@ -18,16 +18,16 @@
 }
 
 // openCase notes the runs that ended with a VM's lease, and doubts their tasks.
-func (s *State) openCase(vm *VM, list []RunAge) {
-	vm.Doubtful, vm.DoubtfulAt, vm.Settled = list, s.clock.NowMS, false
+func (s *State) openCase(vm *VM, list []RunAge, silent bool) {
+	vm.Doubtful, vm.DoubtfulAt, vm.Settled, vm.Silent = list, s.clock.NowMS, false, silent
 	s.cases = append(s.cases, openCase{vm.ID, vm.DoubtfulAt})
-	s.doubt(list, 1)
+	s.doubt(vm, 1)
 }
 
 // settleCase takes back the doubt in the tasks of a VM's open case.
 func (s *State) settleCase(vm *VM) {
 	if !vm.Settled {
-		s.doubt(vm.Doubtful, -1)
+		s.doubt(vm, -1)
 	}
 	vm.Settled = true
 }
@@ -53,18 +53,24 @@
 	for _, vm := range s.order {
 		if len(vm.Doubtful) > 0 && !vm.Settled {
 			s.cases = append(s.cases, openCase{vm.ID, vm.DoubtfulAt})
-			s.doubt(vm.Doubtful, 1)
+			s.doubt(vm, 1)
 		}
 	}
 	slices.SortStableFunc(s.cases, func(a, b openCase) int { return cmp.Compare(a.at, b.at) })
 }
 
-// doubt counts runs of which it is open whether their executor has crashed (step 1), or
-// no longer open (step -1). A run that had been at work for long would clear its task.
-func (s *State) doubt(list []RunAge, step int) {
-	for _, r := range list {
-		if t := s.openTask(r.Task); t != nil && r.AgeMS < provenMS {
-			t.Doubts = max(0, t.Doubts+step)
+// doubt counts the runs of a VM's open case: it is open whether their executor has crashed
+// (step 1), or no longer (step -1). A run that had been at work for long would clear its
+// task.
+func (s *State) doubt(vm *VM, step int) {
+	for _, r := range vm.Doubtful {
+		t := s.openTask(r.Task)
+		if t == nil || r.AgeMS >= provenMS {
+			continue
+		}
+		t.Doubts = max(0, t.Doubts+step)
+		if vm.Silent {
+			t.Silences = max(0, t.Silences+step)
 		}
 	}
 }
@@ -73,7 +79,7 @@
 	for _, o := range j.Times {
 		for _, tasks := range o.Steps {
 			for i := range tasks {
-				tasks[i].Doubts = 0
+				tasks[i].Doubts, tasks[i].Silences = 0, 0
 			}
 		}
 	}
--- a/queue/model.go
+++ b/queue/model.go
@@ -238,6 +238,8 @@
 	Witnessed int `cbor:"11,keyasint,omitempty"` // of these, on which its run was seen to begin
 	Doubts    int `cbor:"10,keyasint,omitempty"` // runs that ended lately with leases of VMs that are not back
 	Suspicion int `cbor:"9,keyasint,omitempty"`  // thousandths
+	// Silences are the doubts of VMs whose agents have told that their executors are silent.
+	Silences int `cbor:"12,keyasint,omitempty"`
 }
 
 // Run returns the active run of a number; ok is false if there is none.
@@ -334,6 +336,8 @@
 	// runs are no longer held against their tasks.
 	DoubtfulAt int64 `cbor:"12,keyasint,omitempty"`
 	Settled    bool  `cbor:"13,keyasint,omitempty"`
+	// Silent says that the VM's agent has told that its executor is silent.
+	Silent bool `cbor:"14,keyasint,omitempty"`
 	// Leaving says that the life ends as planned, and that nobody is to blame for it.
 	Leaving bool `cbor:"11,keyasint,omitempty"`
 
