Work a full list of orders out of what the agent has reported

What callers would see: a task at work in two places. Its run had been refused, the agent had reported that and lost its orders before the leader had noted it, and the list named the run again. By then the executor had room; the next run began elsewhere.

Cause: the full list is worked out of what is committed.

Change: before an agent gets the full list, its session's reports are committed, and, if another session of it was there in this term, a command that comes behind all that one has proposed. The first sessions of a term need none.

--- a/scheduler/vm.go
+++ b/scheduler/vm.go
@@ -112,6 +112,7 @@
 	if ses.outlived(v) {
 		return errOutlived
 	}
+	ses.first = ses.first || v.spoken == 0
 	v.spoken = ses.number
 	return nil
 }
@@ -140,6 +141,9 @@
 		if err := ses.register(ctx, b.VM, b.Crash); err != nil {
 			return err
 		}
+		if err := ses.checkEpoch(ctx, b); err != nil {
+			return err
+		}
 	}
 	s, now := ses.s, steady.Now()
 	st := s.rep.Status()
@@ -156,7 +160,6 @@
 	fresh := v.session != ses
 	v.session = ses
 	s.fleet.take(v, b, now)
-	ses.checkEpoch(b, now)
 	if !b.Mute && ses.epoch != 0 && ses.life == b.VM.Life {
 		for _, k := range s.fleet.last[b.VM.ID] {
 			grant.Last = append(grant.Last, k.Ref(k.Number))
@@ -195,23 +198,25 @@
 	return list
 }
 
-// register commits the VM's description if it is new, behind the ends that were reported
-// before: with a new life, what ran in the one before is over.
+// register commits the VM's description if it is new.
 func (ses *session) register(ctx context.Context, vm queue.VM, crash *queue.Crash) error {
-	if ses.registered(vm) {
+	if ses.inSync(vm) {
 		return nil
 	}
-	if err := ses.reports.Wait(ctx); err != nil {
-		return err
-	}
 	v, ok := ses.mayRegister(vm.ID)
 	if !ok {
 		return nil
 	}
 	defer ses.endRegistration(v)
-	ses.s.learnCrash(vm, crash)
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
+	if err := ses.settleReports(ctx, vm); err != nil {
+		return err
+	}
+	if ses.registered(vm) {
+		return nil
+	}
+	ses.s.learnCrash(vm, crash)
 	res, err := ses.s.do(ctx, queue.Command{Register: &vm, Crash: crash})
 	if err != nil {
 		return err
@@ -228,6 +233,35 @@
 	return nil
 }
 
+// settleReports waits for the commits of what the VM's agent has reported, before the VM is
+// registered or a full list is worked out of what is committed. A run that was reported as
+// refused, and is still ordered by the list, would be started by an agent that has
+// forgotten the report, and elsewhere too.
+func (ses *session) settleReports(ctx context.Context, vm queue.VM) error {
+	if err := ses.reports.Wait(ctx); err != nil || ses.first {
+		return err
+	}
+	// What earlier sessions have proposed is committed before this, or never.
+	_, err := ses.s.do(ctx, queue.Command{Ends: &queue.Ends{VM: vm.ID, Life: vm.Life}})
+	return err
+}
+
+// inSync reports whether the session's orders are of the VM's present epoch, and the VM is
+// known as it describes itself.
+func (ses *session) inSync(vm queue.VM) (ok bool) {
+	ses.s.rep.View(func(st *state.State) {
+		known := st.Queues().VM(vm.ID)
+		ok = known != nil && known.Live && known.Same(vm) && ses.epoch == known.Epoch && !ses.s.isExpiring(vm.ID)
+	})
+	return ok
+}
+
+func (s *Scheduler) isExpiring(id rudderfork.VMID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.vm(id).lease.Expiring()
+}
+
 // learnCrash draws conclusions on a VM from the end of the life that a new one follows,
 // before that is committed.
 func (s *Scheduler) learnCrash(vm queue.VM, crash *queue.Crash) {
@@ -294,13 +328,26 @@
 }
 
 // checkEpoch sends an agent the full list again that does not have it, as one that took
-// its executor's life for over and takes it up again. The caller holds mu.
-func (ses *session) checkEpoch(b wire.VMBeat, now time.Time) {
-	if b.Epoch == nil || *b.Epoch == ses.epoch || ses.life != b.VM.Life || !ses.full || now.Before(ses.fullBy) {
-		return
+// its executor's life for over and takes it up again.
+func (ses *session) checkEpoch(ctx context.Context, b wire.VMBeat) error {
+	if !ses.lacksList(b) {
+		return nil
+	}
+	if err := ses.reports.Wait(ctx); err != nil {
+		return err
 	}
+	ses.s.mu.Lock()
+	defer ses.s.mu.Unlock()
 	ses.s.log.Warn().Str("vm", string(ses.vm)).Str("life", ses.life).Uint64("epoch", ses.epoch).Uint64("agent_epoch", *b.Epoch).Msg("orders_missing")
 	ses.sendFull()
+	return nil
+}
+
+// lacksList reports whether an agent does not have the full list that was sent to it.
+func (ses *session) lacksList(b wire.VMBeat) bool {
+	ses.s.mu.Lock()
+	defer ses.s.mu.Unlock()
+	return b.Epoch != nil && *b.Epoch != ses.epoch && ses.life == b.VM.Life && ses.full && !steady.Now().Before(ses.fullBy)
 }
 
 // ends commits the ends that a VM reports, then says so. A session that was left
