--- a/scheduler/lost_twice_test.go
+++ b/scheduler/lost_twice_test.go
@@ -42,6 +42,7 @@
 	for range 2 { // rounds in which nothing is committed
 		ctx, cancel := context.WithTimeout(s.ctx, 2*roundPause)
 		sched.expire(ctx)
+		sched.losses.Wait()
 		cancel()
 	}
 	store.gate.Store(nil)
--- a/scheduler/session.go
+++ b/scheduler/session.go
@@ -50,7 +50,7 @@
 	life  string          // of its executor
 	epoch uint64          // of the VM; 0 until registered
 	full  bool            // the full list was sent in this epoch
-	first bool // in the term, of the VM's agent
+	first bool            // in the term, of the VM's agent
 	// fullBy is until when the agent may not have told that it has the full list.
 	fullBy time.Time
 	seen   vmVersion // for which orders were worked out last
