Show a VM that is granted leases and placed upon, and starts nothing

What callers see: tasks that are placed on a VM and never begin there, while its agent lives and its lease is renewed; what ran there before lapses.

Cause: an agent that takes its executor's life for over forgets its orders, and takes the same life up again when it describes itself once more, 3 s later. The lease of the platform is 5 s: to the leader nothing has changed, neither life nor epoch, and it sends no full list. The agent takes no grant and no order before it has one, and the leader counts its grants as leases.

--- a/runs/model_test.go
+++ b/runs/model_test.go
@@ -55,6 +55,7 @@
 
 	onBegan func(v *vm)                        // may be nil
 	onCall  func(v *vm, ref rudderfork.RunRef) // before a start is called; may be nil
+	onLook  func(look *rudderfork.Look) error  // may change an account; may be nil
 	// standStill says that agents' clocks stand still while they are frozen, as one that
 	// leaves out a machine's suspension does; twice counts what that breaks.
 	standStill bool
@@ -474,6 +475,9 @@
 	req := rudderfork.LookRequest{Fence: v.keeper.Fence(), AckedUpTo: v.ended}
 	req.UntilMS, _ = v.keeper.Until(v.now())
 	look, err := v.exec.Look(context.Background(), v.keeper.Life(), req)
+	if err == nil && v.s.onLook != nil {
+		err = v.s.onLook(&look)
+	}
 	if errors.Is(err, rudderfork.ErrOtherLife) {
 		v.seeCrash()
 		v.keeper.Reset(v.exec.Life())
