Show a VM that is kept out though its registration is committed

After an outage of the group, in which VMs were lost, starts went nowhere for another lease. A VM that comes back registers; where the commit takes longer than a command may, the session ends with "the command's fate is unknown", as one of the record does. The registration is committed all the same. But only an answer to it renews the VM's lease, and a VM that is live and being given up may not register again. So it is granted none, and has no orders, until that lease has run out too, the loss is committed, and it registers once more.

--- a/scheduler/beside_test.go
+++ b/scheduler/beside_test.go
@@ -147,3 +147,23 @@
 	defer h.sched.mu.Unlock()
 	assert.Assert(t, !h.sched.fleet.vm(lonely.ID).usable(steady.Now()))
 }
+
+// TestRegistrationOfUnknownFate guards against a VM that is granted nothing though its
+// registration after a loss is committed, since its session ended before.
+func TestRegistrationOfUnknownFate(t *testing.T) {
+	h := newHeldSite(t, Settings{Lease: lease})
+	h.agentOf(lonely).Close()
+	h.until("it is lost", func() bool { h.sched.round(h.ctx); return !h.live(lonely.ID) })
+	release := h.hold()
+	last := h.rep.Status().Last
+	c := h.dial(string(lonely.ID))
+	h.beat(c, lonely, 2)
+	h.until("its registration is proposed", func() bool { return h.rep.Status().Last > last })
+	assert.Assert(t, h.nextGrant(c) == nil, "the commit is held")
+	release()
+	h.until("its registration is committed", func() bool { return h.live(lonely.ID) })
+	c = h.dial(string(lonely.ID))
+	h.beat(c, lonely, 3)
+	g := h.nextGrant(c)
+	assert.Assert(t, g != nil && g.LeaseMS > 0, "%+v", g)
+}
