--- a/runs/model_test.go
+++ b/runs/model_test.go
@@ -25,7 +25,8 @@
 	leaseTime = 2 * time.Second
 	startSpan = 600 * time.Millisecond // for which a grant lets starts be made
 	stepTime  = 20 * time.Millisecond
-	beatSteps = 5 // between two heartbeats
+	beatSteps = 5           // between two heartbeats
+	fullSpan  = time.Second // as in package scheduler
 	host      = "tours.example"
 	firstBorn = 1000 // when an executor's first life under an id began, ms
 	wholeRoom = 2000 // of a VM, thousandths of a core
@@ -83,6 +84,7 @@
 	spoken   int      // latest session whose heartbeat the leader has heard
 	late     []func() // sent to this leader in earlier sessions, and not arrived
 	epoch    uint64
+	fullBy   time.Time // until when the agent may not have told that it has the full list
 	sent     map[rudderfork.RunRef]bool
 	stops    map[rudderfork.RunRef]bool // sent
 	toAgent  []func()
@@ -362,9 +364,9 @@
 		v.keeper.SetTerm(v.s.term)
 		v.send(v.unnoted, 0) // again, as package runner does
 	}
-	sent, number, crash := v.now(), v.number, v.crash
+	sent, number, crash, has := v.now(), v.number, v.crash, v.keeper.Epoch()
 	desc := queue.VM{ID: v.id, Domain: v.domain, Life: v.keeper.Life(), Service: "desk", Capacity: rudderfork.Resources{CPUMilli: v.told}}
-	v.post(&v.toLeader, func() { v.leaderBeat(number, sent, desc, crash) })
+	v.post(&v.toLeader, func() { v.leaderBeat(number, sent, desc, crash, has) })
 }
 
 // seeCrash notes what the agent knows of the life that is over, as package runner does.
@@ -397,7 +399,7 @@
 
 // leaderBeat is the leader's handling of a heartbeat in a session, as in package
 // scheduler.
-func (v *vm) leaderBeat(number int, sent time.Time, desc queue.VM, crash *queue.Crash) {
+func (v *vm) leaderBeat(number int, sent time.Time, desc queue.VM, crash *queue.Crash, has uint64) {
 	if number < v.spoken {
 		return
 	}
@@ -413,7 +415,8 @@
 		g.Renew()
 		known = s.state.VM(v.id)
 	}
-	if v.epoch != known.Epoch {
+	if v.epoch != known.Epoch || has != known.Epoch && !s.now.Before(v.fullBy) {
+		v.fullBy = s.now.Add(fullSpan)
 		v.epoch = known.Epoch
 		v.forgetOrders()
 		v.sendOrders(true)
