Give a start up that is called in vain

Cause: an agent repeated a start for as long as it was wanted, and the leader waits for an end or the loss of the VM. An executor that answers looks keeps its VM usable.

Change: after 2 s of calls without a confirmation the agent refuses the run; one that may have been carried out is stopped first. The leader learns of the VM as from any refusal.

--- a/runs/keeper.go
+++ b/runs/keeper.go
@@ -85,6 +85,8 @@
 	dueAt     time.Time // when its start was due first; zero before
 	answer    string    // to the newest call to start it, where that did not settle it
 	overdue   bool      // told by Overdue
+	calledAt  time.Time // when it was called first to start; zero before
+	gaveUp    bool      // its start was not confirmed in time: stopped, and to be reported as refused
 }
 
 // New returns a keeper without a life of the executor.
@@ -224,6 +226,9 @@
 		if e := k.noRoom(o, now); e != nil {
 			ends = append(ends, *e)
 		}
+		if e := k.giveUp(o, now); e != nil {
+			ends = append(ends, *e)
+		}
 		if c := k.due(o, now); c != nil {
 			calls = append(calls, *c)
 		}
@@ -291,6 +296,9 @@
 		return nil
 	}
 	o.inFlight = true
+	if o.calledAt.IsZero() {
+		o.calledAt = now
+	}
 	return &Call{Ref: o.RunRef, Start: &rudderfork.RunStart{
 		RunRef: o.RunRef, Payload: o.Payload, Checkpoint: o.Checkpoint, Ticket: o.Ticket,
 		UntilMS: until, Fence: k.term,
@@ -413,7 +421,11 @@
 			continue
 		}
 		o.ended = true
-		ends = append(ends, queue.End{Task: key, Run: o.Run, How: queue.EndGone, Reason: "the executor knows nothing of it"})
+		end := queue.End{Task: key, Run: o.Run, How: queue.EndGone, Reason: "the executor knows nothing of it"}
+		if o.gaveUp {
+			end.How, end.Reason = queue.EndRefused, notStarted
+		}
+		ends = append(ends, end)
 	}
 	return ends
 }
