Grant a VM leases again whose registration had no answer

What callers saw: a VM without a lease for seconds after an outage, until it is lost once more: its registration was committed after the session that asked for it had ended ("the command's fate is unknown", as in the record).

Cause: only the answer to a registration let leases be granted again. Until then the VM was live and being given up at once, and could not register.

Change: leases are granted again to a VM that is live in a later epoch than the one that was lost. A loss names its epoch, so that a late one does not hit a VM that has registered since (queue TestLateLossOfEarlierEpoch). A registration comes behind all that earlier sessions have proposed, and needs no command before it.

--- a/queue/apply.go
+++ b/queue/apply.go
@@ -388,7 +388,7 @@
 
 func (s *State) lose(c Lost, at int64) Result {
 	vm := s.vms[c.VM]
-	if vm == nil || vm.Life != c.Life {
+	if vm == nil || vm.Life != c.Life || c.Epoch != 0 && c.Epoch != vm.Epoch {
 		return Result{Code: Stale}
 	}
 	seen := c.Crash.Of(vm.Life)
--- a/queue/command.go
+++ b/queue/command.go
@@ -89,6 +89,10 @@
 	// one that does not answer.
 	Left  bool   `cbor:"4,keyasint,omitempty"`
 	Crash *Crash `cbor:"5,keyasint,omitempty"`
+
+	// Epoch is the VM's when its lease ran out; it may have registered again since. 0 means
+	// any.
+	Epoch uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Code says how a command ended.
--- a/queue/crash_test.go
+++ b/queue/crash_test.go
@@ -105,3 +105,13 @@
 	assert.Assert(t, crashes <= mostCrashes, "%d executors crashed", crashes)
 	assert.Equal(t, w.status("j1"), Failed)
 }
+
+// TestLateLossOfEarlierEpoch guards against the loss of a VM that has registered again since.
+func TestLateLossOfEarlierEpoch(t *testing.T) {
+	w, _, _ := two(t, one)
+	epoch := w.s.VM("vm1").Epoch
+	w.lose("vm1", Lost{Epoch: epoch})
+	w.register("vm1", oldLife)
+	assert.Equal(t, w.lose("vm1", Lost{Epoch: epoch}).Code, Stale)
+	assert.Assert(t, w.s.VM("vm1").Live)
+}
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -74,7 +74,8 @@
 	// heartbeat; registering says that one of them registers the VM.
 	spoken      uint64
 	registering bool
-	losing      bool // its loss is on its way
+	losing      bool   // its loss is on its way
+	lostEpoch   uint64 // in which its lease ran out last
 
 	beatAt  time.Time
 	changes uint64 // rises with each change of rows
@@ -208,6 +209,14 @@
 	return v.session != nil && v.session.epoch != 0 && !v.beat.Mute && now.Sub(v.beatAt) < beatLimit && v.lease.Leased(now)
 }
 
+// renew lets leases be granted again to a VM that is back: in a later epoch than the one
+// that was lost. The answer to its registration may have been missed.
+func (v *vmInfo) renew(vm *queue.VM) {
+	if v.lease.Expiring() && !v.losing && vm.Live && vm.Epoch > v.lostEpoch {
+		v.lease.Renew()
+	}
+}
+
 // addDoubt counts a failure, or with a negative step a success.
 func (v *vmInfo) addDoubt(step float64, now time.Time) {
 	v.doubt = max(0, halved(v.doubt, now.Sub(v.doubtAt), doubtHalf)+step)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -238,8 +238,8 @@
 			if !vm.Live || v.losing || !v.lease.Expire(now, s.cfg.Lease) {
 				continue
 			}
-			v.losing = true
-			list = append(list, loss{queue.Lost{VM: vm.ID, Life: vm.Life, Checkpoints: v.checkpoints(), Crash: v.beat.Crash}, v})
+			v.losing, v.lostEpoch = true, vm.Epoch
+			list = append(list, loss{queue.Lost{VM: vm.ID, Life: vm.Life, Epoch: vm.Epoch, Checkpoints: v.checkpoints(), Crash: v.beat.Crash}, v})
 		}
 	})
 	return list
--- a/scheduler/vm.go
+++ b/scheduler/vm.go
@@ -238,7 +238,7 @@
 // refused, and is still ordered by the list, would be started by an agent that has
 // forgotten the report, and elsewhere too.
 func (ses *session) settleReports(ctx context.Context, vm queue.VM) error {
-	if err := ses.reports.Wait(ctx); err != nil || ses.first {
+	if err := ses.reports.Wait(ctx); err != nil || ses.first || !ses.isKnown(vm) {
 		return err
 	}
 	// What earlier sessions have proposed is committed before this, or never.
@@ -246,6 +246,16 @@
 	return err
 }
 
+// isKnown reports whether the VM is live and known as it describes itself, so that it need
+// not be registered.
+func (ses *session) isKnown(vm queue.VM) (ok bool) {
+	ses.s.rep.View(func(st *state.State) {
+		known := st.Queues().VM(vm.ID)
+		ok = known != nil && known.Live && known.Same(vm)
+	})
+	return ok
+}
+
 // inSync reports whether the session's orders are of the VM's present epoch, and the VM is
 // known as it describes itself.
 func (ses *session) inSync(vm queue.VM) (ok bool) {
@@ -283,6 +293,9 @@
 		defer ses.s.mu.Unlock()
 		v = ses.s.fleet.vm(id)
 		known := st.Queues().VM(id)
+		if known != nil {
+			v.renew(known)
+		}
 		ok = !ses.outlived(v) && !v.registering && (!v.lease.Expiring() || known == nil || !known.Live)
 		if ok {
 			v.registering = true
@@ -307,6 +320,9 @@
 		ses.s.mu.Lock()
 		defer ses.s.mu.Unlock()
 		known := st.Queues().VM(vm.ID)
+		if known != nil {
+			ses.s.fleet.vm(vm.ID).renew(known)
+		}
 		ok = known != nil && known.Live && known.Same(vm) && !ses.s.fleet.vm(vm.ID).lease.Expiring()
 		if !ok {
 			return
