Ask an adviser again about VMs that it has ruled out, after the others

What callers would see: a step that never starts after one answer of its adviser that was not its own or not whole.

Change: VMs that were asked about in vain come after the others, those asked about longest ago first, and so do steps.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -18,6 +18,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"rudderfork.example/rudderfork"
 	"rudderfork.example/rudderfork/pace"
 	"rudderfork.example/rudderfork/queue"
@@ -62,8 +64,8 @@
 	// Tickets holds, for steps of queues with an adviser, the VMs that may run
 	// them, with the adviser's tickets.
 	Tickets map[queue.StepKey]map[rudderfork.VMID]string
-	// Barred holds, for these steps, the VMs that the adviser has ruled out.
-	Barred map[queue.StepKey]map[rudderfork.VMID]bool
+	// Asked holds, for these steps, when the adviser was last asked in vain about VMs.
+	Asked map[queue.StepKey]map[rudderfork.VMID]time.Time
 	// Pressure is what fillers of one image take from the headroom of serving
 	// tasks of another, as package interference gives it.
 	Pressure pace.Pressures
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"time"
 
 	"rudderfork.example/rudderfork"
 	"rudderfork.example/rudderfork/queue"
@@ -202,19 +203,20 @@
 	free := *cl
 	free.advised = false
 	type option struct {
-		vm   rudderfork.VMID
-		cost float64
+		vm    rudderfork.VMID
+		asked time.Time // last, in vain
+		cost  float64
 	}
 	var options []option
 	for _, v := range p.vms {
-		if p.able(&free, v) && cl.tickets[v.vm.ID] == "" && !p.view.Barred[cl.key][v.vm.ID] && !cl.runsOn(k, v) {
-			options = append(options, option{v.vm.ID, p.cost(&free, v) + p.failedCost(k, v)})
+		if p.able(&free, v) && cl.tickets[v.vm.ID] == "" && !cl.runsOn(k, v) {
+			options = append(options, option{v.vm.ID, p.view.Asked[cl.key][v.vm.ID], p.cost(&free, v) + p.failedCost(k, v)})
 		}
 	}
 	if len(options) == 0 {
 		return
 	}
-	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.cost, b.cost) })
+	slices.SortStableFunc(options, func(a, b option) int { return cmp.Or(a.asked.Compare(b.asked), cmp.Compare(a.cost, b.cost)) })
 	ask := Ask{Step: cl.key}
 	for _, o := range options[:min(len(options), maxAsked)] {
 		ask.VMs = append(ask.VMs, o.vm)
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"rudderfork.example/rudderfork"
@@ -29,12 +30,13 @@
 // leave is what an adviser said of a step.
 type leave struct {
 	tickets map[rudderfork.VMID]ticket
-	barred  map[rudderfork.VMID]string // lives that may not run the step, which does not change
-	askAt   time.Time                  // not before
+	asked   map[rudderfork.VMID]time.Time // when VMs were last asked about in vain
+	askAt   time.Time                     // not before
+	lastAt  time.Time                     // when it was asked for last
 }
 
 func newLeave() *leave {
-	return &leave{tickets: map[rudderfork.VMID]ticket{}, barred: map[rudderfork.VMID]string{}}
+	return &leave{tickets: map[rudderfork.VMID]ticket{}, asked: map[rudderfork.VMID]time.Time{}}
 }
 
 // ticket is valid for one life of a VM, until a time.
@@ -46,26 +48,21 @@
 
 func newAdvice() *advice { return &advice{steps: map[queue.StepKey]*leave{}} }
 
-// bar notes the lives that were asked about in vain.
-func (l *leave) bar(asked map[string]rudderfork.VMID, good map[string]string) {
+// noteAsked notes the VMs that were asked about in vain. Which VMs may run a step does not
+// change, but an answer may be wrong: they are asked about again after the others.
+func (l *leave) noteAsked(asked map[string]rudderfork.VMID, good map[string]string, now time.Time) {
 	for life, vm := range asked {
 		if _, ok := good[life]; !ok {
-			l.barred[vm] = life
+			l.asked[vm] = now
 		}
 	}
 }
 
-// barred returns the VMs that are known not to run a step.
-func (a *advice) barred(s *queue.State) map[queue.StepKey]map[rudderfork.VMID]bool {
-	all := map[queue.StepKey]map[rudderfork.VMID]bool{}
+// askedAt returns when VMs were last asked about in vain, by step.
+func (a *advice) askedAt() map[queue.StepKey]map[rudderfork.VMID]time.Time {
+	all := map[queue.StepKey]map[rudderfork.VMID]time.Time{}
 	for k, l := range a.steps {
-		list := map[rudderfork.VMID]bool{}
-		for id, life := range l.barred {
-			if vm := s.VM(id); vm != nil && vm.Life == life {
-				list[id] = true
-			}
-		}
-		all[k] = list
+		all[k] = l.asked
 	}
 	return all
 }
@@ -106,6 +103,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a := s.fleet.advice
+	slices.SortStableFunc(asks, func(x, y dispatch.Ask) int { return a.lastAt(x.Step).Compare(a.lastAt(y.Step)) })
 	for _, ask := range asks {
 		l := a.steps[ask.Step]
 		if a.busy || l != nil && now.Before(l.askAt) {
@@ -119,6 +117,14 @@
 	}
 }
 
+// lastAt is when a step was asked for last: the one that was not for longest comes first.
+func (a *advice) lastAt(k queue.StepKey) time.Time {
+	if l := a.steps[k]; l != nil {
+		return l.lastAt
+	}
+	return time.Time{}
+}
+
 // advise makes one call and notes its answer.
 func (s *Scheduler) advise(a *advice, ask dispatch.Ask) {
 	ctx, cancel := context.WithTimeout(context.Background(), adviceTimeout)
@@ -136,9 +142,9 @@
 	if l == nil {
 		return // the job is over
 	}
-	l.askAt = now.Add(adviceAgain)
+	l.askAt, l.lastAt = now.Add(adviceAgain), now
 	if err == nil {
-		l.bar(lives, tickets)
+		l.noteAsked(lives, tickets, now)
 	}
 	for life, text := range tickets {
 		// It holds from the answer on; the call's begin is surely before that.
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -254,7 +254,7 @@
 		Now: rudderfork.Millis(now), VMs: make(map[rudderfork.VMID]dispatch.VMView, len(f.vms)), Runs: f.runs,
 		Failed: f.failed, PutOff: map[queue.TaskKey]int64{},
 		Tickets: f.advice.view(s, now),
-		Barred:  f.advice.barred(s),
+		Asked:   f.advice.askedAt(),
 		Moved:   f.moved,
 		Short:   f.short,
 
