Keep the soak's seeds of flapping executors

-only flap-executors, 12 machines, 40 s: seeds 3001 and 3003 of 3001 to 3003 show a lasting job as failed; 3001 gave a task up again when run again. One of its tasks was given up with crashes 5, suspicion 0 to 1 of 1000, age 0: four crashes by flapping, the fifth the loss of power, in which its agent ended too. Open: MostCrashes counts crashes whatever is believed.

--- a/soak/setups_test.go
+++ b/soak/setups_test.go
@@ -38,6 +38,8 @@
 	{"a late second answer is taken for that of a newer call", setup{42, 12, 50 * time.Second, []string{"stutter"}, true}},
 	{"another process had a port of the entries", setup{1011, 12, 30 * time.Second, withoutStutter, true}},
 	{"a suspect of a crash is put where least runs, that is where one was just now", setup{1032, 12, 30 * time.Second, withoutStutter, true}},
+	{"a task is given up after five crashes that are not its own, the fifth a loss of power", setup{3001, 12, 40 * time.Second, []string{"flap-executors"}, true}},
+	{"a task is given up after five crashes that are not its own, the fifth a loss of power", setup{3003, 12, 40 * time.Second, []string{"flap-executors"}, true}},
 }
 
 // withoutStutter are the kinds that were drawn from without stutter.
