Take no account whose clock is behind what the life has shown

What callers would see: a task at work in two places. An executor that answers twice, the second time late, had an account from before a run began taken for the answer to a newer look; the run was reported as gone and started elsewhere.

Change: an account whose clock is behind one that the life has shown counts as none, and is no sign of life: an executor whose clock stays behind is mute after 1.2 s.

--- a/runner/life.go
+++ b/runner/life.go
@@ -172,8 +172,7 @@
 // noteOver remembers that a life is over: by the executor's word, or since it left
 // looks unanswered after its farewell. That only spares calls. It is not kept for
 // good, since the word may have been wrong: an executor may describe itself before it
-// answers under its new name, and a process of before may answer on a connection that
-// was kept. The caller holds mu.
+// answers under its new name, and a process of before may still answer. The caller holds mu.
 func (a *Agent) noteOver(life string) {
 	delete(a.described, life)
 	if life == "" {
--- a/runner/look.go
+++ b/runner/look.go
@@ -1,8 +1,10 @@
 package runner
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"rudderfork.example/rudderfork"
@@ -11,6 +13,9 @@
 	"rudderfork.example/rudderfork/runs"
 )
 
+// errBehind is an account whose clock is behind what the life has shown.
+var errBehind = fmt.Errorf("%w of now", rudderfork.ErrNoAccount)
+
 // lookLoop asks the executor for its account again and again. Each look extends
 // the lease of all that runs, as far as the leader's grant reaches.
 func (a *Agent) lookLoop(ctx context.Context) error {
@@ -25,12 +30,16 @@
 		if ctx.Err() != nil {
 			return ctx.Err() // the agent ends, which says nothing of the executor
 		}
-		if err != nil {
-			a.lookFailed(life, err)
+		var noted <-chan struct{}
+		listed, taken := false, false
+		if err == nil {
+			noted, listed, taken = a.looked(ctx, life, look, asked)
+		}
+		if !taken {
+			a.lookFailed(life, cmp.Or(err, errBehind))
 			steady.Pause(ctx, failPause)
 			continue
 		}
-		noted, listed := a.looked(ctx, life, look, asked)
 		if listed || req.UntilMS == 0 {
 			await(ctx, noted, notedTimeout)
 		}
@@ -103,18 +112,21 @@
 }
 
 // looked takes an account. listed says that it holds ends that the leader has
-// not taken note of: until noted, the executor would list them again at once.
-func (a *Agent) looked(ctx context.Context, life string, look rudderfork.Look, asked time.Time) (noted <-chan struct{}, listed bool) {
+// not taken note of: until noted, the executor would list them again at once. An account
+// whose clock is behind what the life has shown is from before that, and not taken.
+func (a *Agent) looked(ctx context.Context, life string, look rudderfork.Look, asked time.Time) (noted <-chan struct{}, listed, taken bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.keeper.Life() != life {
 		a.reportOf(life, runs.Ends(look.Ended), 0) // what an earlier life listed stands
-		return nil, false
+		return nil, false, true
 	}
 	now := steady.Now()
+	if !a.keeper.SetClock(look.ClockMS, now) {
+		return nil, false, false
+	}
 	a.seenAt, a.silentAt, a.unanswered, a.notReached = now, time.Time{}, 0, 0
 	a.noteAccount(life, look)
-	a.keeper.SetClock(look.ClockMS, now)
 	upTo := a.acked
 	for _, e := range look.Ended {
 		upTo = max(upTo, e.Seq)
@@ -131,7 +143,7 @@
 	a.worked = a.exposed(now)
 	a.adjustPace(ctx)
 	a.kicked.Set()
-	return noted, upTo > a.acked
+	return noted, upTo > a.acked, true
 }
 
 // noteAccount logs what an account lists as ended, against what was acknowledged. The
--- a/runner/stutter_test.go
+++ b/runner/stutter_test.go
@@ -22,7 +22,9 @@
 	look(80_000)
 	a.keeper.Started(run, rudderfork.Started, nil, time.Now())
 	look(90_000, rudderfork.RunRow{RunRef: run})
+	seen := a.seenAt
 	look(80_000)
+	assert.Equal(t, a.seenAt, seen, "it is no sign of life")
 	assert.Equal(t, len(a.reports), 0)
 	assert.Equal(t, len(a.rows), 1)
 	look(90_001)
--- a/runs/keeper.go
+++ b/runs/keeper.go
@@ -134,8 +134,15 @@
 // Granted returns when the lease ends.
 func (k *Keeper) Granted() time.Time { return k.grant }
 
-// SetClock notes the executor's clock, read between asked and now.
-func (k *Keeper) SetClock(ms int64, now time.Time) { k.clockMS, k.clockAt = ms, now }
+// SetClock notes the executor's clock, read not later than now. One that is behind what the
+// life has shown is not taken: it was read before.
+func (k *Keeper) SetClock(ms int64, now time.Time) (taken bool) {
+	if ms < k.clockMS {
+		return false
+	}
+	k.clockMS, k.clockAt = ms, now
+	return true
+}
 
 // Until returns the end of the lease on the executor's clock; ok is false
 // without a lease that is worth anything.
