Learn from a loss which VM falls silent

Cause: the loss of a VM taught nothing. Back again it is empty, and the cheapest.

Evidence: TestTaskLeavesVMThatFellSilent fails on the code before.

Change: what ran on a lost VM has failed there, and VMs that are lost twice or more lately are in doubt, as those whose executors crash.

--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -86,7 +86,7 @@
 	doubt    float64
 	doubtAt  time.Time
 
-	crashes     float64 // of its executor, at crashAt; newer ones count more
+	crashes     float64 // of its executor, and losses, at crashAt; newer ones count more
 	crashAt     time.Time
 	crashedLife string // the one whose crash was counted last
 }
@@ -391,6 +391,16 @@
 	}
 }
 
+// learnLoss draws conclusions from the loss of a VM: what ran there had better run elsewhere
+// should it be back, and one that falls silent again and again is in doubt.
+func (f *fleet) learnLoss(vm *queue.VM, now time.Time) {
+	v := f.vm(vm.ID)
+	v.crashes, v.crashAt = v.crashesNow(now)+1, now
+	for k := range vm.Runs() {
+		f.failedOn(k, vm.ID)
+	}
+}
+
 func (f *fleet) failedOn(k queue.TaskKey, vm rudderfork.VMID) {
 	list := f.failed[k]
 	if slices.Contains(list, vm) {
--- a/scheduler/liveness_test.go
+++ b/scheduler/liveness_test.go
@@ -364,3 +364,23 @@
 		})
 	}
 }
+
+// TestTaskLeavesVMThatFellSilent has the only idle VM fall silent under a task, and come back.
+func TestTaskLeavesVMThatFellSilent(t *testing.T) {
+	s, k := newSimFleet(t, 4), queue.TaskKey{Job: "feed"}
+	plain := lastingStep(1)
+	plain.TailMS = 0
+	for i, v := range s.vms[1:] {
+		id := fmt.Sprintf("beside%d", i)
+		s.submit(id, plain)
+		s.place(queue.TaskKey{Job: rudderfork.JobID(id)}, v)
+	}
+	s.submit("feed", plain)
+	s.tick()
+	silent := s.vmOf(k)
+	assert.Equal(t, silent, s.vms[0])
+	s.lose(silent)
+	s.register(silent, nil)
+	s.tick()
+	assert.Assert(t, s.vmOf(k) != silent, "it is placed there again")
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -239,6 +239,7 @@
 				continue
 			}
 			v.losing, v.lostEpoch = true, vm.Epoch
+			s.fleet.learnLoss(vm, now)
 			list = append(list, loss{queue.Lost{VM: vm.ID, Life: vm.Life, Epoch: vm.Epoch, Checkpoints: v.checkpoints(), Crash: v.beat.Crash}, v})
 		}
 	})
--- a/scheduler/simfleet_test.go
+++ b/scheduler/simfleet_test.go
@@ -190,6 +190,7 @@
 	v.down = true
 	s.f.vm(v.id).session = nil
 	clear(v.begun)
+	s.f.learnLoss(s.qs.VM(v.id), s.clock())
 	res := s.apply(queue.Command{Lost: &queue.Lost{VM: v.id, Life: v.lifeName()}})
 	s.leader().noteGone(v.id, lifeLapsed, res)
 }
