Count crashes against short tasks as before

Change: crashes that are hardly a task's doing are spared lasting tasks alone, which meet every executor that crashes by itself sooner or later.

--- a/queue/blame.go
+++ b/queue/blame.go
@@ -87,12 +87,12 @@
 }
 
 // countCrash counts a crash under runs, but for those that had been at work for long, and
-// for those of tasks that are hardly to blame, where the ages are told: an executor that
-// crashes whatever it runs is counted against nobody.
+// for those of lasting tasks that are hardly to blame, where the ages are told: a task that
+// lasts meets every executor that crashes by itself sooner or later.
 func (s *State) countCrash(list []RunAge, told bool) {
 	for _, r := range list {
 		t := s.openTask(r.Task)
-		if t == nil || r.AgeMS >= provenMS || told && !t.Suspect() {
+		if t == nil || r.AgeMS >= provenMS || told && s.lasts(r.Task) && !t.Suspect() {
 			continue
 		}
 		t.Crashes++
@@ -102,6 +102,8 @@
 	}
 }
 
+func (s *State) lasts(k TaskKey) bool { return s.jobs[k.Job].Spec.Steps[k.Step].Lasting }
+
 // blame renews what the tasks of the runs at a crash are suspected of: for each the
 // probability that it was the cause, against the others and against a crash that no
 // task caused.
