--- a/scheduler/overdue.go
+++ b/scheduler/overdue.go
@@ -16,11 +16,11 @@
 // overdueRun is a run that its VM, which is in session, does not report.
 type overdueRun struct {
 	queue.RunKey
-	vm     rudderfork.VMID
-	age    time.Duration // since its start was committed
-	beat   time.Duration // age of the VM's newest heartbeat
-	epoch  uint64
-	number int // of the VM's runs that are reported
+	vm       rudderfork.VMID
+	age      time.Duration // since its start was committed
+	beatAge  time.Duration // of the VM's newest heartbeat
+	epoch    uint64
+	reported int // of the VM's runs
 }
 
 // noteOverdue logs the runs that have become overdue, each once, and counts those that
@@ -37,7 +37,7 @@
 			continue
 		}
 		s.log.Warn().Str("task", r.TaskKey.String()).Uint32("run", r.Number).Str("on", string(r.vm)).Dur("age", r.age).
-			Dur("beat_age", r.beat).Uint64("epoch", r.epoch).Int("reported", r.number).Msg("run_overdue")
+			Dur("beat_age", r.beatAge).Uint64("epoch", r.epoch).Int("reported", r.reported).Msg("run_overdue")
 		s.record("run_overdue", r.TaskKey.String(), "on "+string(r.vm)+": it was not seen to begin")
 	}
 }
