Learn nothing of a VM from a lasting task that fails after long work

What callers would see: serving tasks that are moved with each failure of their own, and work beside them that is displaced.

Cause: most lasting tasks fail by themselves after long work. While failures were learned too late for the next plan, they were started where they had been.

Change: the failure of a lasting task that was at work for 2 s or more says nothing of its VM; one that fails what it starts does so sooner.

--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -365,6 +365,8 @@
 	switch {
 	case e.How == queue.EndRefused && e.Reason == runs.Closed:
 		return // it says nothing of the VM, and the task may begin elsewhere at once
+	case e.How == queue.EndFailed && v.hadWorked(e, now):
+		return // it says nothing of the VM
 	case e.How == queue.EndDone:
 		v.addDoubt(-doubtStep, now)
 	case e.How == queue.EndFailed, e.How == queue.EndRefused, f.stops[ref] == dispatch.Stuck, f.stops[ref] == dispatch.Slow:
@@ -379,6 +381,16 @@
 	}
 }
 
+// workedSpan is how long a lasting task must have been at work for its failure to say nothing
+// of the VM: one that fails what it starts does so sooner.
+const workedSpan = 2 * time.Second
+
+// hadWorked reports whether a run that has ended was at work for long.
+func (v *vmInfo) hadWorked(e queue.End, now time.Time) bool {
+	r := v.rows[e.Task]
+	return r != nil && r.row.Run == e.Run && r.row.Percent == fullPercent && now.Sub(r.seenAt) >= workedSpan
+}
+
 // learnCrash draws conclusions from a life of a VM's executor that a new one follows.
 func (f *fleet) learnCrash(s *queue.State, vm queue.VM, crash *queue.Crash, now time.Time) {
 	tasks, crashed := s.CrashedUnder(vm, crash)
--- a/scheduler/liveness_test.go
+++ b/scheduler/liveness_test.go
@@ -384,3 +384,24 @@
 	s.tick()
 	assert.Assert(t, s.vmOf(k) != silent, "it is placed there again")
 }
+
+// TestFailureAfterLongWorkTellsNothingOfVM tells tasks that fail by themselves from VMs that
+// fail what they start.
+func TestFailureAfterLongWorkTellsNothingOfVM(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		span  time.Duration
+		there bool // it is started there again
+	}{{"long at work", longRun, true}, {"just begun", simStartup / 2, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			s, k := newSimFleet(t, 4), queue.TaskKey{Job: "feed"}
+			s.submit("feed", lastingStep(1))
+			s.run(c.span)
+			on, run := s.vmOf(k), s.task(k).LastRun
+			s.f.learn(on.id, queue.End{Task: k, Run: run, How: queue.EndFailed}, s.clock())
+			s.apply(queue.Command{Ends: &queue.Ends{VM: on.id, Life: on.lifeName(), List: []queue.End{{Task: k, Run: run, How: queue.EndFailed}}}})
+			s.plan()
+			assert.Equal(t, s.vmOf(k) == on, c.there)
+		})
+	}
+}
