--- a/scheduler/life_again_test.go
+++ b/scheduler/life_again_test.go
@@ -1,9 +1,7 @@
 package scheduler
 
 import (
-	"context"
 	"slices"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,30 +14,16 @@
 	"rudderfork.example/rudderfork/wire"
 )
 
-// disownedExecutor answers one look as another life would.
-type disownedExecutor struct {
-	*executor.Executor
-	disown atomic.Bool
-}
-
-// Look implements rudderfork.Executor.
-func (e *disownedExecutor) Look(ctx context.Context, life string, req rudderfork.LookRequest) (rudderfork.Look, error) {
-	if e.disown.CompareAndSwap(true, false) {
-		return rudderfork.Look{}, rudderfork.ErrOtherLife
-	}
-	return e.Executor.Look(ctx, life, req)
-}
-
 // TestNoOrdersAfterLifeTakenUpAgain guards against a usable VM whose agent drops all orders.
 func TestNoOrdersAfterLifeTakenUpAgain(t *testing.T) {
 	s := newSiteWith(t, nil, 5*time.Second)
 	room := rudderfork.Resources{CPUMilli: 4000, MemoryMB: 1000}
-	e := &disownedExecutor{Executor: executor.New("vm1-life-1", executor.Config{Now: steady.Now, Room: room})}
+	e := &misledExecutor{Executor: executor.New("vm1-life-1", executor.Config{Now: steady.Now, Room: room})}
 	a := s.addAgent("vm1", e, e.Life, room)
 	s.put(nil)
 	s.submit("feed", "", queue.Step{Count: 1, Size: small.Size, Lasting: true})
 	s.until("the feed is at work", func() bool { return len(e.Running()) == 1 })
-	e.disown.Store(true)
+	e.mislead.Store(true)
 	s.until("the agent takes the life for over", func() bool { return a.Life() == "" })
 	s.until("the agent takes it up again", func() bool { return a.Life() != "" })
 	s.submit("roster", "work=20ms", small)
