Say once how an executor's life has ended, and when a VM is as it describes itself

Callers saw nothing of this: the behaviour stays as it is.

Change: endingOf serves all three, over is set where it is meant, VM.LiveAs holds the condition, the method beside the type openCase is noteCase.

--- a/queue/apply.go
+++ b/queue/apply.go
@@ -218,7 +218,7 @@
 	if runs > 1 || runs == 1 && (!st.Copy || t.Suspect() || !j.Spec.Steps[st.Task.Step].Speculative) {
 		return false
 	}
-	if t.reachesMost(j.Spec.Steps[st.Task.Step].Lasting) {
+	if t.reachesMost(s.lasts(st.Task)) {
 		return false // it is given up once its runs have ended, unless they end well
 	}
 	return s.Obstacle(j, st.Task, vm) == ""
@@ -339,6 +339,7 @@
 	if old := s.vms[v.ID]; old != nil {
 		same := continues(old.Life, v.Life)
 		how := endingOf(old, seen)
+		how.over = true
 		res.Assessments = s.returned(old, how, same, at)
 		if !same {
 			ended := s.endLife(old, how, nil, at)
@@ -355,10 +356,10 @@
 	return res
 }
 
-// endingOf is how a life of a VM's executor has ended that another one follows.
-func endingOf(old *VM, seen *Crash) ending {
-	seen = seen.Of(old.Life)
-	return ending{planned: old.Leaving || seen.announced(), seen: seen, over: true}
+// endingOf is how the life of a VM's executor has ended, by what its agent has seen.
+func endingOf(vm *VM, seen *Crash) ending {
+	seen = seen.Of(vm.Life)
+	return ending{planned: vm.Leaving || seen.announced(), seen: seen}
 }
 
 // CrashedUnder returns the tasks whose runs ended with the life of an executor that v
@@ -391,8 +392,8 @@
 	if vm == nil || vm.Life != c.Life || c.Epoch != 0 && c.Epoch != vm.Epoch {
 		return Result{Code: Stale}
 	}
-	seen := c.Crash.Of(vm.Life)
-	how := ending{planned: c.Left || vm.Leaving || seen.announced(), seen: seen}
+	how := endingOf(vm, c.Crash)
+	how.planned = how.planned || c.Left
 	if !vm.Live {
 		s.lostAgain(vm, how, at)
 		return Result{Code: Stale}
--- a/queue/blame_test.go
+++ b/queue/blame_test.go
@@ -3,7 +3,6 @@
 import (
 	"testing"
 
-	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
 	"rudderfork.example/rudderfork"
@@ -165,11 +164,7 @@
 	checkCounts(t, w.task(bad), 0, 1)
 	run := w.start(bad, "vm2")
 	t.Run("what is open outlives a snapshot", func(t *testing.T) {
-		raw, err := cbor.Marshal(w.s.Image())
-		assert.NilError(t, err)
-		var im Image
-		assert.NilError(t, cbor.Unmarshal(raw, &im))
-		w.s = Restore(im)
+		w.restore()
 		checkCounts(t, w.task(bad), 0, 1)
 	})
 	w.crash("vm1", "life-2", aged(bad, 1, 0), aged(good, 1, 900))
@@ -217,11 +212,7 @@
 	t.Run("a restored state settles as the first one does", func(t *testing.T) {
 		w.lose(vm, Lost{})
 		checkCounts(t, w.task(k), 1, 1)
-		raw, err := cbor.Marshal(w.s.Image())
-		assert.NilError(t, err)
-		var im Image
-		assert.NilError(t, cbor.Unmarshal(raw, &im))
-		w.s = Restore(im)
+		w.restore()
 		checkCounts(t, w.task(k), 1, 1)
 		w.pass(doubtMS)
 		checkCounts(t, w.task(k), 1, 0)
--- a/queue/doubt.go
+++ b/queue/doubt.go
@@ -17,8 +17,8 @@
 	at int64 // VM.DoubtfulAt
 }
 
-// openCase notes the runs that ended with a VM's lease, and doubts their tasks.
-func (s *State) openCase(vm *VM, list []RunAge, silent bool) {
+// noteCase notes the runs that ended with a VM's lease, and doubts their tasks.
+func (s *State) noteCase(vm *VM, list []RunAge, silent bool) {
 	vm.Doubtful, vm.DoubtfulAt, vm.Settled, vm.Silent = list, s.clock.NowMS, false, silent
 	s.cases = append(s.cases, openCase{vm.ID, vm.DoubtfulAt})
 	s.doubt(vm, 1)
--- a/queue/lifeend.go
+++ b/queue/lifeend.go
@@ -19,7 +19,7 @@
 		res.Assessments = s.assess(list, how.seen, at)
 		return res
 	}
-	s.openCase(vm, list, how.seen != nil)
+	s.noteCase(vm, list, how.seen != nil)
 	return res
 }
 
--- a/queue/model.go
+++ b/queue/model.go
@@ -362,6 +362,9 @@
 		v.Capacity == o.Capacity && slices.Equal(v.Labels, o.Labels)
 }
 
+// LiveAs reports whether the VM is known, and live, as o describes it.
+func (v *VM) LiveAs(o VM) bool { return v != nil && v.Live && v.Same(o) }
+
 // HasLabel reports whether the VM carries a label; every VM has the empty one.
 func (v *VM) HasLabel(label string) bool {
 	if label == "" {
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -52,6 +52,16 @@
 	return res
 }
 
+// restore has the state go on from its snapshot, as it stands on disk.
+func (w *world) restore() {
+	w.t.Helper()
+	data, err := cbor.Marshal(w.s.Image())
+	assert.NilError(w.t, err)
+	var im Image
+	assert.NilError(w.t, cbor.Unmarshal(data, &im))
+	w.s = Restore(im)
+}
+
 func usedOf(s *State) map[rudderfork.VMID]rudderfork.Resources {
 	used := map[rudderfork.VMID]rudderfork.Resources{}
 	for id, vm := range s.vms {
@@ -445,11 +455,7 @@
 	w.start(key("done", 0, 0), "vm2")
 	w.end(key("done", 0, 0), "vm2", 1, EndDone)
 	w.start(key("j", 0, 0), "vm1")
-	data, err := cbor.Marshal(w.s.Image())
-	assert.NilError(t, err)
-	var im Image
-	assert.NilError(t, cbor.Unmarshal(data, &im))
-	w.s = Restore(im)
+	w.restore()
 	checkLedger(t, w.s)
 	assert.Equal(t, w.status("done"), Completed)
 	assert.Assert(t, w.end(key("j", 0, 0), "vm1", 1, EndDone))
