Let one function decide whether starts may be called, and say what keeps them

Callers saw nothing of this: the behaviour stays as it is.

Cause: obstacle, which tells the log why a start is overdue, repeated the conditions by which due holds starts back.

--- a/runs/keeper.go
+++ b/runs/keeper.go
@@ -34,9 +34,6 @@
 	retryPause = 100 * time.Millisecond
 	// leastLease is the least time left for which a start is worth sending.
 	leastLease = 200 * time.Millisecond
-	// roomPatience is how long a start waits for room: for the stops and reports of runs
-	// that control takes for over.
-	roomPatience = 500 * time.Millisecond
 	// stopSpan is how long after a stop was confirmed an executor may list the run
 	// before it is stopped again: above the longest that one takes to
 	// stop a run (the users' pages say 200 and 400 ms).
@@ -154,6 +151,23 @@
 	return k.clockMS + int64(float64(left.Milliseconds())*(1-clockSlow)), true
 }
 
+// startUntil returns the end of the lease that a start goes with on the executor's clock, or
+// what keeps starts from being called.
+func (k *Keeper) startUntil(now time.Time) (ms int64, obstacle string) {
+	ms, leased := k.Until(now)
+	switch {
+	case k.clockAt.IsZero():
+		return 0, "the executor's clock is not known"
+	case !leased:
+		return 0, "no lease"
+	case k.closed:
+		return 0, "closed"
+	case !now.Before(k.startBy):
+		return 0, "no recent word of the leader"
+	}
+	return ms, ""
+}
+
 // Order takes orders of control. Those that were under way while the executor
 // got a new life are for runs that are over, and so are those of an earlier epoch:
 // epochs of a VM only rise. A leader that was outranked may not know what runs.
@@ -247,49 +261,12 @@
 	return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Run, b.Run))
 }
 
-// noRoom holds a run back that would bring the executor over its room, with all that
-// may be at work there, and refuses it if no room comes free. Control counts the room
-// before it orders a start; but where an order is held up on its way, the room may have
-// shrunk since, and not every executor guards its own. (In 250 drawn days 4 starts came
-// more than 2 s after a shrink that they did not fit; none with this.)
-func (k *Keeper) noRoom(o *order, now time.Time) *queue.End {
-	switch {
-	case k.room == (rudderfork.Resources{}) || !o.pending():
-		return nil
-	case k.held(o).Add(o.Need).Fits(k.room):
-		o.roomBy = time.Time{}
-		return nil
-	case o.unsure:
-		o.stop = true // it may have begun while there was room; it is not called again
-		return nil
-	case o.roomBy.IsZero():
-		o.roomBy = now.Add(roomPatience)
-	case !now.Before(o.roomBy):
-		return k.refuse(o, rudderfork.StartNoRoom.String())
-	}
-	o.retryAt = now.Add(retryPause)
-	return nil
-}
-
 // idle reports whether a call is to be made, and none is under way.
 func (o *order) idle() bool { return !o.ended && !o.inFlight && o.confirmed.IsZero() }
 
 // pending reports whether a start of the run is to be called.
 func (o *order) pending() bool { return !o.stop && o.idle() }
 
-// held returns what all other runs hold that may be at work.
-func (k *Keeper) held(but *order) (sum rudderfork.Resources) {
-	for _, o := range k.orders {
-		if o != but && !o.ended && (!o.pending() || o.unsure) {
-			sum = sum.Add(o.Need)
-		}
-	}
-	for _, o := range k.strays {
-		sum = sum.Add(o.Need)
-	}
-	return sum
-}
-
 func (k *Keeper) due(o *order, now time.Time) *Call {
 	if !o.idle() || now.Before(o.retryAt) {
 		return nil
@@ -298,8 +275,8 @@
 		o.inFlight = true
 		return &Call{Ref: o.RunRef}
 	}
-	until, ok := k.Until(now)
-	if !ok || k.closed || !now.Before(k.startBy) {
+	until, obstacle := k.startUntil(now)
+	if obstacle != "" {
 		return nil
 	}
 	o.inFlight = true
--- a/runs/overdue.go
+++ b/runs/overdue.go
@@ -37,15 +37,9 @@
 
 // obstacle says what keeps a start from being confirmed.
 func (k *Keeper) obstacle(o *order, now time.Time) string {
-	switch _, leased := k.Until(now); {
-	case k.clockAt.IsZero():
-		return "the executor's clock is not known"
-	case !leased:
-		return "no lease"
-	case k.closed:
-		return "closed"
-	case !now.Before(k.startBy):
-		return "no recent word of the leader"
+	switch _, obstacle := k.startUntil(now); {
+	case obstacle != "":
+		return obstacle
 	case !o.roomBy.IsZero():
 		return "no room"
 	case o.answer == "":
