--- a/replica/replica.go
+++ b/replica/replica.go
@@ -8,7 +8,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 	"sync"
 	"time"
 
@@ -128,12 +127,6 @@
 	err    error
 }
 
-type read struct {
-	at     time.Time
-	commit uint64     // index that is to be applied, once it is confirmed
-	done   chan error // buffered
-}
-
 // Config sets up a Replica.
 type Config struct {
 	ElectionTimeout time.Duration
@@ -280,18 +273,6 @@
 	return open
 }
 
-func (r *Replica) startRead(rd read) {
-	if r.node.Role() != quorum.Leader {
-		rd.done <- ErrNotLeader
-		return
-	}
-	rd.at = r.now()
-	r.pending = append(r.pending, rd)
-	if len(r.pending) == 1 {
-		r.node.Confirm(rd.at)
-	}
-}
-
 // settle does the work that the node asks for, as far as it does not wait for the disk.
 func (r *Replica) settle() error {
 	r.maybeSnapshot()
@@ -374,50 +355,6 @@
 	r.machine.Add(w)
 }
 
-// finishReads answers reads that a quorum has confirmed since they came, once all that
-// was committed by then is applied.
-func (r *Replica) finishReads() {
-	r.confirmReads()
-	applied := r.machine.applied.Load()
-	r.ready = slices.DeleteFunc(r.ready, func(rd read) bool {
-		if applied < rd.commit {
-			return false
-		}
-		rd.done <- nil
-		return true
-	})
-}
-
-func (r *Replica) confirmReads() {
-	if len(r.pending) == 0 {
-		return
-	}
-	if r.node.Role() != quorum.Leader {
-		for _, rd := range r.pending {
-			rd.done <- ErrNotLeader
-		}
-		r.pending = nil
-		return
-	}
-	if !r.node.Settled() {
-		return
-	}
-	contact := r.node.QuorumContact(r.now())
-	var left []read
-	for _, rd := range r.pending {
-		if contact.Before(rd.at) {
-			left = append(left, rd)
-			continue
-		}
-		rd.commit = r.node.Commit()
-		r.ready = append(r.ready, rd)
-	}
-	if len(left) > 0 && len(left) < len(r.pending) {
-		r.node.Confirm(r.now()) // those that came after the last round
-	}
-	r.pending = left
-}
-
 // publish makes the node's status visible and wakes who waits for a change.
 func (r *Replica) publish() {
 	n, now := r.node, r.now()
