Count a VM's crashes and losses in one place

Callers saw nothing of this: the behaviour stays as it is.

Cause: learnLoss repeated addCrash but for its guard, whose own half stood in the rounds; halved took a half life that only one caller gave; the guard of a VM that is not known stood before each call of renew; inSync took the lock by way of a function of its own and read the session's epoch without it.

Change: addCrash counts both, learnCrash and learnLoss each hold their guard, failuresNow replaces halved, renew takes an unknown VM, inSync reads all under one lock, and the sessions use VM.LiveAs.

--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -210,43 +210,40 @@
 }
 
 // renew lets leases be granted again to a VM that is back: in a later epoch than the one
-// that was lost. The answer to its registration may have been missed.
+// that was lost. The answer to its registration may have been missed. vm is nil if the VM
+// is not known.
 func (v *vmInfo) renew(vm *queue.VM) {
-	if v.lease.Expiring() && !v.losing && vm.Live && vm.Epoch > v.lostEpoch {
+	if vm != nil && v.lease.Expiring() && !v.losing && vm.Live && vm.Epoch > v.lostEpoch {
 		v.lease.Renew()
 	}
 }
 
 // addDoubt counts a failure, or with a negative step a success.
 func (v *vmInfo) addDoubt(step float64, now time.Time) {
-	v.doubt = max(0, halved(v.doubt, now.Sub(v.doubtAt), doubtHalf)+step)
+	v.doubt = max(0, v.failuresNow(now)+step)
 	v.doubtAt = now
 }
 
 // doubtNow is the doubt, which halves every doubtHalf, with that of the executor's crashes.
 func (v *vmInfo) doubtNow(now time.Time) float64 {
-	return halved(v.doubt, now.Sub(v.doubtAt), doubtHalf) + doubtStep*max(0, v.crashesNow(now)-1)
+	return v.failuresNow(now) + doubtStep*max(0, v.crashesNow(now)-1)
 }
 
-// halved is what is left of a value that halves with each half life.
-func halved(value float64, span, half time.Duration) float64 {
-	for ; span >= half && value > 0.01; span -= half {
-		value /= 2
+// failuresNow is what is left of the doubt that failures have added.
+func (v *vmInfo) failuresNow(now time.Time) float64 {
+	left := v.doubt
+	for span := now.Sub(v.doubtAt); span >= doubtHalf && left > 0.01; span -= doubtHalf {
+		left /= 2
 	}
-	return value
+	return left
 }
 
 func (v *vmInfo) crashesNow(now time.Time) float64 {
 	return v.crashes * math.Exp2(-max(0, now.Sub(v.crashAt).Seconds())/crashHalf.Seconds())
 }
 
-// addCrash counts the crash of a life of the VM's executor, once.
-func (v *vmInfo) addCrash(life string, now time.Time) {
-	if v.crashedLife == life {
-		return
-	}
-	v.crashes, v.crashAt, v.crashedLife = v.crashesNow(now)+1, now, life
-}
+// addCrash counts a crash of the VM's executor, or a loss.
+func (v *vmInfo) addCrash(now time.Time) { v.crashes, v.crashAt = v.crashesNow(now)+1, now }
 
 // view returns what dispatch reads. It is good until the next change of the fleet.
 func (f *fleet) view(s *queue.State, now time.Time) dispatch.View {
@@ -397,17 +394,25 @@
 	if !crashed {
 		return
 	}
-	f.vm(vm.ID).addCrash(s.VM(vm.ID).Life, now)
+	if v, life := f.vm(vm.ID), s.VM(vm.ID).Life; v.crashedLife != life {
+		v.crashedLife = life
+		v.addCrash(now)
+	}
 	for _, k := range tasks {
 		f.failedOn(k, vm.ID)
 	}
 }
 
 // learnLoss draws conclusions from the loss of a VM: what ran there had better run elsewhere
-// should it be back, and one that falls silent again and again is in doubt.
+// should it be back, and one that falls silent again and again is in doubt. A loss that is
+// proposed again in the same epoch tells nothing new.
 func (f *fleet) learnLoss(vm *queue.VM, now time.Time) {
 	v := f.vm(vm.ID)
-	v.crashes, v.crashAt = v.crashesNow(now)+1, now
+	if v.lostEpoch == vm.Epoch {
+		return
+	}
+	v.lostEpoch = vm.Epoch
+	v.addCrash(now)
 	for k := range vm.Runs() {
 		f.failedOn(k, vm.ID)
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -238,10 +238,8 @@
 			if !vm.Live || v.losing || !v.lease.Expire(now, s.cfg.Lease) {
 				continue
 			}
-			if v.losing = true; v.lostEpoch != vm.Epoch {
-				v.lostEpoch = vm.Epoch
-				s.fleet.learnLoss(vm, now)
-			}
+			v.losing = true
+			s.fleet.learnLoss(vm, now)
 			list = append(list, loss{queue.Lost{VM: vm.ID, Life: vm.Life, Epoch: vm.Epoch, Checkpoints: v.checkpoints(), Crash: v.beat.Crash}, v})
 		}
 	})
--- a/scheduler/vm.go
+++ b/scheduler/vm.go
@@ -250,8 +250,7 @@
 // not be registered.
 func (ses *session) isKnown(vm queue.VM) (ok bool) {
 	ses.s.rep.View(func(st *state.State) {
-		known := st.Queues().VM(vm.ID)
-		ok = known != nil && known.Live && known.Same(vm)
+		ok = st.Queues().VM(vm.ID).LiveAs(vm)
 	})
 	return ok
 }
@@ -260,18 +259,14 @@
 // known as it describes itself.
 func (ses *session) inSync(vm queue.VM) (ok bool) {
 	ses.s.rep.View(func(st *state.State) {
+		ses.s.mu.Lock()
+		defer ses.s.mu.Unlock()
 		known := st.Queues().VM(vm.ID)
-		ok = known != nil && known.Live && known.Same(vm) && ses.epoch == known.Epoch && !ses.s.isExpiring(vm.ID)
+		ok = known.LiveAs(vm) && ses.epoch == known.Epoch && !ses.s.fleet.vm(vm.ID).lease.Expiring()
 	})
 	return ok
 }
 
-func (s *Scheduler) isExpiring(id rudderfork.VMID) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.fleet.vm(id).lease.Expiring()
-}
-
 // learnCrash draws conclusions on a VM from the end of the life that a new one follows,
 // before that is committed.
 func (s *Scheduler) learnCrash(vm queue.VM, crash *queue.Crash) {
@@ -293,9 +288,7 @@
 		defer ses.s.mu.Unlock()
 		v = ses.s.fleet.vm(id)
 		known := st.Queues().VM(id)
-		if known != nil {
-			v.renew(known)
-		}
+		v.renew(known)
 		ok = !ses.outlived(v) && !v.registering && (!v.lease.Expiring() || known == nil || !known.Live)
 		if ok {
 			v.registering = true
@@ -319,11 +312,9 @@
 	ses.s.rep.View(func(st *state.State) {
 		ses.s.mu.Lock()
 		defer ses.s.mu.Unlock()
-		known := st.Queues().VM(vm.ID)
-		if known != nil {
-			ses.s.fleet.vm(vm.ID).renew(known)
-		}
-		ok = known != nil && known.Live && known.Same(vm) && !ses.s.fleet.vm(vm.ID).lease.Expiring()
+		known, v := st.Queues().VM(vm.ID), ses.s.fleet.vm(vm.ID)
+		v.renew(known)
+		ok = known.LiveAs(vm) && !v.lease.Expiring()
 		if !ok {
 			return
 		}
