Order the steps to ask an adviser for by when they may be asked

Callers saw nothing of this: the behaviour stays as it is.

Cause: lastAt was always askAt less a constant, two fields that say one thing.

Change: the order goes by askAt. The assertions stay.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -31,8 +31,7 @@
 type leave struct {
 	tickets map[rudderfork.VMID]ticket
 	asked   map[rudderfork.VMID]time.Time // when VMs were last asked about in vain
-	askAt   time.Time                     // not before
-	lastAt  time.Time                     // when it was asked for last
+	askAt   time.Time                     // not before; adviceAgain after the last answer
 }
 
 func newLeave() *leave {
@@ -103,13 +102,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a := s.fleet.advice
-	slices.SortStableFunc(asks, func(x, y dispatch.Ask) int { return a.lastAt(x.Step).Compare(a.lastAt(y.Step)) })
+	slices.SortStableFunc(asks, func(x, y dispatch.Ask) int { return a.askAt(x.Step).Compare(a.askAt(y.Step)) })
 	for _, ask := range asks {
-		l := a.steps[ask.Step]
-		if a.busy || l != nil && now.Before(l.askAt) {
+		if a.busy || now.Before(a.askAt(ask.Step)) {
 			continue
 		}
-		if l == nil {
+		if a.steps[ask.Step] == nil {
 			a.steps[ask.Step] = newLeave()
 		}
 		a.busy = true
@@ -117,10 +115,10 @@
 	}
 }
 
-// lastAt is when a step was asked for last: the one that was not for longest comes first.
-func (a *advice) lastAt(k queue.StepKey) time.Time {
+// askAt is when a step may be asked for: the one that has waited for longest comes first.
+func (a *advice) askAt(k queue.StepKey) time.Time {
 	if l := a.steps[k]; l != nil {
-		return l.lastAt
+		return l.askAt
 	}
 	return time.Time{}
 }
@@ -142,7 +140,7 @@
 	if l == nil {
 		return // the job is over
 	}
-	l.askAt, l.lastAt = now.Add(adviceAgain), now
+	l.askAt = now.Add(adviceAgain)
 	if err == nil {
 		l.noteAsked(lives, tickets, now)
 	}
--- a/scheduler/advice_test.go
+++ b/scheduler/advice_test.go
@@ -75,7 +75,7 @@
 	}
 	for _, l := range steps {
 		if l.askAt.Before(newest) || len(steps) == 1 {
-			l.askAt = time.Time{}
+			l.askAt = l.askAt.Add(-adviceAgain)
 		}
 	}
 }
