Mislead an agent in two tests through the stand-in's own fates

Cause: misledExecutor wrapped the stand-in to answer a look as another life answers, which the stand-in does by its fate Disowned; both tests repeated the set-up and both waits.

Change: addMisled sets the VM up and waits until its agent has taken the life for over and up again.

--- a/scheduler/life_again_test.go
+++ b/scheduler/life_again_test.go
@@ -7,25 +7,19 @@
 
 	"gotest.tools/v3/assert"
 
-	"rudderfork.example/rudderfork"
 	"rudderfork.example/rudderfork/internal/steady"
 	"rudderfork.example/rudderfork/queue"
-	"rudderfork.example/rudderfork/standin/executor"
 	"rudderfork.example/rudderfork/wire"
 )
 
 // TestNoOrdersAfterLifeTakenUpAgain guards against a usable VM whose agent drops all orders.
 func TestNoOrdersAfterLifeTakenUpAgain(t *testing.T) {
 	s := newSiteWith(t, nil, 5*time.Second)
-	room := rudderfork.Resources{CPUMilli: 4000, MemoryMB: 1000}
-	e := &misledExecutor{Executor: executor.New("vm1-life-1", executor.Config{Now: steady.Now, Room: room})}
-	a := s.addAgent("vm1", e, e.Life, room)
+	e, mislead := s.addMisled()
 	s.put(nil)
 	s.submit("feed", "", queue.Step{Count: 1, Size: small.Size, Lasting: true})
 	s.until("the feed is at work", func() bool { return len(e.Running()) == 1 })
-	e.mislead.Store(true)
-	s.until("the agent takes the life for over", func() bool { return a.Life() == "" })
-	s.until("the agent takes it up again", func() bool { return a.Life() != "" })
+	mislead()
 	s.submit("roster", "work=20ms", small)
 	overdue := func() bool {
 		return slices.ContainsFunc(s.sched.overdueRuns(steady.Now()), func(r overdueRun) bool { return r.Job == "roster" })
