Have the test of the adviser's turns miss its fault in no run

Callers saw nothing of this: only a test changes.

Cause: TestAdviserIsAskedForAllSteps has two steps that no VM may run go before a third. Its queue had no time for its jobs, so that they were past all hope after some ms, each at its own, and the plan's order turned during the test: the third came first, and was asked about without any rule of turns.

Change: the jobs have an hour. The assertion stays.

--- a/scheduler/advice_test.go
+++ b/scheduler/advice_test.go
@@ -23,7 +23,7 @@
 	s.sched = New(Settings{Lease: time.Hour}, rep, adv, zerolog.Nop(), alone{})
 	s.sched.startTerm(rep.Status().Term)
 	s.do(queue.Command{Document: &queue.Document{
-		Version: 1, Queues: []queue.Queue{{Name: "q", Host: host, Prefix: "/q/", Service: "desk", MaxAttempts: 2, Advice: &queue.Advice{ValidMS: 3_600_000}}},
+		Version: 1, Queues: []queue.Queue{{Name: "q", Host: host, Prefix: "/q/", Service: "desk", MaxAttempts: 2, LatencyMS: 3_600_000, Advice: &queue.Advice{ValidMS: 3_600_000}}},
 		Pools: []queue.Pool{{Service: "desk"}},
 	}})
 	for i := range vms {
