--- a/standin/executor/executor.go
+++ b/standin/executor/executor.go
@@ -222,6 +222,13 @@
 	return refs
 }
 
+// ClockMS is the executor's steady clock, in ms.
+func (e *Executor) ClockMS() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.clock()
+}
+
 // clock is the executor's steady clock, in ms. The caller holds mu.
 func (e *Executor) clock() int64 {
 	return int64(float64(e.now().Sub(e.born).Milliseconds())*e.rate) + 1
