Count a crash once that was found as a loss first

What callers saw: nothing that was traced to it.

Cause: the loss was counted when the lease ran out, and the crash when the next life registered.

Evidence: TestOutageCountsOnce, "silent, and back in another one", failed.

Change: a crash of the epoch whose loss was counted is not counted again.

--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -394,8 +394,9 @@
 	if !crashed {
 		return
 	}
-	if v, life := f.vm(vm.ID), s.VM(vm.ID).Life; v.crashedLife != life {
-		v.crashedLife = life
+	// One that was lost first was counted then.
+	if v, old := f.vm(vm.ID), s.VM(vm.ID); v.crashedLife != old.Life && v.lostEpoch != old.Epoch {
+		v.crashedLife = old.Life
 		v.addCrash(now)
 	}
 	for _, k := range tasks {
--- a/scheduler/liveness_test.go
+++ b/scheduler/liveness_test.go
@@ -365,6 +365,34 @@
 	}
 }
 
+// TestOutageCountsOnce guards against a VM that is in doubt for one crash, found as a loss first.
+func TestOutageCountsOnce(t *testing.T) {
+	lose := func(s *simFleet, v *simVM) { s.lose(v) }
+	again := func(s *simFleet, v *simVM) { s.register(v, nil) }
+	anew := func(s *simFleet, v *simVM) { s.crash(v, true) }
+	for name, c := range map[string]struct {
+		outages []func(*simFleet, *simVM)
+		doubted bool
+	}{
+		"silent, and back in its life":                         {[]func(*simFleet, *simVM){lose, again}, false},
+		"silent, and back in another one":                      {[]func(*simFleet, *simVM){lose, anew}, false},
+		"silent and back in its life, and crashed":             {[]func(*simFleet, *simVM){lose, again, anew}, true},
+		"silent and back in another one, twice":                {[]func(*simFleet, *simVM){lose, anew, lose, anew}, true},
+		"silent and back in another one, and silent once more": {[]func(*simFleet, *simVM){lose, anew, lose, again}, true},
+		"crashed twice": {[]func(*simFleet, *simVM){anew, anew}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSimFleet(t, 1)
+			v := s.vms[0]
+			for _, outage := range c.outages {
+				outage(s, v)
+				s.tick()
+			}
+			assert.Equal(t, s.f.vm(v.id).doubtNow(s.now) > 0, c.doubted)
+		})
+	}
+}
+
 // TestTaskLeavesVMThatFellSilent has the only idle VM fall silent under a task, and come back.
 func TestTaskLeavesVMThatFellSilent(t *testing.T) {
 	s, k := newSimFleet(t, 4), queue.TaskKey{Job: "feed"}
