--- a/queue/blame.go
+++ b/queue/blame.go
@@ -142,9 +142,9 @@
 	VMMS  int64 `cbor:"2,keyasint,omitempty"` // for how long VMs were watched, ms, summed up over them
 }
 
-// weight is the rate at which one executor crashes.
+// weight is the rate at which one executor crashes, and never 0.
 func (b *BaseRate) weight() int64 {
-	return (1000 + b.Mille) * (weightScale / 1000) / (ordinaryMS + b.VMMS)
+	return max(1, (1000+b.Mille)*(weightScale/1000)/(ordinaryMS+b.VMMS))
 }
 
 // note counts a crash that no task caused, with a probability in thousandths.
--- a/queue/crash_test.go
+++ b/queue/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -133,3 +134,12 @@
 	}
 	assert.Equal(t, w.status("feed"), Running)
 }
+
+// TestFirstCrashInDays guards against a state that cannot apply a crash where hardly any was in long.
+func TestFirstCrashInDays(t *testing.T) {
+	w, bad, good := two(t, one)
+	w.s.base.watch((30 * 24 * time.Hour).Milliseconds(), 3_900)
+	w.crash("vm2", "life-2")
+	w.crash("vm1", "life-2", aged(bad, 1, 0), aged(good, 1, 300))
+	assert.Assert(t, w.task(bad).Suspicion > w.task(good).Suspicion)
+}
