Count each crash once in the rate of crashes

What callers saw: nothing that was traced to it.

Cause: a registration settled what was open from a lease that had run out, also where none had, and then ended the life. Both blamed a crash, the first one under which nothing ran: no task's doing.

What it does: with a rate twice too high, tasks were suspected too little.

Change: a registration either settles the open case or ends the life.

--- a/queue/apply.go
+++ b/queue/apply.go
@@ -340,10 +340,11 @@
 		same := continues(old.Life, v.Life)
 		how := endingOf(old, seen)
 		how.over = true
-		res.Assessments = s.returned(old, how, same, at)
-		if !same {
-			ended := s.endLife(old, how, nil, at)
-			res.Gone, res.Assessments = ended.Gone, append(res.Assessments, ended.Assessments...)
+		switch {
+		case !old.Live:
+			res.Assessments = s.returned(old, how, same, at)
+		case !same:
+			res = s.endLife(old, how, nil, at)
 		}
 		v.used, v.runs, v.Epoch = old.used, old.runs, old.Epoch
 		v.Leaving = same && old.Leaving
--- a/queue/crash_test.go
+++ b/queue/crash_test.go
@@ -143,3 +143,20 @@
 	w.crash("vm1", "life-2", aged(bad, 1, 0), aged(good, 1, 300))
 	assert.Assert(t, w.task(bad).Suspicion > w.task(good).Suspicion)
 }
+
+// TestCrashCountsOnceInBaseRate guards against ordinary crashes that seem twice as frequent as they are.
+func TestCrashCountsOnceInBaseRate(t *testing.T) {
+	for name, outage := range map[string]func(w *world){
+		"a crash": func(w *world) { w.crash("vm1", "life-2") },
+		"a crash that was a loss first": func(w *world) {
+			w.lose("vm1", Lost{Crash: &Crash{Life: oldLife}})
+			w.crash("vm1", "life-2")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 1)
+			outage(w)
+			assert.Equal(t, w.s.base.Mille, int64(1000))
+		})
+	}
+}
