Weigh a crash against how often that VM's executor crashes

Cause: the blame held each crash against one rate of ordinary crashes for all VMs, so that an executor that had crashed a second before counted as steady as one that never had. And a run lost half a second after its start bore witness as one lost at once does.

TestTaskOnUnstableExecutorsGoesOn failed in two of its parts.

Change: a VM's crashes that no task explains are kept with it in the replicated state, and count half after 10 s. The higher of its own rate and that of all VMs weighs against its tasks' guilt. Two or three crashes convict only if runs were lost within 100 ms of their starts; five do in any case.

--- a/bench/crashes.go
+++ b/bench/crashes.go
@@ -27,9 +27,11 @@
 	crashJobsAVM   = 0.5 // a second
 	crashTasks     = 6   // of a job
 	crashWorkMS    = 640
-	crashLastingVM = 2 // lasting tasks for each VM
+	crashLastingVM = 2   // lasting tasks for each VM
+	crashFlapMS    = 500 // least time that a flapping executor is up or down; at most four times as long
 	crashCPU       = 16_000
 	crashTaskCPU   = 240
+	crashFullCPU   = 4_500 // of a task where they take most of the room
 )
 
 // crashPolicy is a way to deal with tasks under which executors crash.
@@ -50,6 +52,8 @@
 	vms, poison int
 	wholeSteps  bool    // all tasks of a poison job's step, not the first alone
 	everyS      float64 // between two ordinary crashes of one VM; 0 for none
+	flapping    int     // VMs whose executors go down and come up by turns, all day
+	full        bool    // tasks take most of the room
 }
 
 // crashFigures are what a day shows.
@@ -90,6 +94,8 @@
 	id      rudderfork.VMID
 	life    int
 	downAt  int64 // 0 while it is up
+	backAt  int64 // when it comes up again
+	flapAt  int64 // when it goes down next; 0 unless it flaps
 	began   map[queue.RunKey]int64
 	crashed *queue.Crash
 }
@@ -106,6 +112,9 @@
 	for i := range cfg.vms {
 		v := &crashVM{id: rudderfork.VMID(fmt.Sprintf("vm%03d", i)), began: map[queue.RunKey]int64{}}
 		s.vms = append(s.vms, v)
+		if i < cfg.flapping {
+			v.flapAt = s.now + s.flapSpan()
+		}
 		s.register(v)
 	}
 	for i := range cfg.vms * crashLastingVM / crashTasks {
@@ -165,7 +174,11 @@
 }
 
 func (s *crashSim) short() queue.Step {
-	return queue.Step{Count: crashTasks, Size: rudderfork.Resources{CPUMilli: crashTaskCPU}, ExpectedMS: crashWorkMS, Speculative: true}
+	cpu := int64(crashTaskCPU)
+	if s.cfg.full {
+		cpu = crashFullCPU
+	}
+	return queue.Step{Count: crashTasks, Size: rudderfork.Resources{CPUMilli: cpu}, ExpectedMS: crashWorkMS, Speculative: true}
 }
 
 func chance(rng *rand.Rand, p float64) int {
@@ -178,7 +191,7 @@
 // step lets a VM's executor work, crash and come back.
 func (s *crashSim) step(v *crashVM) {
 	if v.downAt != 0 {
-		if s.now-v.downAt >= crashDownMS {
+		if s.now >= v.backAt {
 			v.downAt = 0
 			s.register(v)
 		}
@@ -214,18 +227,28 @@
 			at, cause = v.began[k]+crashDelayMS, &k
 		}
 	}
+	if at == 0 && v.flapAt != 0 && s.now >= v.flapAt {
+		at = s.now - s.rng.Int64N(crashStepMS)
+	}
 	if at == 0 && s.cfg.everyS > 0 && chance(s.rng, crashStepMS/1000.0/s.cfg.everyS) == 1 {
 		at = s.now - s.rng.Int64N(crashStepMS)
 	}
 	return at, cause
 }
 
+// flapSpan draws for how long a flapping executor is up or down.
+func (s *crashSim) flapSpan() int64 { return crashFlapMS + s.rng.Int64N(3*crashFlapMS) }
+
 func (s *crashSim) isPoison(k queue.TaskKey) bool {
 	return s.poison[k.Job] && (s.cfg.wholeSteps || k.Index == 0)
 }
 
 func (s *crashSim) crash(v *crashVM, at int64, cause *queue.RunKey) {
-	v.downAt = at
+	v.downAt, v.backAt = at, at+crashDownMS
+	if v.flapAt != 0 {
+		v.backAt = at + s.flapSpan()
+		v.flapAt = v.backAt + s.flapSpan()
+	}
 	v.crashed = &queue.Crash{Life: s.state.VM(v.id).Life}
 	for _, k := range sortedRuns(v.began) {
 		if v.began[k] > at {
@@ -334,23 +357,27 @@
 // Crashes prints what tasks that crash their executors do to a fleet, by policy.
 func Crashes(w io.Writer) {
 	title(w, "Tasks that crash their executors: days of %d s, an executor is back after %.1f s", crashDayMS/1000, crashDownMS/1000.0)
-	fmt.Fprintf(w, "%-6s %-7s %-6s %-10s %-30s %12s %12s %10s %10s\n", "VMs", "poison", "whole", "ordinary", "policy", "crashes a task", "after third", "innocents", "others' work")
+	fmt.Fprintf(w, "%-6s %-7s %-6s %-10s %-9s %-6s %-30s %12s %12s %10s %10s\n", "VMs", "poison", "whole", "ordinary", "flapping", "full", "policy", "crashes a task", "after third", "innocents", "others' work")
 	for _, c := range []struct {
 		cfg  crashSetting
 		days int
 	}{
-		{crashSetting{13, 5, false, 0}, 200},
-		{crashSetting{13, 30, false, 0}, 200},
-		{crashSetting{13, 5, true, 0}, 100},
-		{crashSetting{13, 5, false, 60}, 200},
-		{crashSetting{13, 0, false, 60}, 100},
-		{crashSetting{13, 5, false, 10}, 100},
-		{crashSetting{76, 30, false, 60}, 80},
-		{crashSetting{240, 30, false, 60}, 20},
+		{crashSetting{13, 5, false, 0, 0, false}, 200},
+		{crashSetting{13, 30, false, 0, 0, false}, 200},
+		{crashSetting{13, 5, true, 0, 0, false}, 100},
+		{crashSetting{13, 5, false, 60, 0, false}, 200},
+		{crashSetting{13, 0, false, 60, 0, false}, 100},
+		{crashSetting{13, 5, false, 10, 0, false}, 100},
+		{crashSetting{13, 0, false, 0, 1, false}, 100},
+		{crashSetting{13, 0, false, 0, 4, false}, 100},
+		{crashSetting{13, 0, false, 0, 4, true}, 100},
+		{crashSetting{13, 5, false, 60, 4, false}, 100},
+		{crashSetting{76, 30, false, 60, 0, false}, 80},
+		{crashSetting{240, 30, false, 60, 0, false}, 20},
 	} {
 		for _, p := range crashPolicies {
 			f := crashDays(c.cfg, p, c.days)
-			fmt.Fprintf(w, "%-6d %-7d %-6v %-10s %-30s %12.2f %12d %10s %9.1f%%\n", c.cfg.vms, c.cfg.poison, c.cfg.wholeSteps, every(c.cfg.everyS), p.name,
+			fmt.Fprintf(w, "%-6d %-7d %-6v %-10s %-9d %-6v %-30s %12.2f %12d %10s %9.1f%%\n", c.cfg.vms, c.cfg.poison, c.cfg.wholeSteps, every(c.cfg.everyS), c.cfg.flapping, c.cfg.full, p.name,
 				float64(f.poisonCrashes)/float64(max(1, f.poison)), f.afterThird, fmt.Sprintf("%d/%d d", f.innocent, c.days), 100*float64(f.done)/float64(max(1, f.doneClean)))
 		}
 	}
--- a/queue/apply.go
+++ b/queue/apply.go
@@ -335,7 +335,7 @@
 func (s *State) register(v VM, seen *Crash, at int64) Result {
 	res := Result{Code: OK}
 	v.Epoch, v.Leaving = 1, false
-	v.Doubtful, v.DoubtfulAt, v.Settled, v.Silent = nil, 0, false, false
+	v.Doubtful, v.DoubtfulAt, v.Settled, v.Silent, v.Crashes = nil, 0, false, false, CrashHistory{}
 	if old := s.vms[v.ID]; old != nil {
 		same := continues(old.Life, v.Life)
 		how := endingOf(old, seen)
@@ -346,7 +346,7 @@
 		case !same:
 			res = s.endLife(old, how, nil, at)
 		}
-		v.used, v.runs, v.Epoch = old.used, old.runs, old.Epoch
+		v.used, v.runs, v.Epoch, v.Crashes = old.used, old.runs, old.Epoch, old.Crashes
 		v.Leaving = same && old.Leaving
 		if !same || !old.Live {
 			v.Epoch++
--- a/queue/blame.go
+++ b/queue/blame.go
@@ -10,12 +10,12 @@
 // one, and gives up those that surely are.
 //
 // Of a task it is kept how many executors crashed under it with no run between them
-// that went well, and on how many of these its run was seen to begin: the former
-// bounds what a task can do, whoever is to blame. Suspicion is the probability that
-// the task crashes its executors, by Bayes' rule from the ages of all runs at each
-// crash: such a task does it soon after its start, so that of a run that has just
-// begun and one that has run for a minute the former is the likelier cause, and a
-// task that was suspected before more so.
+// that went well, and on how many of these its run was seen to begin just before: the
+// former bounds what a task can do, whoever is to blame. Suspicion is the probability
+// that the task crashes its executors, by Bayes' rule from the ages of all runs at each
+// crash and from how often the executor crashes anyway (crashrate.go): such a task does
+// it soon after its start, so that of a run that has just begun and one that has run for
+// a minute the former is the likelier cause, and a task that was suspected before more so.
 const (
 	// priorMille is the part, in thousandths, of tasks that are taken to crash their
 	// executors before anything was seen of them.
@@ -27,6 +27,10 @@
 	// depends on this figure: 10 ms were seen, on which the steps of an agent's calls
 	// are laid.
 	delayMS = 50
+	// promptMS is how long after its start a run may be lost in a crash that bears witness
+	// against its task, ms: most poison tasks crash their executors sooner, the steps of an
+	// agent's calls included.
+	promptMS = 100
 	// ordinaryMS is the mean time between two crashes of an executor that no task is to
 	// blame for, ms, before any was seen; it counts as much as one that was.
 	ordinaryMS = 60_000
@@ -96,7 +100,7 @@
 			continue
 		}
 		t.Crashes++
-		if r.Seen {
+		if r.Seen && r.AgeMS <= promptMS {
 			t.Witnessed++
 		}
 	}
@@ -104,11 +108,11 @@
 
 func (s *State) lasts(k TaskKey) bool { return s.jobs[k.Job].Spec.Steps[k.Step].Lasting }
 
-// blame renews what the tasks of the runs at a crash are suspected of: for each the
-// probability that it was the cause, against the others and against a crash that no
-// task caused.
-func (s *State) blame(list []RunAge) {
-	ordinary := s.base.weight()
+// blame renews what the tasks of the runs at a crash on a VM are suspected of: for each
+// the probability that it was the cause, against the others and against a crash that no
+// task caused, whose probability it returns in thousandths.
+func (s *State) blame(vm *VM, list []RunAge) (ordinaryMille int64) {
+	ordinary := vm.Crashes.weight(s.base.weight(), s.clock.NowMS)
 	total := ordinary
 	weights := make([]int64, len(list))
 	for i, r := range list {
@@ -121,7 +125,8 @@
 		weights[i] = p * weightScale / (1000 - p) / late * delayMS / late
 		total += weights[i]
 	}
-	s.base.note(1000 * ordinary / total)
+	ordinaryMille = 1000 * ordinary / total
+	s.base.note(ordinaryMille)
 	for i, r := range list {
 		t := s.openTask(r.Task)
 		if t == nil {
@@ -131,6 +136,7 @@
 		lived := t.prior() * delayMS / (max(0, r.AgeMS) + delayMS)
 		t.Suspicion = int(min(topMille, max(1000*weights[i]/total, lived)))
 	}
+	return ordinaryMille
 }
 
 // weightScale is the unit of weights: one a millisecond.
--- a/queue/crash_test.go
+++ b/queue/crash_test.go
@@ -160,3 +160,46 @@
 		})
 	}
 }
+
+// TestTaskOnUnstableExecutorsGoesOn guards against an innocent job given up for executors that crash by themselves.
+func TestTaskOnUnstableExecutorsGoesOn(t *testing.T) {
+	type crash struct {
+		vm     rudderfork.VMID
+		ageMS  int64
+		status Status
+	}
+	for name, crashes := range map[string][]crash{
+		"the same one twice, and another":   {{"vm1", 171, Running}, {"vm1", 298, Running}, {"vm2", 17, Running}},
+		"one soon after the start, one not": {{"vm1", 10, Running}, {"vm2", 461, Running}},
+		"never soon after the start":        {{"vm1", 150, Running}, {"vm2", 150, Running}, {"vm3", 150, Running}, {"vm4", 150, Running}},
+		"always soon after the start":       {{"vm1", 10, Running}, {"vm2", 10, Failed}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 4)
+			w.submit("job", one)
+			k := key("job", 0, 0)
+			for i, c := range crashes {
+				run := w.start(k, c.vm)
+				w.crash(c.vm, fmt.Sprintf("life-%d", i+2), aged(k, run, c.ageMS))
+				assert.Equal(t, w.status("job") == Failed, c.status == Failed, "after crash %d", i+1)
+			}
+		})
+	}
+}
+
+// TestCrashHistory holds how a VM's crashes weigh, and for how long.
+func TestCrashHistory(t *testing.T) {
+	base := (&BaseRate{}).weight()
+	h := CrashHistory{}
+	assert.Equal(t, h.weight(base, 5_000), base)
+	h.note(1000, 5_000)
+	soon, later := h.weight(base, 6_000), h.weight(base, 15_000)
+	assert.Assert(t, soon > later && later > base, "%d, %d, %d", soon, later, base)
+	assert.Equal(t, h.mille(15_000), int64(500))
+	assert.Equal(t, h.mille(10_000), int64(750))
+	assert.Equal(t, h.weight(base, 200_000), base)
+	h.note(1000, 6_500)
+	assert.Assert(t, h.weight(base, 7_500) > soon, "it crashes again and again")
+	h.note(1000, 200_000)
+	assert.Equal(t, h.SinceMS, int64(200_000), "what was long ago counts no more")
+}
--- a/queue/lifeend.go
+++ b/queue/lifeend.go
@@ -16,7 +16,7 @@
 	}
 	res.Gone = s.endAll(vm, checkpoints, at)
 	if how.over {
-		res.Assessments = s.assess(list, how.seen, at)
+		res.Assessments = s.assess(vm, list, how, at)
 		return res
 	}
 	s.noteCase(vm, list, how.seen != nil)
@@ -35,16 +35,22 @@
 	if how.seen != nil {
 		list = how.seen.among(list)
 	}
-	return s.assess(list, how.seen, at)
+	return s.assess(vm, list, how, at)
 }
 
-// assess lays a crash to the runs that it ended, and gives up the poison tasks.
-func (s *State) assess(list []RunAge, seen *Crash, at int64) []Assessment {
+// assess lays a crash of a VM's executor to the runs that it ended, and gives up the poison
+// tasks. A life that was to end has not crashed.
+func (s *State) assess(vm *VM, list []RunAge, how ending, at int64) []Assessment {
+	if how.planned {
+		return nil
+	}
 	s.clearProven(list)
-	if seen != nil {
-		s.blame(list)
+	ordinary := int64(1000)
+	if how.seen != nil {
+		ordinary = s.blame(vm, list)
 	}
-	s.countCrash(list, seen != nil)
+	vm.Crashes.note(ordinary, s.clock.NowMS)
+	s.countCrash(list, how.seen != nil)
 	return s.giveUp(list, at)
 }
 
--- a/queue/model.go
+++ b/queue/model.go
@@ -340,6 +340,8 @@
 	Silent bool `cbor:"14,keyasint,omitempty"`
 	// Leaving says that the life ends as planned, and that nobody is to blame for it.
 	Leaving bool `cbor:"11,keyasint,omitempty"`
+	// Crashes are those of the VM's executors, whatever their lives.
+	Crashes CrashHistory `cbor:"15,keyasint"`
 
 	used    rudderfork.Resources
 	runs    map[TaskKey]uint32 // run numbers of active runs
