--- a/soak/setups_test.go
+++ b/soak/setups_test.go
@@ -40,6 +40,8 @@
 	{"a suspect of a crash is put where least runs, that is where one was just now", setup{1032, 12, 30 * time.Second, withoutStutter, true}},
 	{"a task is given up after five crashes that are not its own, the fifth a loss of power", setup{3001, 12, 40 * time.Second, []string{"flap-executors"}, true}},
 	{"a task is given up after five crashes that are not its own, the fifth a loss of power", setup{3003, 12, 40 * time.Second, []string{"flap-executors"}, true}},
+	{"a crash says as much of a task where executors crash anyway as elsewhere", setup{6004, 6, 60 * time.Second, []string{"flap-executors"}, false}},
+	{"a task is given up after five crashes of one VM, the only one with room", setup{6015, 6, 60 * time.Second, []string{"flap-executors"}, false}},
 }
 
 // withoutStutter are the kinds that were drawn from without stutter.
