Divide by no rate of crashes, however high

What callers would see: as with a rate of 0, control processes that end by a panic; only where executors crash thousands of times while hardly any time passes. Found at a reading of the diff.

Evidence: TestCrashHistory, its new line, panicked. Change: a span is never 0.

--- a/queue/crash_test.go
+++ b/queue/crash_test.go
@@ -200,6 +200,7 @@
 	assert.Equal(t, h.weight(base, 200_000), base)
 	h.note(1000, 6_500)
 	assert.Assert(t, h.weight(base, 7_500) > soon, "it crashes again and again")
+	assert.Assert(t, h.weight(weightScale, 5_000) >= weightScale, "all crash all the time")
 	h.note(1000, 200_000)
 	assert.Equal(t, h.SinceMS, int64(200_000), "what was long ago counts no more")
 }
--- a/queue/crashrate.go
+++ b/queue/crashrate.go
@@ -52,5 +52,5 @@
 	}
 	watched := min(crashSpanMS, max(0, nowMS-h.SinceMS))
 	const unit = weightScale / 1000
-	return max(base, (crashPriorMille+mille)*unit/(crashPriorMille*unit/base+watched))
+	return max(base, (crashPriorMille+mille)*unit/max(1, crashPriorMille*unit/base+watched))
 }
