Add interfaces for optional scheduling policies

The parts for contention need to know where a job came from, a response that refuses a submission for load, a record that outlives the leader, and a switch for each part.

Submit.Origin and Job.Origin hold the failure domain of the entry.

--- a/cmd/rudder-platform/main.go
+++ b/cmd/rudder-platform/main.go
@@ -19,6 +19,7 @@
 	"rudderfork.example/rudderfork/internal/cli"
 	"rudderfork.example/rudderfork/internal/logging"
 	"rudderfork.example/rudderfork/platform"
+	"rudderfork.example/rudderfork/scheduler"
 )
 
 func main() {
@@ -36,6 +37,8 @@
 	name, synopsis string
 	build          func(cfg platform.Settings, log zerolog.Logger) (*platform.Process, error)
 	metricsPort    uint // 0: metrics are served on the internal address only
+
+	scheduling string // path of the settings file of the policies; "" for none
 }
 
 func newRole(name, synopsis string, build func(platform.Settings, zerolog.Logger) (*platform.Process, error)) *role {
@@ -58,20 +61,26 @@
 func (r *role) Synopsis() string { return r.synopsis }
 
 // Usage implements subcommands.Command.
-func (r *role) Usage() string { return r.name + " [-metrics-port N]: " + r.synopsis + "\n" }
+func (r *role) Usage() string {
+	return r.name + " [-metrics-port N] [-scheduling FILE]: " + r.synopsis + "\n"
+}
 
 // SetFlags implements subcommands.Command.
 func (r *role) SetFlags(f *flag.FlagSet) {
 	f.UintVar(&r.metricsPort, "metrics-port", 0, "also serve metrics on this port, in addition to the internal address; 0 for none")
+	f.StringVar(&r.scheduling, "scheduling", "", schedulingUsage)
 }
 
+// schedulingUsage describes the flag -scheduling.
+const schedulingUsage = "settings file of the optional scheduling policies; without it none is in force"
+
 // Execute implements subcommands.Command.
 func (r *role) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	cfg, err := platform.ReadSettings()
+	cfg, err := readSettings(r.scheduling)
 	if err != nil {
 		return cli.Fail(os.Stderr, err, cli.ExitSettings)
 	}
@@ -90,24 +99,38 @@
 	return subcommands.ExitSuccess
 }
 
-// check is the subcommand that validates the settings file and exits.
-type check struct{}
+// readSettings reads the settings of the process, and those of the policies.
+func readSettings(scheduling string) (cfg platform.Settings, err error) {
+	cfg, err = platform.ReadSettings()
+	if err != nil {
+		return cfg, err
+	}
+	cfg.Policies, err = scheduler.ReadPolicies(scheduling)
+	return cfg, err
+}
+
+// check is the subcommand that validates the settings files and exits.
+type check struct {
+	scheduling string // as in role
+}
 
 // Name implements subcommands.Command.
 func (*check) Name() string { return "check" }
 
 // Synopsis implements subcommands.Command.
-func (*check) Synopsis() string { return "check the settings file and report every mistake" }
+func (*check) Synopsis() string { return "check the settings files and report every mistake" }
 
 // Usage implements subcommands.Command.
-func (*check) Usage() string { return "check\n" }
+func (*check) Usage() string { return "check [-scheduling FILE]\n" }
 
 // SetFlags implements subcommands.Command.
-func (*check) SetFlags(*flag.FlagSet) {}
+func (c *check) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.scheduling, "scheduling", "", schedulingUsage)
+}
 
 // Execute implements subcommands.Command.
-func (*check) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	if _, err := platform.ReadSettings(); err != nil {
+func (c *check) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	if _, err := readSettings(c.scheduling); err != nil {
 		return cli.Fail(os.Stderr, err, cli.ExitSettings)
 	}
 	fmt.Println("ok")
--- a/queue/apply.go
+++ b/queue/apply.go
@@ -41,6 +41,8 @@
 		return s.clearTask(*c.Clear)
 	case c.Evacuate != nil:
 		return s.evacuate(*c.Evacuate, at)
+	case len(c.Learned) > 0:
+		return s.keepLearned(c.Learned)
 	}
 	return Result{Code: Invalid, Text: "the command is empty"}
 }
@@ -109,7 +111,7 @@
 	if err := c.Spec.Check(); err != nil {
 		return Result{Code: Invalid, Text: err.Error()}
 	}
-	j := &Job{ID: id, Queue: q, Spec: c.Spec, Status: Queued, SubmittedAt: at, Occurrences: occurrences(c.Spec)}
+	j := &Job{ID: id, Queue: q, Spec: c.Spec, Status: Queued, SubmittedAt: at, Occurrences: occurrences(c.Spec), Origin: c.Origin}
 	s.jobs[id] = j
 	s.live[id] = j
 	return Result{Code: OK, Job: id, Queue: q.Name}
--- a/queue/command.go
+++ b/queue/command.go
@@ -28,6 +28,9 @@
 	// Begun accompanies Starts. It lists jobs with a task that a VM has reported as begun and that
 	// the state does not mark as begun yet.
 	Begun []rudderfork.JobID `cbor:"13,keyasint,omitempty"`
+
+	// Learned replaces what the leader keeps for its successor, see State.Learned.
+	Learned []byte `cbor:"14,keyasint,omitempty"`
 }
 
 // Submit submits a job to the queue at a host and path. The last element of the path is the job ID.
@@ -42,6 +45,10 @@
 	// BodyBytes and HeaderBytes are the sizes of the body and the header of the client's request.
 	BodyBytes   int64 `cbor:"5,keyasint,omitempty"`
 	HeaderBytes int64 `cbor:"6,keyasint,omitempty"`
+
+	// Origin is the failure domain of the entry that took the client's request, or "" if it is not
+	// known: earlier releases do not set it.
+	Origin string `cbor:"7,keyasint,omitempty"`
 }
 
 // Cancel cancels a job. The last element of the path is the job ID.
@@ -113,6 +120,10 @@
 
 	BodyTooLarge   Code = "body-too-large"
 	HeaderTooLarge Code = "header-too-large"
+
+	// Overloaded is a response of the leader to a submission that it has not committed, because the
+	// job could not end in time. Apply never returns it.
+	Overloaded Code = "overloaded"
 )
 
 // Result is the result of Apply. It is the same on every replica.
--- a/queue/model.go
+++ b/queue/model.go
@@ -306,6 +306,7 @@
 	Begun       bool             `cbor:"8,keyasint,omitempty"` // an executor has begun one of its tasks
 	ActiveRuns  int              `cbor:"9,keyasint,omitempty"`
 	EndedClock  int64            `cbor:"10,keyasint,omitempty"` // state clock (Clock.NowMS) when it ended, ms
+	Origin      string           `cbor:"11,keyasint,omitempty"` // as in the Submit that was accepted first
 
 	changes uint64
 }
--- a/queue/snapshot.go
+++ b/queue/snapshot.go
@@ -18,11 +18,12 @@
 	Base     BaseRate           `cbor:"7,keyasint,omitempty"`
 
 	Evacuations []Evacuation `cbor:"8,keyasint,omitempty"`
+	Learned     []byte       `cbor:"9,keyasint,omitempty"`
 }
 
 // Snapshot returns the stored form of the state. It shares memory with the state.
 func (s *State) Snapshot() Snapshot {
-	snap := Snapshot{Document: s.doc, Ended: s.ended, VMs: s.VMs(), Waves: s.waves, Clock: s.clock, Base: s.base, Evacuations: s.Evacuations()}
+	snap := Snapshot{Document: s.doc, Ended: s.ended, VMs: s.VMs(), Waves: s.waves, Clock: s.clock, Base: s.base, Evacuations: s.Evacuations(), Learned: s.learned}
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
 		snap.Jobs = append(snap.Jobs, s.jobs[id])
 	}
@@ -35,7 +36,7 @@
 	if snap.Document != nil {
 		s.setDocument(snap.Document)
 	}
-	s.ended, s.waves, s.clock, s.base = snap.Ended, snap.Waves, snap.Clock, snap.Base
+	s.ended, s.waves, s.clock, s.base, s.learned = snap.Ended, snap.Waves, snap.Clock, snap.Base, snap.Learned
 	for _, e := range snap.Evacuations {
 		s.evacuations[e.Domain] = e
 	}
--- a/queue/state.go
+++ b/queue/state.go
@@ -22,6 +22,8 @@
 	losses       []unresolvedLoss // of the last unresolvedLossMS, oldest first; some may be resolved since
 
 	evacuations map[rudderfork.Domain]Evacuation
+
+	learned []byte
 }
 
 // New returns an empty state.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -65,6 +65,8 @@
 	// HasDomain reports whether the current settings name a failure domain. It may be nil
 	// if they name none.
 	HasDomain func(rudderfork.Domain) bool
+	// Policies are the optional policies in force.
+	Policies Policies
 }
 
 // Scheduler runs on every control process. It serves nodes and plans only while its process
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -160,6 +160,27 @@
 	return d
 }
 
+// Switch returns whether a key is on, or false if it is missing.
+func (f *File) Switch(section, key string) bool {
+	switch v, ok := f.value(section, key); {
+	case !ok, v == "off":
+		return false
+	case v == "on":
+		return true
+	default:
+		f.addErrorf(section, key, "%q is not valid; want on or off", v)
+		return false
+	}
+}
+
+// OptionalPairs is Pairs for a list that may be missing.
+func (f *File) OptionalPairs(section, key string) [][2]string {
+	if _, ok := f.value(section, key); !ok {
+		return nil
+	}
+	return f.Pairs(section, key)
+}
+
 // Pairs returns the pairs of a required list such as "a=x, b=y", in their order.
 func (f *File) Pairs(section, key string) (pairs [][2]string) {
 	v := f.Text(section, key, "pairs name=value separated by commas")
--- a/wire/queue_messages.go
+++ b/wire/queue_messages.go
@@ -86,6 +86,10 @@
 	IsQueue  bool         `cbor:"8,keyasint,omitempty"` // the request was for the Waiting count of a queue
 	Document []byte       `cbor:"9,keyasint,omitempty"`
 	Left     int          `cbor:"10,keyasint,omitempty"` // machines of a wave whose upkeep has not begun
+
+	// RetryAfterMS is the time after which the caller should submit again, ms, if Code is
+	// queue.Overloaded.
+	RetryAfterMS int64 `cbor:"11,keyasint,omitempty"`
 }
 
 // VMHeartbeat is the heartbeat of a VM's agent, with the VM's properties and the status of its
