Let any replica lead in TestVotersOverDomains

Cause: the test waited for the founder a to stay a voter. The leader keeps its vote when the voters are spread, and the test took for granted that a leads.

Change: the test waits until all five replicas see one voter in each failure domain and no others, which implies d and e. Instead of naming the replica that stays, it asserts that no leader proposes members among which it has no vote. So the former demand, that the leader stays, holds whoever leads. A second subtest transfers the leadership first.

--- a/replica/peers_test.go
+++ b/replica/peers_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -26,11 +30,12 @@
 
 // loopbackReplica is a replica with links over loopback.
 type loopbackReplica struct {
-	rep   *Replica
-	peers *Peers
-	self  quorum.Member
-	gate  *gatedStore // blocks its saves
-	stop  context.CancelFunc
+	rep       *Replica
+	peers     *Peers
+	self      quorum.Member
+	gate      *gatedStore // blocks its saves
+	proposals *proposals
+	stop      context.CancelFunc
 }
 
 // startLoopback runs a replica. A founding one is the only member of its group; others start empty,
@@ -70,12 +75,13 @@
 	gate := &gatedStore{Store: store}
 	self.Voter = false
 	peers := NewPeers(self, seeds, dial, timeout, zerolog.Nop())
+	proposals := &proposals{}
 	rep, err := New(Config{
 		ElectionTimeout: timeout, Heartbeat: 20 * time.Millisecond, SnapshotEvery: 1000, Seed: Seed(self.Name), Voters: 3,
 		Domain: self.Domain,
-	}, gate, peers, zerolog.Nop(), discard{}, steady.Now)
+	}, gate, peers, zerolog.Nop(), proposals, steady.Now)
 	assert.NilError(t, err)
-	l := &loopbackReplica{rep: rep, peers: peers, self: self, gate: gate}
+	l := &loopbackReplica{rep: rep, peers: peers, self: self, gate: gate, proposals: proposals}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /peer", peers.Accept(rep))
 	srv := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
@@ -140,16 +146,85 @@
 }
 
 // TestVotersOverDomains starts three voters in one failure domain, then two replicas in other
-// domains: these must replace two of the voters.
+// domains: these must replace two of the voters, but never the leader. Leaders may change at any
+// time, since the election timeout is short; the second subtest has another one than the founder.
 func TestVotersOverDomains(t *testing.T) {
-	a := startInDomain(t, "north", "a", true)
-	b := startInDomain(t, "north", "b", false, a.self.Addr)
-	waitVoters(t, a, a, b)
-	c := startInDomain(t, "north", "c", false, a.self.Addr)
-	waitVoters(t, a, a, b, c)
-	d := startInDomain(t, "south", "d", false, a.self.Addr)
-	e := startInDomain(t, "west", "e", false, a.self.Addr)
-	waitVoters(t, a, a, d, e)
+	for name, transfer := range map[string]bool{"the founder leads": false, "another replica leads": true} {
+		t.Run(name, func(t *testing.T) {
+			a := startInDomain(t, "north", "a", true)
+			b := startInDomain(t, "north", "b", false, a.self.Addr)
+			waitVoters(t, a, a, b)
+			c := startInDomain(t, "north", "c", false, a.self.Addr)
+			waitVoters(t, a, a, b, c)
+			if transfer {
+				a.rep.TransferLeadership(t.Context())
+			}
+			d := startInDomain(t, "south", "d", false, a.self.Addr)
+			e := startInDomain(t, "west", "e", false, a.self.Addr)
+			all := []*loopbackReplica{a, b, c, d, e}
+			for _, l := range all {
+				waitVoterInEachDomain(t, l, "north", "south", "west")
+			}
+			assertLeadersKeepVote(t, all...)
+		})
+	}
+}
+
+// waitVoterInEachDomain waits until a replica's view has exactly one voter in each of these failure
+// domains, and no others.
+func waitVoterInEachDomain(t *testing.T, l *loopbackReplica, want ...rudderfork.Domain) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		var voters []rudderfork.Domain
+		st := l.rep.Status()
+		for _, m := range st.Members {
+			if m.Voter {
+				voters = append(voters, m.Domain)
+			}
+		}
+		slices.Sort(voters)
+		if !slices.Equal(voters, want) {
+			return poll.Continue("%s has the members %v in term %d", l.self.Name, st.Members, st.Term)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(joinLimit))
+}
+
+// assertLeadersKeepVote asserts that leaders have proposed members, and none a list in which it has
+// no vote itself.
+func assertLeadersKeepVote(t *testing.T, reps ...*loopbackReplica) {
+	t.Helper()
+	proposed := 0
+	for _, l := range reps {
+		self := fmt.Sprintf("{%s %s %s true ", l.self.ID, l.self.Name, l.self.Addr)
+		for _, members := range l.proposals.list() {
+			proposed++
+			assert.Assert(t, strings.Contains(members, self), "%s proposed %s", l.self.Name, members)
+		}
+	}
+	assert.Assert(t, proposed > 0)
+}
+
+// proposals is a recorder that keeps the member lists which a replica proposes as the leader.
+type proposals struct {
+	mu      sync.Mutex
+	members []string
+}
+
+// Record implements rudderfork.Recorder.
+func (p *proposals) Record(e rudderfork.Event) {
+	if e.Kind != "members" {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.members = append(p.members, e.Text)
+}
+
+func (p *proposals) list() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.members)
 }
 
 // TestEarlierIncarnationDials records a connection of an earlier incarnation after a later one has
