Wait for the change of leader that RunFleet times

Cause: RunFleet returned when the load was over and the jobs had started, while the goroutine that stops the leader was still timing the change. The figures of the change were then zero, and TestFleet failed. The loss of VMs was timed in the same way.

Change: RunFleet waits for the effects that it times, for a minute at most, and returns an error if one is not over. stopLeader and stopVMs return an error instead of no figure. TestFleetWithoutNextLeader stops the only control process and expects the error.

--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -35,6 +35,7 @@
 	fleetFillerMS        = 1_700                  // mean run time of a filler
 	fleetSettle          = 2 * time.Second        // between the start of the lasting tasks and the load
 	fleetStartTimeout    = 30 * time.Second       // for jobs to start after the load; users would not wait longer
+	fleetFaultTimeout    = time.Minute            // for the effects of a fault that are timed; far above an election and a lease
 	fleetSyncDelay       = 6 * time.Millisecond   // added to each write of a replica, as the time of a sync
 	fleetStoppedShare    = 0.14                   // of the VMs, in the run that stops VMs
 	fleetHost            = "desk.example"
@@ -92,7 +93,8 @@
 	stoppedTerm     uint64
 }
 
-// RunFleet runs a load on a fleet and returns the measured times.
+// RunFleet runs a load on a fleet and returns the measured times. It returns an error if the
+// effects of a fault, such as the change of leader, are not over within fleetFaultTimeout.
 func RunFleet(ctx context.Context, cfg FleetConfig) (f FleetResult, err error) {
 	defer errs.Annotate(&err, "fleet of %d VMs", cfg.VMs)
 	ctx, cancel := context.WithCancel(ctx)
@@ -109,16 +111,15 @@
 	if err := s.prepare(ctx); err != nil {
 		return f, err
 	}
+	faults := make(chan error, 1)
 	s.wg.Go(func() {
 		steady.Pause(ctx, cfg.Duration/2)
-		if cfg.StopLeader {
-			s.stopLeader(ctx)
-		}
-		if cfg.StopVMShare > 0 {
-			s.stopVMs(ctx)
-		}
+		faults <- s.injectFaults(ctx)
 	})
 	s.generateLoad(ctx)
+	if err := <-faults; err != nil {
+		return f, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.result.VMs, s.result.Sessions = cfg.VMs, int(s.sessions.Load())
@@ -225,12 +226,29 @@
 	return true
 }
 
+// injectFaults stops the leader and VMs, as configured, and waits until the effects are recorded.
+// It returns an error if that takes longer than fleetFaultTimeout.
+func (s *fleetSim) injectFaults(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, fleetFaultTimeout)
+	defer cancel()
+	if s.cfg.StopLeader {
+		if err := s.stopLeader(ctx); err != nil {
+			return err
+		}
+	}
+	if s.cfg.StopVMShare > 0 {
+		return s.stopVMs(ctx)
+	}
+	return nil
+}
+
 // stopLeader stops the leading control process and records how long the next one takes to
-// take over.
-func (s *fleetSim) stopLeader(ctx context.Context) {
+// take over. It returns an error if ctx ends before that.
+func (s *fleetSim) stopLeader(ctx context.Context) (err error) {
+	defer errs.Annotate(&err, "change of leader")
 	old := s.waitForLeader(ctx, 0)
 	if old == nil {
-		return
+		return ctx.Err()
 	}
 	term := old.rep.Status().Term
 	stoppedAt := steady.Now()
@@ -241,14 +259,19 @@
 	s.waitForLeader(ctx, term)
 	elected := steady.Now().Sub(stoppedAt)
 	s.awaitLeases(ctx, term)
+	if err := ctx.Err(); err != nil {
+		return err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.result.LeaderElected, s.result.AllLeased = elected, steady.Now().Sub(stoppedAt)
+	return nil
 }
 
 // stopVMs stops the agents of a share of the VMs and records when the leader regards all of
-// them as lost.
-func (s *fleetSim) stopVMs(ctx context.Context) {
+// them as lost. It returns an error if ctx ends before that.
+func (s *fleetSim) stopVMs(ctx context.Context) (err error) {
+	defer errs.Annotate(&err, "loss of VMs")
 	stopped := map[rudderfork.VMID]bool{}
 	for i := range int(s.cfg.StopVMShare * float64(s.cfg.VMs)) {
 		id := vmName(i)
@@ -258,7 +281,7 @@
 	leaseEnd := steady.Now().Add(fleetLease)
 	leader := s.waitForLeader(ctx, 0)
 	if leader == nil {
-		return
+		return ctx.Err()
 	}
 	for live := len(stopped); live > 0 && ctx.Err() == nil; {
 		steady.Pause(ctx, time.Millisecond)
@@ -271,9 +294,13 @@
 			}
 		})
 	}
+	if err := ctx.Err(); err != nil {
+		return err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.result.VMLossDetected = steady.Now().Sub(leaseEnd)
+	return nil
 }
 
 func vmName(i int) rudderfork.VMID { return rudderfork.VMID(fmt.Sprintf("vm%04d", i)) }
--- a/bench/fleet_test.go
+++ b/bench/fleet_test.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -19,3 +20,17 @@
 	assert.Assert(t, f.LeaderElected > 0 && f.AllLeased >= f.LeaderElected, "%+v", f)
 	assert.Assert(t, f.Sessions >= 2*f.VMs)
 }
+
+// TestFleetWithoutNextLeader guards against a run that reports zero for a change of leader that
+// is not over: the only control process is stopped, so no other can take over.
+func TestFleetWithoutNextLeader(t *testing.T) {
+	s := &fleetSim{cfg: FleetConfig{Replicas: 1, Dir: t.TempDir()}}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer s.wg.Wait()
+	defer cancel()
+	assert.NilError(t, s.startReplicas(ctx))
+	assert.Assert(t, s.waitForLeader(ctx, 0) != nil)
+	bounded, cancelBounded := context.WithTimeout(ctx, 200*time.Millisecond)
+	defer cancelBounded()
+	assert.ErrorIs(t, s.stopLeader(bounded), context.DeadlineExceeded)
+}
