Let the soak run with all scheduling policies

A new check finds a refused job that runs: each call that submitted it was answered that it is not accepted, and it starts all the same.

--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -61,7 +61,7 @@
 // while there is no clear answer. It also retries a rejected lasting job.
 func (c *clients) submit(ctx context.Context, j *job, body any, firstEntry int) {
 	c.checker.addJob(j)
-	backoff := 100 * time.Millisecond
+	backoff, unclear := 100*time.Millisecond, false
 	for i := range submitAttempts {
 		switch status, _ := c.call(ctx, (firstEntry+i)%entryCount, http.MethodPost, j.queue+j.id, body); {
 		case status/100 == 2:
@@ -71,8 +71,13 @@
 		case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable || status == http.StatusNotFound:
 			c.rejected.Add(1)
 			if !j.lasting {
+				if !unclear {
+					c.checker.markRefused(j)
+				}
 				return
 			}
+		default:
+			unclear = true // the job may have been accepted
 		}
 		time.Sleep(backoff)
 		backoff = min(2*backoff, time.Second)
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -27,6 +28,10 @@
 	entryCount   = 2    // edge machines, each with an entry
 	maxLostDisks = 2    // disks of core machines that may be lost at once
 	machineCPU   = 4000 // CPU capacity of a side machine, in thousandths of a core
+
+	// allPolicies are the settings of the control processes of even seeds. The rules hold with and
+	// without the policies.
+	allPolicies = "[admission]\nrefuse=on\n[fairness]\nshare=on\n[capacity]\nyield=on\n[speeds]\nlearn=on\n[handover]\nkeep=on\n"
 )
 
 // site is a deployment of real processes on loopback addresses. The machines core-N run
@@ -57,9 +62,18 @@
 		return nil, err
 	}
 	inner, err := standin.NewSite(bin, dir, coreCount, maxLostDisks)
+	if err != nil {
+		return nil, err
+	}
+	if seed%2 == 0 {
+		inner.Scheduling = filepath.Join(dir, "scheduling.ini")
+		if err := os.WriteFile(inner.Scheduling, []byte(allPolicies), 0o600); err != nil {
+			return nil, err
+		}
+	}
 	s = &site{Site: inner, dir: dir, seed: seed, checker: checks}
 	inner.WrapListener = func(i int, ln net.Listener) net.Listener { return duplicatingListener{ln, s.machines[i]} }
-	return s, err
+	return s, nil
 }
 
 // duplicatingListener is the listener of an executor that may send its answers twice.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -6,7 +6,8 @@
 //
 // A violation is LOST (accepted work that is neither done nor reported as ended), TWICE
 // (work that runs in two places, or again), MIXED (a wrong count or state) or UNASKED
-// (work that no client submitted).
+// (work that no client submitted, or that was refused). Even seeds run with all scheduling
+// policies on.
 package soak
 
 import (
--- a/soak/watch_test.go
+++ b/soak/watch_test.go
@@ -39,6 +39,7 @@
 	cpu           int64     // of each task, in thousandths of a core
 	tasks         int       // number of tasks
 	acceptedAt    time.Time // when a client was first told that it is accepted; zero before
+	refused       bool      // each call that submitted it was answered that it is not accepted
 	startedAt     time.Time // when its first run started; zero before
 	state         string    // final state that a client was last shown; empty if none
 	recordedTasks []*task   // its tasks in checker.tasks
@@ -153,6 +154,16 @@
 	}
 }
 
+// markRefused records that a client was told in each answer that its job is not accepted.
+func (c *checker) markRefused(j *job) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j.refused = true
+	if !j.startedAt.IsZero() {
+		c.addViolation("UNASKED: a client is told that %s is refused, which has run", j.id)
+	}
+}
+
 // job returns the job of a task. It is a violation if no client submitted it. The caller
 // holds mu.
 func (c *checker) job(id rudderfork.TaskID) *job {
@@ -181,6 +192,9 @@
 	if j.startedAt.IsZero() {
 		j.startedAt = now
 	}
+	if j.refused {
+		c.addViolation("UNASKED: %s run %d starts on %d although its job was refused", ref.Task, ref.Run, machine)
+	}
 	if j.state == "completed" {
 		c.addViolation("TWICE: %s run %d starts on %d after its job was shown as completed", ref.Task, ref.Run, machine)
 	}
