Commit the record after the starts of a round

The record was proposed before the plan, so that the starts of the same round waited for its write as well. It is now proposed when they are committed.

--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -131,7 +131,7 @@
 	return ctx.Err()
 }
 
-// round expires leases, makes a plan, commits its starts and wakes sessions.
+// round expires leases, makes a plan, commits its starts, keeps what was learned and wakes sessions.
 func (s *Scheduler) round(ctx context.Context) (t roundTimes) {
 	bounded, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
@@ -141,9 +141,9 @@
 		}
 		s.startTerm(term)
 	}
-	s.keepLearned(ctx)
 	t.expire = timed(func() { s.expireLeases(ctx) })
 	s.planAndStart(bounded, &t)
+	s.keepLearned(ctx)
 	t.wake = timed(s.wakeSessions)
 	s.observeRound(t)
 	return t
