Check submissions without applying them

The leader has to know whether a submission would add a job before it decides to refuse it: a repeat or an invalid submission must get the same answer as without that decision.

queue.State.CheckSubmit holds the checks of Apply, which calls it. The results are the same.

go test ./queue passed.

--- a/queue/apply.go
+++ b/queue/apply.go
@@ -95,21 +95,31 @@
 	return q, rudderfork.JobID(rest), refusal, true
 }
 
-func (s *State) submit(c Submit, at int64) Result {
+// CheckSubmit returns the queue and the ID of the job that a submission would add now. If it would
+// add none, isNew is false and res is its result.
+func (s *State) CheckSubmit(c Submit) (q Queue, id rudderfork.JobID, res Result, isNew bool) {
 	// A repeated submission succeeds even if the queue of the known job has been removed since.
 	last := rudderfork.JobID(path.Base(c.Path))
 	if j := s.jobs[last]; j != nil {
-		return Result{Code: OK, Job: last, Queue: j.Queue.Name, Text: "handed in before"}
+		return q, "", Result{Code: OK, Job: last, Queue: j.Queue.Name, Text: "handed in before"}, false
 	}
 	q, id, refusal, ok := s.locate(c.Host, c.Path)
 	if !ok {
-		return refusal
+		return q, "", refusal, false
 	}
 	if code := s.doc.Limits.exceeded(c.BodyBytes, c.HeaderBytes); code != "" {
-		return Result{Code: code, Text: fmt.Sprintf("a body of %d bytes, a header of %d; the document's limits are %+v", c.BodyBytes, c.HeaderBytes, s.doc.Limits)}
+		return q, "", Result{Code: code, Text: fmt.Sprintf("a body of %d bytes, a header of %d; the document's limits are %+v", c.BodyBytes, c.HeaderBytes, s.doc.Limits)}, false
 	}
 	if err := c.Spec.Check(); err != nil {
-		return Result{Code: Invalid, Text: err.Error()}
+		return q, "", Result{Code: Invalid, Text: err.Error()}, false
+	}
+	return q, id, res, true
+}
+
+func (s *State) submit(c Submit, at int64) Result {
+	q, id, res, isNew := s.CheckSubmit(c)
+	if !isNew {
+		return res
 	}
 	j := &Job{ID: id, Queue: q, Spec: c.Spec, Status: Queued, SubmittedAt: at, Occurrences: occurrences(c.Spec), Origin: c.Origin}
 	s.jobs[id] = j
