Summarize the backlog in plans

The prediction of package backlog needs the work that waits in planning order, and the capacity that is used and free, at a cost that does not depend on submissions.

A plan makes the summary if the view asks for it.

--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/backlog"
 	"rudderfork.example/rudderfork/queue"
 )
 
@@ -58,8 +59,8 @@
 	return w
 }
 
-// BenchmarkPlan measures a planner's first plan, a plan after one VM changed, and a plan
-// that searches for a relocation.
+// BenchmarkPlan measures a planner's first plan, a plan after one VM changed, a plan
+// that searches for a relocation, and one with a summary of the backlog.
 func BenchmarkPlan(b *testing.B) {
 	for _, vms := range []int{76, 240, 1_000, 3_900} {
 		w := newLoadedFleet(vms)
@@ -88,5 +89,28 @@
 			}
 			w.view.Relocate = false
 		})
+		b.Run(fmt.Sprintf("with a summary of the backlog/%d", vms), func(b *testing.B) {
+			w.view.SummarizeBacklog = true
+			for b.Loop() {
+				pl.Plan(w.s, w.view)
+			}
+			w.view.SummarizeBacklog = false
+		})
+	}
+}
+
+// BenchmarkSubmission measures the decision whether to refuse a submission, with 10,000 waiting jobs on
+// 3,900 VMs.
+func BenchmarkSubmission(b *testing.B) {
+	w := newLoadedFleet(3_900)
+	for len(w.startPlanned()) > 0 {
+	}
+	w.view.SummarizeBacklog = true
+	c := backlog.New()
+	c.SetSummary(PlanOnce(w.s, w.view).Backlog)
+	q, _ := w.s.Document().Queue("later")
+	spec := queue.Spec{Steps: []queue.Step{fillerStep("f1", 1_800), fillerStep("f1", 1_800)}}
+	for b.Loop() {
+		c.Decide(NewcomerOf(q, "new", spec, nil), w.view.Now)
 	}
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -27,6 +27,7 @@
 	"time"
 
 	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/backlog"
 	"rudderfork.example/rudderfork/pace"
 	"rudderfork.example/rudderfork/queue"
 )
@@ -94,6 +95,8 @@
 	WorkTimeVersion uint64
 	// Summarize asks for Plan.Summary.
 	Summarize bool
+	// SummarizeBacklog asks for Plan.Backlog.
+	SummarizeBacklog bool
 }
 
 // Stop orders the end of a run.
@@ -142,6 +145,7 @@
 	LastOfStep     map[rudderfork.VMID][]queue.RunKey // by VM, the runs of fillers that are among the last of their step
 	ShortTasks     ShortTasks                         // found while planning
 	Summary        *FleetSummary                      // nil unless View.Summarize is set
+	Backlog        *backlog.Summary                   // nil unless View.SummarizeBacklog is set
 }
 
 // AdviceRequest asks an adviser for tickets for a step on some VMs.
@@ -159,6 +163,7 @@
 	vms      map[rudderfork.VMID]*vmState
 	jobs     map[rudderfork.JobID]*jobState
 	order    []*jobState // all of jobs, in the order of the last plan
+	shapes   shapesCache
 }
 
 // NewPlanner returns a planner with an empty cache.
@@ -189,6 +194,9 @@
 	if v.Summarize {
 		p.plan.Summary = p.summarize()
 	}
+	if v.SummarizeBacklog {
+		p.plan.Backlog = p.summarizeBacklog(pl.shapes.of(s.VMs()))
+	}
 	return p.plan
 }
 
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"rudderfork.example/rudderfork"
+	"rudderfork.example/rudderfork/backlog"
 	"rudderfork.example/rudderfork/queue"
 )
 
@@ -22,6 +23,8 @@
 	pl   *Planner
 	jobs []simJob
 	ends []pendingEnd // in order of time
+
+	admission *backlog.Controller // nil if all jobs are accepted
 }
 
 // simJob is a job of the simulated day.
@@ -31,6 +34,8 @@
 	spec   []queue.Step
 	trueMS []int64 // true mean run time of a task by step, ms
 	done   int64   // time at which it was done, ms; 0 if it is not done
+
+	refused bool
 }
 
 // pendingEnd is a future end of a run.
@@ -51,7 +56,9 @@
 	for left > 0 {
 		sim.view.Now += planIntervalMS
 		for ; next < len(sim.jobs) && sim.jobs[next].at <= sim.view.Now; next++ {
-			sim.submit(sim.jobs[next].queue, sim.id(next), sim.jobs[next].at, sim.jobs[next].spec...)
+			if !sim.refuses(next) {
+				sim.submit(sim.jobs[next].queue, sim.id(next), sim.jobs[next].at, sim.jobs[next].spec...)
+			}
 		}
 		for len(sim.ends) > 0 && sim.ends[0].at <= sim.view.Now {
 			e := sim.ends[0]
@@ -69,6 +76,9 @@
 func (sim *simulation) recordDone(submitted int) (left int) {
 	for i := range sim.jobs {
 		j := &sim.jobs[i]
+		if j.refused {
+			continue
+		}
 		if i < submitted && j.done == 0 && sim.s.Job(rudderfork.JobID(sim.id(i))).Status == queue.Completed {
 			j.done = sim.s.Job(rudderfork.JobID(sim.id(i))).EndedAt
 		}
@@ -81,6 +91,9 @@
 
 func (sim *simulation) start() {
 	plan := sim.pl.Plan(sim.s, sim.view)
+	if sim.admission != nil {
+		sim.admission.SetSummary(plan.Backlog)
+	}
 	sim.view.ShortDemand.Observe(plan.ShortTasks, sim.view.Now)
 	var c queue.Command
 	for _, st := range plan.Starts {
