Refuse jobs that would end worthless

Every submission was accepted under overload, and callers waited for jobs that ended when they were worth nothing, or that fit on no VM.

With [admission] refuse, the leader decides on each submission that would add a job. Before it refuses, a barrier confirms that it leads, and then neither the state nor a commit in progress or of unknown outcome may have the job. Otherwise the submission is committed as before. Refusals are logged (job_refused) and counted. Without the policy nothing is computed.

TestRefusalDuringCommit fails without the check of commits in progress, and without the memory of unknown outcomes; TestRefusalUnconfirmed without the barrier; TestRefusalOvertaken without the check of the state.

--- a/scheduler/requests.go
+++ b/scheduler/requests.go
@@ -31,7 +31,7 @@
 	switch {
 	case req.Submit != nil:
 		req.Submit.KeepMS = s.cfg.StatusRetention.Milliseconds()
-		resp = s.commit(ctx, queue.Command{Submit: req.Submit})
+		resp = s.submit(ctx, req.Submit)
 		s.logRequest(kind, req.Submit.Path, resp)
 	case req.Cancel != nil:
 		resp = s.commit(ctx, queue.Command{Cancel: req.Cancel})
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -88,7 +88,8 @@
 	sessions       map[*session]bool
 	sessionsOpened uint64 // number of sessions opened so far, and so the number of the newest
 
-	handover handover
+	handover  handover
+	admission *admission // nil if no job is refused; guarded by mu
 
 	losses  sync.WaitGroup        // commits of VM losses that are in progress
 	overdue map[queue.RunKey]bool // runs logged as overdue; only rounds use it
@@ -99,7 +100,7 @@
 func New(cfg Settings, rep *replica.Replica, adviser rudderfork.Adviser, log zerolog.Logger, rec rudderfork.Recorder) *Scheduler {
 	return &Scheduler{
 		cfg: cfg, rep: rep, adviser: adviser, log: log, rec: rec, met: newMetrics(),
-		roundDue: wakeup.New(), fleet: newFleet(), sessions: map[*session]bool{},
+		roundDue: wakeup.New(), fleet: newFleet(), sessions: map[*session]bool{}, admission: newAdmission(cfg.Policies),
 	}
 }
 
@@ -290,7 +291,9 @@
 		view := s.fleet.view(st.Queues(), began)
 		view.Relocate = s.fleet.relocateDue(began)
 		view.Summarize = s.fleet.summaryDue(began)
+		view.SummarizeBacklog = s.admission.summaryDue(began)
 		plan = s.fleet.planner.Plan(st.Queues(), view)
+		s.admission.observe(s.term, plan.Backlog, st.Queues(), began)
 		s.fleet.setStops(plan.Stops, began)
 		s.fleet.shortDemand.Observe(plan.ShortTasks, view.Now)
 		s.fleet.lastOfStep = plan.LastOfStep
