--- a/scheduler/admission_test.go
+++ b/scheduler/admission_test.go
@@ -86,9 +86,11 @@
 	lasting.Lasting = true
 	c.assertAccepted("lasting", lasting)
 
-	c.sched.startTerm(c.sched.currentTerm()) // as after the loss of the leader's memory
-	c.sched.admission.term--
-	c.assertAccepted("a", secondStep)
+	c.sched.admission.enter(0) // a new term: the list of refused jobs is lost
+	c.overload()
+	c.assertRefused("a")
+	c.sched.admission.enter(0)
+	c.assertAccepted("a", secondStep) // no plan has been made yet
 }
 
 // TestPolicyOff guards against refusals without the policy.
