Don't wait for a leader within another wait in replica tests

Cause: checks of waitUntil called leader, which waits for 20 s itself. A check goes on after poll.WaitOn has given it up, so one outage was reported twice, as in the known failure of TestTwoDisksLostInPowerFailure ("the group has its voters", then "a replica leads"). If the test was over by then, the test binary ended with a panic, and the other tests of the package were lost.

Change: checks call currentLeader, which doesn't wait, and count no leader as not yet. The limits of the waits are the same.

--- a/replica/losses_test.go
+++ b/replica/losses_test.go
@@ -207,21 +207,28 @@
 	}, poll.WithTimeout(joinLimit), poll.WithDelay(time.Millisecond))
 }
 
-// leader waits for a leader that accepts commands.
+// leader waits for a leader that accepts commands. A check of waitUntil must call currentLeader
+// instead: a check goes on when its wait has timed out, and a wait in it would then fail a test
+// that is over, which ends the test binary with a panic.
 func (c *cluster) leader() (l *runningReplica) {
 	c.t.Helper()
 	c.waitUntil("a replica leads", func() bool {
-		for _, r := range c.all() {
-			if r.Leads() {
-				l = r
-				return true
-			}
-		}
-		return false
+		l = c.currentLeader()
+		return l != nil
 	})
 	return l
 }
 
+// currentLeader returns the leader that accepts commands, nil if there is none.
+func (c *cluster) currentLeader() *runningReplica {
+	for _, r := range c.all() {
+		if r.Leads() {
+			return r
+		}
+	}
+	return nil
+}
+
 // tryCommit proposes the next document to a leader, and reports whether it was acknowledged.
 func (c *cluster) tryCommit(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
@@ -252,9 +259,12 @@
 func (c *cluster) assertNothingLost() {
 	c.t.Helper()
 	c.waitUntil("a read is confirmed", func() bool {
+		l := c.currentLeader()
+		if l == nil {
+			return false
+		}
 		ctx, cancel := context.WithTimeout(c.t.Context(), tryTimeout)
 		defer cancel()
-		l := c.leader()
 		if l.Barrier(ctx) != nil {
 			return false
 		}
@@ -265,7 +275,11 @@
 	})
 	c.commit()
 	c.waitUntil("the group has its voters", func() bool {
-		st := c.leader().Status()
+		l := c.currentLeader()
+		if l == nil {
+			return false
+		}
+		st := l.Status()
 		if st.CommitIndex < st.LastIndex {
 			return false // the members may come from an uncommitted change
 		}
@@ -312,7 +326,10 @@
 			})
 			leader := c.leader().name
 			seen := c.leader().Status().CommitIndex + rng.Uint64N(30)
-			c.waitUntil("some commands are committed", func() bool { return c.leader().Status().CommitIndex >= seen })
+			c.waitUntil("some commands are committed", func() bool {
+				l := c.currentLeader()
+				return l != nil && l.Status().CommitIndex >= seen
+			})
 			c.stopAll()
 			cancel()
 			proposing.Wait()
@@ -362,7 +379,11 @@
 					if r.name != lost {
 						continue
 					}
-					m, ok := c.leader().member(r.Status().ID)
+					l := c.currentLeader()
+					if l == nil {
+						return false
+					}
+					m, ok := l.member(r.Status().ID)
 					return ok && (m.Voter || round%2 == 0)
 				}
 				return false
