Account for the service of groups of callers

Which jobs wait under load does not depend on where they came from, so an origin that sends far more than its share makes the jobs of all others late. Nothing says how much of a queue's capacity an origin has had.

Package fairshare holds an account for each group (queue and origin): the service that it has attained, who competes, who is ahead of its share by more than a bound derived from the objectives of its waiting jobs, and who has been behind for as long as an objective. A group that does not compete gains no claim, claims are bounded by three objectives, and groups that cannot be served are not compared with the others.

--- /dev/null
+++ b/fairshare/snapshot.go
@@ -0,0 +1,67 @@
+package fairshare
+
+import "math"
+
+// Snapshot is what a ledger has learned, in a form that can be encoded. Its times are relative
+// to when it was taken, so that a leader with another clock can restore it.
+type Snapshot struct {
+	Groups []GroupSnapshot `cbor:"1,keyasint"` // sorted by queue and origin
+}
+
+// GroupSnapshot is the account of one group. Service is in cores times ms.
+type GroupSnapshot struct {
+	Group
+	Attained float64 `cbor:"3,keyasint"`
+	Level    float64 `cbor:"4,keyasint"`           // service per unit of weight while the queue was contested
+	KeepMS   int64   `cbor:"5,keyasint,omitempty"` // for how long Level is kept
+	Behind   bool    `cbor:"6,keyasint,omitempty"` // whether it is behind by more than its bound
+	FirstMS  int64   `cbor:"7,keyasint,omitempty"` // if it is Behind, time until it is starved; negative if it is already
+}
+
+// Snapshot returns the state of the ledger at the newest observation.
+func (l *Ledger) Snapshot() (s Snapshot) {
+	if l == nil {
+		return s
+	}
+	for _, a := range l.sorted() {
+		g := GroupSnapshot{Group: a.group, Attained: a.attained, Level: a.level, KeepMS: max(0, a.forgetAt-l.at), Behind: a.starvedAt != 0}
+		if g.Behind {
+			g.FirstMS = a.starvedAt - l.at
+		}
+		s.Groups = append(s.Groups, g)
+	}
+	return s
+}
+
+// Restore adds the groups of a snapshot that was taken at a time of the present leader's clock,
+// which may be estimated. Malformed groups are skipped, and those beyond the limit are merged by queue,
+// up to a second limit on the number of queues.
+func (l *Ledger) Restore(s Snapshot, takenAt int64) {
+	if l == nil {
+		return
+	}
+	for _, g := range s.Groups {
+		if !g.valid() || len(l.accounts) >= 2*maxGroups {
+			continue
+		}
+		if g.Origin != Merged {
+			g.Group = GroupOf(g.Queue, g.Origin)
+			if l.accounts[g.Group] == nil && len(l.accounts) >= maxGroups {
+				g.Origin = Merged
+			}
+		}
+		a := l.account(g.Group)
+		a.attained += g.Attained
+		a.level, a.forgetAt, a.activeAt = g.Level, takenAt+min(max(0, g.KeepMS), maxKeepMS), takenAt
+		if g.Behind {
+			a.starvedAt = takenAt + min(max(-maxKeepMS, g.FirstMS), maxKeepMS)
+		}
+	}
+}
+
+// maxKeepMS bounds the times of a snapshot, in ms. Objectives are shorter than a day.
+const maxKeepMS = 86_400_000
+
+func (g GroupSnapshot) valid() bool {
+	return g.Queue != "" && g.Attained >= 0 && !math.IsInf(g.Attained, 1) && !math.IsNaN(g.Level) && !math.IsInf(g.Level, 0)
+}
