Order jobs by the standing of their callers' group

A plan orders jobs without regard to where they came from. When one origin sends several times its share, the jobs of all others wait behind its backlog of small or fresh ones.

View.Shares holds the standings of groups (package fairshare). Within a priority, jobs of starved groups go first, and jobs of groups that are ahead of their share go after the others of those in time, and of those late. Lasting jobs, which have no work that is counted, still go before all others. Plan.Demands lists what the groups use and what still waits once the plan's starts are made. Without View.Shares the order is as before.

--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -6,6 +6,7 @@
 
 	"rudderfork.example/rudderfork"
 	"rudderfork.example/rudderfork/backlog"
+	"rudderfork.example/rudderfork/fairshare"
 	"rudderfork.example/rudderfork/queue"
 )
 
@@ -40,6 +41,7 @@
 	}
 	submitFillers := func(name string, at int64) {
 		for i := range jobs {
+			w.origin = fmt.Sprintf("domain%d", i%4)
 			st := fillerStep(fmt.Sprintf("f%d", i%fillerImages), 1800)
 			st.Count, st.Size.MemoryMB, st.ExpectedMS = width, 3000, 2200
 			w.submit("later", fmt.Sprintf("%s%05d", name, i), at, st)
@@ -82,6 +84,15 @@
 				pl.Plan(w.s, w.view)
 			}
 		})
+		w.view.Shares = fairshare.Standings{{Queue: "later", Origin: "domain1"}: fairshare.Ahead}
+		pl.Plan(w.s, w.view)
+		b.Run(fmt.Sprintf("with shares/%d", vms), func(b *testing.B) {
+			for b.Loop() {
+				pl.Plan(w.s, w.view)
+			}
+		})
+		w.view.Shares = nil
+		pl.Plan(w.s, w.view)
 		b.Run(fmt.Sprintf("with a search for a relocation/%d", vms), func(b *testing.B) {
 			w.view.Relocate = true
 			for b.Loop() {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -7,7 +7,8 @@
 // when they are committed; package queue validates them again at that point.
 //
 // Jobs are ordered by the priority of their queue, then jobs that can still meet their
-// objective before late ones, then by least remaining work. Jobs too late to be worth
+// objective before late ones, then by least remaining work; groups of callers that are ahead of
+// their share or starved of it change that order (shares.go). Jobs too late to be worth
 // anything to their owners go last (rank.go). New lasting tasks leave a reserve of free
 // processors for short tasks (reserve.go). A task starts on the feasible VM with the
 // lowest cost (cost.go).
@@ -28,6 +29,7 @@
 
 	"rudderfork.example/rudderfork"
 	"rudderfork.example/rudderfork/backlog"
+	"rudderfork.example/rudderfork/fairshare"
 	"rudderfork.example/rudderfork/pace"
 	"rudderfork.example/rudderfork/queue"
 )
@@ -93,6 +95,9 @@
 	// Cached estimates are computed again when WorkTimeVersion changes.
 	WorkTime        WorkTimeFunc
 	WorkTimeVersion uint64
+	// Shares are the standings of groups of callers. If nil, jobs are ordered without regard to
+	// where they came from.
+	Shares fairshare.Standings
 	// Summarize asks for Plan.Summary.
 	Summarize bool
 	// SummarizeBacklog asks for Plan.Backlog.
@@ -144,6 +149,7 @@
 	AdviceRequests []AdviceRequest
 	LastOfStep     map[rudderfork.VMID][]queue.RunKey // by VM, the runs of fillers that are among the last of their step
 	ShortTasks     ShortTasks                         // found while planning
+	Demands        []fairshare.Demand                 // of the groups of callers; nil without View.Shares
 	Summary        *FleetSummary                      // nil unless View.Summarize is set
 	Backlog        *backlog.Summary                   // nil unless View.SummarizeBacklog is set
 }
@@ -160,6 +166,7 @@
 	state    *queue.State
 	document *queue.Document // the document under which the jobs were read
 	images   images
+	groups   groups
 	vms      map[rudderfork.VMID]*vmState
 	jobs     map[rudderfork.JobID]*jobState
 	order    []*jobState // all of jobs, in the order of the last plan
@@ -191,6 +198,7 @@
 		p.planCopies(j)
 	}
 	p.plan.LastOfStep = p.lastOfSteps(jobs)
+	p.plan.Demands = pl.demands(p)
 	if v.Summarize {
 		p.plan.Summary = p.summarize()
 	}
@@ -202,14 +210,15 @@
 
 // newPass reads what has changed since the previous plan.
 func (pl *Planner) newPass(s *queue.State, v View) *pass {
-	if pl.state != s || pl.images.tooMany() {
+	if pl.state != s || pl.images.tooMany() || pl.groups.enabled() != (v.Shares != nil) {
 		pl.reset()
 		pl.state = s
 	}
 	p := &pass{
-		state: s, view: v, images: &pl.images, placed: map[stepOnVM]int{},
+		state: s, view: v, images: &pl.images, groups: &pl.groups, placed: map[stepOnVM]int{},
 		started: map[rudderfork.JobID]int{}, rates: map[queue.StepKey][]siblingRate{},
 	}
+	p.groups.update(v.Shares)
 	p.vms, p.vmIndex = pl.readVMs(p)
 	p.jobs = pl.readJobs(p)
 	p.costs = make([]float64, len(p.vms))
@@ -219,6 +228,7 @@
 
 func (pl *Planner) reset() {
 	pl.images = newImages()
+	pl.groups = groups{}
 	pl.vms = map[rudderfork.VMID]*vmState{}
 	pl.jobs = map[rudderfork.JobID]*jobState{}
 	pl.document, pl.order = nil, nil
@@ -229,6 +239,7 @@
 	state   *queue.State
 	view    View
 	images  *images
+	groups  *groups
 	vms     []*vmState              // sorted by ID
 	vmIndex map[rudderfork.VMID]int // index in vms, by ID
 	jobs    []*jobState
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -17,6 +17,7 @@
 	t         *testing.T
 	s         *queue.State
 	view      View
+	origin    string                // of the jobs that are submitted
 	pressures map[[2]string]float64 // by image of the serving task and image of the filler
 }
 
@@ -58,7 +59,7 @@
 
 func (w *fixture) submitSpec(queueName, id string, at int64, spec queue.Spec) queue.TaskKey {
 	w.t.Helper()
-	res := w.s.Apply(queue.Command{Submit: &queue.Submit{Host: host, Path: "/" + queueName + "/" + id, Spec: spec, KeepMS: 1 << 40}}, at)
+	res := w.s.Apply(queue.Command{Submit: &queue.Submit{Host: host, Path: "/" + queueName + "/" + id, Spec: spec, KeepMS: 1 << 40, Origin: w.origin}}, at)
 	assert.Equal(w.t, res.Code, queue.OK)
 	return queue.TaskKey{Job: rudderfork.JobID(id)}
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -16,6 +16,7 @@
 
 	objectiveFrom int64 // when the objective begins to run, Unix ms
 	lasting       bool
+	group         *group // of its callers; nil without View.Shares, and for lasting jobs
 
 	// These are estimates, updated by the method estimate.
 	workMS              []float64 // work time of a task at full speed, by step
@@ -32,6 +33,7 @@
 	waiting      []waitingStep                      // steps with tasks that have no run; empty if the job's status is final
 	shortRunning ShortTasks                         // running short tasks
 	allowsCopies bool                               // a step allows speculative copies
+	cpuMilli     float64                            // processors of all active runs, thousandths of a core
 }
 
 // taskRun is an active run.
@@ -108,6 +110,7 @@
 		js.images = append(js.images, p.images.number(st.Image))
 		js.allowsCopies = js.allowsCopies || st.Speculative && !st.Gang && !st.Lasting
 	}
+	js.group = p.groups.of(js)
 	js.estimate(p)
 	for occurrence, o := range j.Occurrences {
 		for step := range o.Steps {
@@ -162,6 +165,7 @@
 	for i := range js.runs {
 		r := &js.runs[i]
 		st := &js.job.Spec.Steps[r.key.Step]
+		js.cpuMilli += float64(st.Size.CPUMilli)
 		if !js.job.Status.Final() && js.isNearlyDone(r.key.StepKey()) {
 			js.lastOfStep[r.run.VM] = append(js.lastOfStep[r.run.VM], r.key.Run(r.run.Number))
 		}
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -12,6 +12,7 @@
 
 	"rudderfork.example/rudderfork"
 	"rudderfork.example/rudderfork/backlog"
+	"rudderfork.example/rudderfork/fairshare"
 	"rudderfork.example/rudderfork/queue"
 )
 
@@ -25,11 +26,13 @@
 	ends []pendingEnd // in order of time
 
 	admission *backlog.Controller // nil if all jobs are accepted
+	shares    *fairshare.Ledger   // nil without shares
 }
 
 // simJob is a job of the simulated day.
 type simJob struct {
 	queue  string
+	origin string
 	at     int64 // time of submission, ms
 	spec   []queue.Step
 	trueMS []int64 // true mean run time of a task by step, ms
@@ -57,6 +60,7 @@
 		sim.view.Now += planIntervalMS
 		for ; next < len(sim.jobs) && sim.jobs[next].at <= sim.view.Now; next++ {
 			if !sim.refuses(next) {
+				sim.origin = sim.jobs[next].origin
 				sim.submit(sim.jobs[next].queue, sim.id(next), sim.jobs[next].at, sim.jobs[next].spec...)
 			}
 		}
@@ -90,10 +94,12 @@
 }
 
 func (sim *simulation) start() {
+	sim.view.Shares = sim.shares.Standings()
 	plan := sim.pl.Plan(sim.s, sim.view)
 	if sim.admission != nil {
 		sim.admission.SetSummary(plan.Backlog)
 	}
+	sim.shares.Observe(sim.view.Now, plan.Demands)
 	sim.view.ShortDemand.Observe(plan.ShortTasks, sim.view.Now)
 	var c queue.Command
 	for _, st := range plan.Starts {
@@ -151,16 +157,7 @@
 // newRosterLoad returns a simulation of batch jobs with many tasks. For a while, more work
 // arrives than the 12 VMs can do. Submitters' estimates are typically wrong by half.
 func newRosterLoad(t *testing.T, seed uint64) *simulation {
-	sim := &simulation{fixture: newFixture(t, 0), rnd: rand.New(rand.NewPCG(seed, 2)), pl: NewPlanner()}
-	doc := *sim.s.Document()
-	doc.Version++
-	doc.Queues = []queue.Queue{{Name: "later", Host: host, Prefix: "/later/", Service: "desk", Priority: 2, MaxAttempts: 2, Stretch: 2, LatencyMS: 1_000}}
-	assert.Equal(t, sim.s.Apply(queue.Command{Document: &doc}, 1).Code, queue.OK)
-	for i := range 12 {
-		id := rudderfork.VMID(fmt.Sprintf("vm%02d", i))
-		sim.s.Apply(queue.Command{Register: &queue.VM{ID: id, Incarnation: "life", Service: "desk", Capacity: rudderfork.Resources{CPUMilli: 32_000, MemoryMB: 32_000}}}, 1)
-		sim.view.VMs[id] = VMView{Usable: true, Changes: 1}
-	}
+	sim := newRosterFleet(t, seed)
 	for at := 1_000.0; at < 30_000; {
 		every := 800.0
 		if at > 8_000 && at < 13_000 {
@@ -183,6 +180,21 @@
 	return sim
 }
 
+// newRosterFleet returns a simulation of 12 VMs without jobs.
+func newRosterFleet(t *testing.T, seed uint64) *simulation {
+	sim := &simulation{fixture: newFixture(t, 0), rnd: rand.New(rand.NewPCG(seed, 2)), pl: NewPlanner()}
+	doc := *sim.s.Document()
+	doc.Version++
+	doc.Queues = []queue.Queue{{Name: "later", Host: host, Prefix: "/later/", Service: "desk", Priority: 2, MaxAttempts: 2, Stretch: 2, LatencyMS: 1_000}}
+	assert.Equal(t, sim.s.Apply(queue.Command{Document: &doc}, 1).Code, queue.OK)
+	for i := range 12 {
+		id := rudderfork.VMID(fmt.Sprintf("vm%02d", i))
+		sim.s.Apply(queue.Command{Register: &queue.VM{ID: id, Incarnation: "life", Service: "desk", Capacity: rudderfork.Resources{CPUMilli: 32_000, MemoryMB: 32_000}}}, 1)
+		sim.view.VMs[id] = VMView{Usable: true, Changes: 1}
+	}
+	return sim
+}
+
 // TestInTimeShareUnderOverload guards against an order of jobs that makes more of them late
 // than necessary when not all can be in time. With the least remaining work first, 0.55 of
 // the jobs are in time; with the oldest first, 0.48.
--- a/dispatch/rank.go
+++ b/dispatch/rank.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 
+	"rudderfork.example/rudderfork/fairshare"
 	"rudderfork.example/rudderfork/queue"
 )
 
@@ -15,11 +16,13 @@
 // if not all jobs fit, starting the oldest first would make all of them late. Within both
 // groups the least remaining work goes first, which gets the most jobs done in time
 // (shortest remaining processing time, Schrage 1968). Worthless jobs are ordered by
-// deadline instead, so that none of them starves.
+// deadline instead, so that none of them starves. With View.Shares, the standing of a job's
+// group comes between lateness and remaining work (turn).
 type rank struct {
 	worthless bool // too late to be worth anything to its owner
+	late      bool // can no longer be in time
+	turn      turn // by lateness and by the standing of its group
 	priority  int
-	late      bool    // can no longer be in time
 	workLeft  float64 // remaining work, thousandths of a core times ms; 0 for lasting and worthless jobs
 	deadline  int64   // end of the objective, leader's clock, Unix ms
 }
@@ -27,7 +30,7 @@
 // rank returns the job's rank at a time, Unix ms.
 func (js *jobState) rank(now int64) rank {
 	r := rank{
-		worthless: now > js.objectiveFrom+worthlessFactor*js.objective && !js.lasting,
+		worthless: js.worthless(now),
 		priority:  js.queue.Priority,
 		late:      now+js.pathLeft > js.objectiveFrom+js.objective && !js.lasting,
 		deadline:  js.objectiveFrom + js.objective,
@@ -35,13 +38,54 @@
 	if !r.worthless {
 		r.workLeft = js.workLeft
 	}
+	r.turn = turnOf(r, js.standing())
 	return r
 }
 
+// turn orders jobs of a priority before their remaining work does.
+type turn uint8
+
+// The turns. Jobs that are in time and have no work that is counted, as lasting jobs, go first
+// with and without shares: they would be first by remaining work as well.
+const (
+	turnWorkless turn = iota
+	turnStarved
+	turnStarvedLate
+	turnInTime
+	turnInTimeAhead
+	turnLate
+	turnLateAhead
+)
+
+// turnOf returns the turn of a job from the other parts of its rank. Worthless jobs do not
+// compete.
+func turnOf(r rank, st fairshare.Standing) turn {
+	switch {
+	case !r.late && r.workLeft == 0:
+		return turnWorkless
+	case st == fairshare.Starved && !r.worthless && !r.late:
+		return turnStarved
+	case st == fairshare.Starved && !r.worthless:
+		return turnStarvedLate
+	case st == fairshare.Ahead && !r.late:
+		return turnInTimeAhead
+	case st == fairshare.Ahead && !r.worthless:
+		return turnLateAhead
+	case r.late:
+		return turnLate
+	}
+	return turnInTime
+}
+
+// worthless reports whether the job is too late to be worth anything to its owner.
+func (js *jobState) worthless(now int64) bool {
+	return now > js.objectiveFrom+worthlessFactor*js.objective && !js.lasting
+}
+
 func (r rank) compare(o rank) int {
 	return cmp.Or(
 		compareBool(r.worthless, o.worthless), cmp.Compare(r.priority, o.priority),
-		compareBool(r.late, o.late), cmp.Compare(r.workLeft, o.workLeft), cmp.Compare(r.deadline, o.deadline),
+		cmp.Compare(r.turn, o.turn), cmp.Compare(r.workLeft, o.workLeft), cmp.Compare(r.deadline, o.deadline),
 	)
 }
 
