Share capacity among callers where a setting asks for it

The planner can order jobs by the standing of their callers' group, but nothing gives it standings, and operators cannot see who got which share.

With [fairness] share, the leader keeps the accounts of groups in its fleet, anew in each term, and passes the standings to each plan. The gauge rudderfork_queue_attained_core_seconds, GET /v1/queue-shares and rudderctl queue-shares show the groups.

TestShares and TestNewTermStartsLevel of package scheduler fail without the change; they pass with it, also under the race detector. rudderctl queue-shares was run by hand against a fake control process.

--- a/cmd/rudderctl/queues.go
+++ b/cmd/rudderctl/queues.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -28,6 +29,9 @@
 // jobPollInterval is the time between two polls of the status of a job.
 const jobPollInterval = 200 * time.Millisecond
 
+// jsonUsage is the usage of a command with jsonFlag alone.
+const jsonUsage = "[-json]"
+
 func jsonFlag(f *flag.FlagSet) { f.BoolVar(&queueJSON, "json", false, "print JSON") }
 
 func submitQueueFlags(f *flag.FlagSet) {
@@ -40,13 +44,14 @@
 
 var queueCommands = []*command{
 	{name: "queue-put", usage: "FILE", synopsis: "replace the queues' configuration document by a JSON file (- for standard input)", minArgs: 1, run: putQueues},
-	{name: "queues", usage: "[-json]", synopsis: "list the queues", flags: jsonFlag, run: listQueues},
-	{name: "queue-vms", usage: "[-json]", synopsis: "list the VMs that run the queues' tasks", flags: jsonFlag, run: listQueueVMs},
-	{name: "queue-jobs", usage: "[-json]", synopsis: "list the queues' jobs that are not finished", flags: jsonFlag, run: listQueueJobs},
+	{name: "queues", usage: jsonUsage, synopsis: "list the queues", flags: jsonFlag, run: listQueues},
+	{name: "queue-vms", usage: jsonUsage, synopsis: "list the VMs that run the queues' tasks", flags: jsonFlag, run: listQueueVMs},
+	{name: "queue-shares", usage: jsonUsage, synopsis: "list the groups of callers that share the queues' capacity, and who is ahead or behind", flags: jsonFlag, run: listQueueShares},
+	{name: "queue-jobs", usage: jsonUsage, synopsis: "list the queues' jobs that are not finished", flags: jsonFlag, run: listQueueJobs},
 	{name: "queue-job", usage: "[-json] ID", synopsis: "show a job's tasks, why they wait, and every decision on it", minArgs: 1, flags: jsonFlag, run: showQueueJob},
-	{name: "queue-suspects", usage: "[-json]", synopsis: "list the tasks under which executors have crashed", flags: jsonFlag, run: listSuspects},
+	{name: "queue-suspects", usage: jsonUsage, synopsis: "list the tasks under which executors have crashed", flags: jsonFlag, run: listSuspects},
 	{name: "queue-clear", usage: "TASK", synopsis: "clear the suspicion against a task (job.occurrence.step.index)", minArgs: 1, run: clearSuspect},
-	{name: "queue-evacuations", usage: "[-json]", synopsis: "list the failure domains under evacuation, in which no task is started", flags: jsonFlag, run: listEvacuations},
+	{name: "queue-evacuations", usage: jsonUsage, synopsis: "list the failure domains under evacuation, in which no task is started", flags: jsonFlag, run: listEvacuations},
 	{name: "queue-evacuate", usage: "[-end] DOMAIN", synopsis: "start no more tasks in a failure domain, or with -end allow starts again", minArgs: 1, flags: evacuateFlags, run: evacuateDomain},
 	{name: "queue-submit", usage: "[-wait] HOST PATH FILE", synopsis: "submit a job of steps from a JSON file", minArgs: 3, flags: submitQueueFlags, run: submitToQueue},
 	{name: "queue-cancel", usage: "HOST PATH", synopsis: "cancel a job of a queue", minArgs: 2, run: cancelInQueue},
@@ -127,6 +132,19 @@
 	return "ready"
 }
 
+func listQueueShares(ctx context.Context, c *operator.Client, _ []string) error {
+	groups, err := c.QueueShares(ctx)
+	if err != nil {
+		return err
+	}
+	return show(groups, func(w io.Writer) {
+		fmt.Fprintln(w, "QUEUE\tORIGIN\tWEIGHT\tATTAINED\tSHARE\tLAG\tBOUND\tCORES\tWAITING\tSTANDING")
+		for _, g := range groups {
+			fmt.Fprintf(w, "%s\t%s\t%.0f\t%.1f\t%.3f\t%.1f\t%.1f\t%.1f\t%d\t%s\n", g.Queue, cmp.Or(g.Origin, "-"), g.Weight, g.Attained, g.Share, g.Lag, g.Bound, g.Cores, g.Waiting, g.Standing)
+		}
+	})
+}
+
 func listQueueJobs(ctx context.Context, c *operator.Client, _ []string) error {
 	js, err := c.QueueJobs(ctx)
 	if err != nil {
--- a/operator/queues.go
+++ b/operator/queues.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/url"
 
+	"rudderfork.example/rudderfork/fairshare"
 	"rudderfork.example/rudderfork/queue"
 	"rudderfork.example/rudderfork/scheduler"
 )
@@ -26,6 +27,12 @@
 	return vms, c.do(ctx, request{method: http.MethodGet, path: "/v1/queue-vms"}, &vms)
 }
 
+// QueueShares lists the groups of callers that share the queues' capacity. It is empty if
+// they do not share it.
+func (c *Client) QueueShares(ctx context.Context) (groups []fairshare.Status, err error) {
+	return groups, c.do(ctx, request{method: http.MethodGet, path: "/v1/queue-shares"}, &groups)
+}
+
 // QueueJobs lists the unfinished jobs of queues.
 func (c *Client) QueueJobs(ctx context.Context) (jobs []scheduler.JobView, err error) {
 	return jobs, c.do(ctx, request{method: http.MethodGet, path: "/v1/queue-jobs"}, &jobs)
--- a/scheduler/api.go
+++ b/scheduler/api.go
@@ -34,6 +34,7 @@
 		"PUT /v1/queues":             a.putDocument,
 		"GET /v1/queues":             a.queues,
 		"GET /v1/queue-vms":          a.vms,
+		"GET /v1/queue-shares":       a.shares,
 		"GET /v1/queue-jobs":         a.jobs,
 		"POST /v1/queue-jobs":        a.submit,
 		"GET /v1/queue-jobs/{job}":   a.job,
@@ -142,6 +143,10 @@
 	a.view(w, r, func(s *queue.State, v dispatch.View) any { return vmViews(s, v) })
 }
 
+func (a *api) shares(w http.ResponseWriter, r *http.Request) {
+	a.view(w, r, func(*queue.State, dispatch.View) any { return a.s.fleet.shares.Groups() })
+}
+
 func (a *api) suspects(w http.ResponseWriter, r *http.Request) {
 	a.view(w, r, func(s *queue.State, _ dispatch.View) any { return suspectViews(s) })
 }
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -7,6 +7,7 @@
 
 	"rudderfork.example/rudderfork"
 	"rudderfork.example/rudderfork/dispatch"
+	"rudderfork.example/rudderfork/fairshare"
 	"rudderfork.example/rudderfork/queue"
 	"rudderfork.example/rudderfork/runs"
 	"rudderfork.example/rudderfork/swing"
@@ -60,6 +61,7 @@
 	shortDemand    dispatch.ShortDemand // number and size of short tasks in recent plans
 	workTimes      *worktime.Model      // estimates of the work times of tasks
 	swings         *swing.Model         // forecasts of the periodic load on serving steps
+	shares         *fairshare.Ledger    // service by group of callers; nil without shares
 	// cordonedForUpkeep is the VM that gets no new tasks because its upkeep is next.
 	cordonedForUpkeep rudderfork.VMID
 }
@@ -257,6 +259,7 @@
 		NoTicketAt:     f.advice.noTicketTimes(),
 		LastRelocation: f.lastRelocation,
 		ShortDemand:    f.shortDemand,
+		Shares:         f.shares.Standings(),
 
 		WorkTime: f.workTimes.Estimate, WorkTimeVersion: f.workTimes.Changes() / workTimesBatch,
 		Pressure: func(serving, filler string) float64 { return f.pressures.estimate(serving, filler, now) },
--- a/scheduler/metrics.go
+++ b/scheduler/metrics.go
@@ -52,7 +52,7 @@
 	sessions := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Namespace: "rudderfork", Subsystem: "queue", Name: "sessions", Help: "Fronts and agents connected here.",
 	}, s.sessionCount)
-	list := []prometheus.Collector{sessions, m.commit, m.plan, m.round, m.starts, m.copies, m.stops, m.lost, m.departed, m.overdue, m.suspected, m.givenUp, m.ends, m.lostRuns, m.requests, m.response, m.startWait}
+	list := []prometheus.Collector{sessions, newAttainedService(s), m.commit, m.plan, m.round, m.starts, m.copies, m.stops, m.lost, m.departed, m.overdue, m.suspected, m.givenUp, m.ends, m.lostRuns, m.requests, m.response, m.startWait}
 	list = append(list, s.learnedCollectors()...)
 	return append(list, s.admission.collectors()...)
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -172,6 +172,7 @@
 	s.closeSessions()
 	s.term = term
 	s.fleet = newFleet()
+	s.fleet.shares = newShares(s.cfg.Policies)
 	s.fleet.lastRelocation.At = rudderfork.Millis(now) // the previous leader may have just relocated a task
 	for _, vm := range vms {
 		s.fleet.vm(vm).lease.AssumeLease(now.Add(s.cfg.Lease))
@@ -296,6 +297,7 @@
 		s.admission.observe(s.term, plan.Backlog, st.Queues(), began)
 		s.fleet.setStops(plan.Stops, began)
 		s.fleet.shortDemand.Observe(plan.ShortTasks, view.Now)
+		s.fleet.shares.Observe(view.Now, plan.Demands)
 		s.fleet.lastOfStep = plan.LastOfStep
 		begun = s.fleet.newlyBegun(st.Queues())
 		if plan.Summary != nil {
@@ -306,6 +308,7 @@
 	s.met.plan.Observe(t.plan.Seconds())
 	if plan.Summary != nil {
 		s.logSummary(plan.Summary, forecasts)
+		s.logShares()
 		s.logOverdue()
 	}
 	s.logStops(plan.Stops)
