--- a/scheduler/shares.go
+++ b/scheduler/shares.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -32,7 +33,7 @@
 func (s *Scheduler) logShares() {
 	list := competing(s.shares())
 	slices.SortStableFunc(list, func(a, b fairshare.Status) int {
-		return int(math.Copysign(1, math.Abs(b.Lag)-math.Abs(a.Lag)))
+		return cmp.Compare(math.Abs(b.Lag), math.Abs(a.Lag))
 	})
 	for _, g := range list[:min(len(list), maxShareLines)] {
 		s.log.Info().Str("queue", g.Queue).Str("origin", g.Origin).Float64("weight", g.Weight).Float64("attained", g.Attained).
