Do not guess the age of a term's first record in a later term

A replica that was cut off during a whole term applies that term's records late. The first one that it saw only in the next term counted as new, if an earlier term's record had been recent, so phases of unknown age were restored. An invalid header also kept its term and time, from which the ages of the next records followed, and an age could be so long that sums with it overflow.

A record of an earlier term is now recent only if the one before it was of the same term and recent. Invalid headers are not kept, and no age exceeds UnknownAge.

Three new cases of learned TestWatch failed first. The tests of learned pass, and those of scheduler named after Handover, Learned, Takeover, Leader or Record.

--- a/learned/learned_test.go
+++ b/learned/learned_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"math"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 )
 
@@ -140,9 +142,33 @@
 		checkAge(t, w, encode(t, 3, 100), 3, t0.Add(100*interval+time.Second), UnknownAge)
 		checkAge(t, w, encode(t, 3, 101), 3, t0.Add(101*interval), 0)
 	})
+	t.Run("the first record of a term that is seen in a later one is unknown", func(t *testing.T) {
+		w := follower()
+		checkAge(t, w, encode(t, 4, 20), 5, t0.Add(time.Hour), UnknownAge)
+		checkAge(t, w, encode(t, 5, 1), 5, t0.Add(time.Hour+interval), 0)
+	})
 	t.Run("damaged", func(t *testing.T) {
 		checkAge(t, follower(), []byte("x"), 3, t0.Add(2*interval), UnknownAge)
 	})
+	t.Run("the time in an invalid header does not change the ages of later records", func(t *testing.T) {
+		for _, h := range []header{
+			{Version: formatVersion, Term: 3, SinceMS: 10 * maxSinceMS},
+			{Version: formatVersion, Term: 3, SinceMS: math.MaxInt64},
+			{Version: formatVersion + 1, Term: 3, SinceMS: maxSinceMS},
+		} {
+			data, err := cbor.Marshal(h)
+			assert.NilError(t, err)
+			w := follower()
+			checkAge(t, w, data, 3, t0.Add(2*interval), UnknownAge)
+			checkAge(t, w, encode(t, 3, 3), 3, t0.Add(3*interval), UnknownAge)
+			checkAge(t, w, encode(t, 3, 4), 3, t0.Add(4*interval), 0)
+		}
+	})
+	t.Run("no age is longer than the unknown one", func(t *testing.T) {
+		w := &Watch{}
+		w.Observe(nil, 0, t0)
+		checkAge(t, w, encode(t, 0, 1), 0, t0.Add(interval), UnknownAge)
+	})
 	t.Run("no record", func(t *testing.T) {
 		w := &Watch{}
 		assert.Equal(t, w.Age(t0), UnknownAge)
--- a/learned/record.go
+++ b/learned/record.go
@@ -118,13 +118,13 @@
 
 func decodeHeader(dec *cbor.Decoder) (h header, err error) {
 	if err := dec.Decode(&h); err != nil {
-		return h, err
+		return header{}, err
 	}
 	switch {
 	case h.Version != formatVersion:
-		return h, fmt.Errorf("format %d; want %d", h.Version, formatVersion)
+		return header{}, fmt.Errorf("format %d; want %d", h.Version, formatVersion)
 	case h.SinceMS < 0 || h.SinceMS > maxSinceMS:
-		return h, fmt.Errorf("made %d ms after the start of a term", h.SinceMS)
+		return header{}, fmt.Errorf("made %d ms after the start of a term", h.SinceMS)
 	}
 	return h, nil
 }
--- a/learned/watch.go
+++ b/learned/watch.go
@@ -20,8 +20,9 @@
 //
 // A replica that starts, or returns after a pause, also sees old records when it applies its log. A
 // record counts as old in two cases:
-//   - It is of an earlier term than the replica's, and so was the record before it. A group that
-//     starts again applies its log in a new term.
+//   - It is of an earlier term than the replica's, unless the record before it was of the same term
+//     and recent. A group that starts again applies its log in a new term, and so does a replica
+//     that was cut off during a term.
 //   - The replica has seen the record before it much less than the interval between them ago. A
 //     replica that catches up sees many records at once.
 type Watch struct {
@@ -53,16 +54,16 @@
 	}
 	// Half of the interval allows for delays of a commit.
 	inTime := !w.seenAt.IsZero() && now.Sub(w.seenAt) >= interval/2
-	w.recent = err == nil && inTime && (h.Term == term || w.recent)
+	w.recent = err == nil && inTime && (h.Term == term || h.Term == w.header.Term && w.recent)
 	w.data, w.header, w.termStart, w.seenAt = data, h, start, now
 }
 
-// Age returns the age of the newest record, or UnknownAge.
+// Age returns the age of the newest record, or UnknownAge. No age is longer.
 func (w *Watch) Age(now time.Time) time.Duration {
 	if !w.recent {
 		return UnknownAge
 	}
-	return max(0, now.Sub(w.termStart.Add(w.header.since())))
+	return max(0, min(UnknownAge, now.Sub(w.termStart.Add(w.header.since()))))
 }
 
 // Data returns the newest record, or nothing. It must not be changed.
