Rank kept pressures by their present uncertainty

A record took the standard error of a pair as of the newest observation of its serving image. Pairs of images that nobody uses any more kept a small one, and so displaced those in use from the 512 that are kept, until the leader changed.

The age of the newest observation is then not needed, and neither is its check: the case of an age that overflows is replaced by one of an error above the prior's.

The new case of TestPressureSnapshotBounds failed first. The tests of interference pass, and those of scheduler named after Handover, Learned, Takeover, Leader or Record.

--- a/interference/snapshot.go
+++ b/interference/snapshot.go
@@ -17,8 +17,6 @@
 	maxImageName = 64
 	// maxPressure bounds the pressures that are restored. Observed ones are below 20.
 	maxPressure = 1_000
-	// maxAgeMS bounds the ages that are restored, so that times do not overflow.
-	maxAgeMS = 1e11
 )
 
 // PairSnapshot is the pressure of a pair for a later process.
@@ -26,8 +24,7 @@
 	Serving  string  `cbor:"1,keyasint"`
 	Filler   string  `cbor:"2,keyasint"`
 	Pressure float32 `cbor:"3,keyasint"`
-	StdErr   float32 `cbor:"4,keyasint"` // as of the newest observation
-	AgeMS    int64   `cbor:"5,keyasint"` // from the newest observation to the snapshot
+	StdErr   float32 `cbor:"4,keyasint"` // at the time of the snapshot
 }
 
 // Changes returns the number of observations. While it stays the same, so does the model, except
@@ -39,10 +36,11 @@
 func (p *PressureModel) Snapshot(now time.Time) (list []PairSnapshot) {
 	for serving, f := range p.fits {
 		for filler, i := range f.index {
-			s := PairSnapshot{Serving: serving, Filler: filler, Pressure: float32(f.reg.Beta(i)), StdErr: float32(math.Sqrt(f.reg.Variance(i)))}
+			variance := f.reg.Variance(i)
 			if !f.at.IsZero() {
-				s.AgeMS = max(0, now.Sub(f.at).Milliseconds())
+				variance *= regression.Growth(max(0, now.Sub(f.at)), pressureHalfLife)
 			}
+			s := PairSnapshot{Serving: serving, Filler: filler, Pressure: float32(f.reg.Beta(i)), StdErr: float32(math.Sqrt(variance))}
 			if s.valid() && s.StdErr < priorError {
 				list = append(list, s)
 			}
@@ -67,8 +65,7 @@
 		if _, known := f.index[s.Filler]; known {
 			continue
 		}
-		since := age + time.Duration(s.AgeMS)*time.Millisecond
-		variance := float64(s.StdErr) * float64(s.StdErr) * regression.Growth(since, pressureHalfLife)
+		variance := float64(s.StdErr) * float64(s.StdErr) * regression.Growth(age, pressureHalfLife)
 		f.index[s.Filler] = f.reg.Grow(float64(s.Pressure), min(priorError*priorError, variance))
 		f.at = now
 		if f.restored == nil {
@@ -82,5 +79,5 @@
 
 func (s *PairSnapshot) valid() bool {
 	return len(s.Serving) <= maxImageName && len(s.Filler) <= maxImageName &&
-		s.Pressure >= 0 && s.Pressure <= maxPressure && s.StdErr > 0 && s.StdErr <= priorError && s.AgeMS >= 0 && s.AgeMS <= maxAgeMS
+		s.Pressure >= 0 && s.Pressure <= maxPressure && s.StdErr > 0 && s.StdErr <= priorError
 }
--- a/interference/snapshot_test.go
+++ b/interference/snapshot_test.go
@@ -76,11 +76,11 @@
 // TestRestorePressuresInvalid guards against a damaged pair that makes pressures infinite.
 func TestRestorePressuresInvalid(t *testing.T) {
 	for name, edit := range map[string]func(*PairSnapshot){
-		"a pressure that is not a number": func(s *PairSnapshot) { s.Pressure = float32(math.NaN()) },
-		"a negative pressure":             func(s *PairSnapshot) { s.Pressure = -1 },
-		"an infinite error":               func(s *PairSnapshot) { s.StdErr = float32(math.Inf(1)) },
-		"an error of zero":                func(s *PairSnapshot) { s.StdErr = 0 },
-		"an age that overflows":           func(s *PairSnapshot) { s.AgeMS = math.MaxInt64 },
+		"a pressure that is not a number":  func(s *PairSnapshot) { s.Pressure = float32(math.NaN()) },
+		"a negative pressure":              func(s *PairSnapshot) { s.Pressure = -1 },
+		"an infinite error":                func(s *PairSnapshot) { s.StdErr = float32(math.Inf(1)) },
+		"an error of zero":                 func(s *PairSnapshot) { s.StdErr = 0 },
+		"an error above that of the prior": func(s *PairSnapshot) { s.StdErr = 1.1 * priorError },
 	} {
 		t.Run(name, func(t *testing.T) {
 			s, restored, invalid := restorePressures(0, func(list []PairSnapshot) { edit(&list[0]) })
@@ -102,4 +102,13 @@
 	for i := range list {
 		assert.Assert(t, len(list[i].Filler) <= maxImageName)
 	}
+	t.Run("pairs that are no longer observed do not displace others", func(t *testing.T) {
+		s := newSimulation(map[string]float64{"mild": 2})
+		s.observe(60)
+		now := s.now.Add(10 * pressureHalfLife)
+		s.p.SetPrior("video", "batch", 2)
+		list := s.p.Snapshot(now)
+		assert.Equal(t, len(list), 1)
+		assert.Equal(t, list[0].Serving, "video")
+	})
 }
