Restore the waves of fast tasks with long objectives

A headroom is the objective divided by the tail latency, so a step with an objective of 1.5 s that answers within 1 ms has one above 1,000. A new leader took the waves of such steps for invalid.

The bound is now 1e6. The new case of swing TestRestore failed first (6 steps were invalid). The tests of swing pass.

--- a/swing/snapshot.go
+++ b/swing/snapshot.go
@@ -158,9 +158,9 @@
 func isSum(f float64) bool { return f >= 0 && !math.IsInf(f, 1) }
 
 const (
-	// maxCoefficient bounds the coefficients and averages that are restored. Headrooms are far
-	// below.
-	maxCoefficient = 1000
+	// maxCoefficient bounds the coefficients and averages that are restored. It is above the
+	// headroom of a task with an objective of some minutes and a tail latency of 1 ms.
+	maxCoefficient = 1e6
 	// maxAgeMS bounds the ages that are restored, so that times do not overflow.
 	maxAgeMS = 1e11
 )
--- a/swing/snapshot_test.go
+++ b/swing/snapshot_test.go
@@ -71,6 +71,12 @@
 		observeFurther(t, m, shifted, 10*time.Second, 2)
 		observeFurther(t, m, shifted, 20*time.Second, 0.4)
 	})
+	t.Run("the headroom of a fast task with a long objective is kept", func(t *testing.T) {
+		swinging := sineHeadroom(10 * time.Second)
+		headroom := func(step int, at time.Duration) float64 { return 1500 + swinging(step, at) }
+		_, _, invalid := restoreWaves(headroom, recordAge, func(*Snapshot) {})
+		assert.Equal(t, invalid, 0)
+	})
 	t.Run("a snapshot too old for its phases gives the means and periods", func(t *testing.T) {
 		for _, age := range []time.Duration{maxPhaseAge + time.Second, 365 * 24 * time.Hour} {
 			m, forecasts, invalid := restoreWaves(sineHeadroom(10*time.Second), age, func(*Snapshot) {})
