Bound restored lines of work times so that estimates are finite

A restored slope of up to 20 was valid, with which the estimate of a task with a very long submitted estimate was infinite. The bound of the coefficients is now 10.

The new case of worktime TestRestoreInvalid failed first. The tests of worktime pass.

--- a/worktime/snapshot.go
+++ b/worktime/snapshot.go
@@ -12,8 +12,9 @@
 const (
 	// maxQueues bounds the queues in a snapshot. The last observed ones are kept.
 	maxQueues = 256
-	// maxCoefficient bounds the coefficients that are restored: a correction by a factor of e^20.
-	maxCoefficient = 20
+	// maxCoefficient bounds the coefficients that are restored, so that no estimate is infinite. An
+	// offset of 10 is a correction by a factor of 22,000.
+	maxCoefficient = 10
 	// maxAgeMS bounds the ages that are restored, so that times do not overflow.
 	maxAgeMS = 1e11
 	// coefficients is the number of coefficients of a line. A snapshot holds their variances
--- a/worktime/snapshot_test.go
+++ b/worktime/snapshot_test.go
@@ -80,6 +80,14 @@
 			assert.Equal(t, invalid, 1)
 		})
 	}
+	t.Run("the steepest line", func(t *testing.T) {
+		list := []LineSnapshot{{Queue: "q", Coefficients: [...]float32{maxCoefficient, maxCoefficient}, Variances: [...]float32{1, 1}}}
+		m := New()
+		restored, _ := m.Restore(list, 0, t0)
+		assert.Equal(t, restored, 1)
+		got := m.Estimate("q", queue.StepKey{Job: "new"}, &queue.Step{Count: 1, ExpectedMS: math.MaxInt64})
+		assert.Assert(t, !math.IsInf(got, 0))
+	})
 	t.Run("too many queues", func(t *testing.T) {
 		assert.Equal(t, len(observeQueues(maxQueues+1).Snapshot(t0)), maxQueues)
 	})
