Look up each step once when the newest are chosen

The leader's fleet is locked while the steps are sorted by their newest samples, and each comparison looked up both steps in the map. The steps are now sorted together with their keys.

No test of behaviour applies; the tests of swing and scheduler TestTakeover and TestRecordBounds pass.

--- a/swing/snapshot.go
+++ b/swing/snapshot.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -71,7 +70,7 @@
 	s.PeriodsMS = periodsMS()
 	index := map[string]int{}
 	for _, k := range m.newestSteps() {
-		st := m.steps[k]
+		st := k.step
 		i, ok := index[st.queue]
 		if !ok && len(s.Queues) == maxQueues {
 			continue
@@ -82,17 +81,30 @@
 			index[st.queue] = i
 			s.Queues = append(s.Queues, QueueWaves{Queue: st.queue, Errors: slices.Clone(q.waves), MeanError: q.mean})
 		}
-		s.Queues[i].Steps = append(s.Queues[i].Steps, st.snapshot(k, q.best(), now, now.Sub(m.phaseZero).Seconds()))
+		s.Queues[i].Steps = append(s.Queues[i].Steps, st.snapshot(k.key, q.best(), now, now.Sub(m.phaseZero).Seconds()))
 	}
 	return s
 }
 
+// keyedStep is a step with its key.
+type keyedStep struct {
+	key  queue.StepKey
+	step *step
+}
+
 // newestSteps returns the maxSteps steps with the newest samples.
-func (m *Model) newestSteps() []queue.StepKey {
-	keys := slices.SortedFunc(maps.Keys(m.steps), func(a, b queue.StepKey) int {
-		return cmp.Or(m.steps[b].at.Compare(m.steps[a].at), cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step))
+func (m *Model) newestSteps() []keyedStep {
+	list := make([]keyedStep, 0, len(m.steps))
+	for k, s := range m.steps {
+		list = append(list, keyedStep{k, s})
+	}
+	slices.SortFunc(list, func(a, b keyedStep) int {
+		if c := b.step.at.Compare(a.step.at); c != 0 {
+			return c
+		}
+		return cmp.Or(cmp.Compare(a.key.Job, b.key.Job), cmp.Compare(a.key.Occurrence, b.key.Occurrence), cmp.Compare(a.key.Step, b.key.Step))
 	})
-	return keys[:min(len(keys), maxSteps)]
+	return list[:min(len(list), maxSteps)]
 }
 
 func periodsMS() (list []int64) {
