Test when the record of learned state is proposed

In trials three conditions of the scheduler could be removed without a failing test: the record is proposed after the starts of its round, no record is made after the end of the term, and a record that is committed after a change of term does not count as one of the new term.

A second check of the term in keepLearned was not needed, since makeRecord has it, and is removed. The two tests pass.

--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -176,7 +176,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h := &s.handover
-	if s.term == 0 || h.pending || !due(&h.dueAt, keepInterval, now) {
+	if h.pending || !due(&h.dueAt, keepInterval, now) {
 		return
 	}
 	h.pending = true
--- a/scheduler/handover_cluster_test.go
+++ b/scheduler/handover_cluster_test.go
@@ -118,6 +118,13 @@
 	c.sched.handover.dueAt = time.Time{}
 }
 
+// recordPending reports whether a record is being made or committed.
+func (c *keepingCluster) recordPending() bool {
+	c.sched.mu.Lock()
+	defer c.sched.mu.Unlock()
+	return c.sched.handover.pending
+}
+
 // TestKeepLearned guards against a record that is not made, not restored or restored wrongly.
 func TestKeepLearned(t *testing.T) {
 	t.Run("a new term has the forecasts of the one before", func(t *testing.T) {
@@ -149,6 +156,27 @@
 		assert.Assert(t, second.fleet.workTimes.Estimate("q", swingingKey, observedStep) > 200)
 		assert.Equal(t, c.log.of("learned_assumed")[0]["age_known"], false)
 	})
+	t.Run("no record is made after the end of the term", func(t *testing.T) {
+		c := newKeepingCluster(t)
+		c.sched.endTerm()
+		last := c.rep.Status().LastIndex
+		c.keepNow()
+		c.sched.commitLearned(c.ctx) // as if the term had ended before this
+		assert.Equal(t, c.rep.Status().LastIndex, last)
+	})
+	t.Run("a record of the term before does not count as one of the new term", func(t *testing.T) {
+		c := newKeepingCluster(t)
+		release := c.blockCommits()
+		last := c.rep.Status().LastIndex
+		c.makeDue()
+		c.sched.keepLearned(c.ctx)
+		c.waitUntil("the record is proposed", func() bool { return c.rep.Status().LastIndex > last })
+		c.sched.startTerm(c.rep.Status().Term + 1)
+		release()
+		c.sched.handover.commits.Wait()
+		assert.Equal(t, len(c.log.of("learned_kept")), 1)
+		assert.Assert(t, c.sched.handover.kept == nil)
+	})
 	t.Run("off", func(t *testing.T) {
 		c := newKeepingCluster(t)
 		c.keepNow()
@@ -187,6 +215,22 @@
 		t.Cleanup(func() { <-ended })
 		c.waitUntil("the start is proposed", func() bool { return c.rep.Status().LastIndex == last+2 })
 	})
+	t.Run("it is not proposed ahead of the starts of its round", func(t *testing.T) {
+		c := newKeepingCluster(t)
+		vm := onlyVM
+		vm.Capacity.CPUMilli = 4000
+		conn := c.registerAgent(vm)
+		c.sendHeartbeat(conn, vm, 2)
+		assert.Assert(t, c.nextGrant(conn) != nil)
+		c.blockCommits()
+		last := c.rep.Status().LastIndex
+		c.makeDue()
+		ended := make(chan struct{})
+		go func() { defer close(ended); c.sched.round(c.ctx) }()
+		t.Cleanup(func() { <-ended })
+		c.waitUntil("the start is proposed", func() bool { return c.rep.Status().LastIndex > last })
+		assert.Assert(t, !c.recordPending())
+	})
 	t.Run("a failed commit is not repeated before the next interval", func(t *testing.T) {
 		c := newKeepingCluster(t)
 		ctx, cancel := context.WithCancel(c.ctx)
