Keep attained service for the next leader

Shares began level under each new leader, so the group of callers that had flooded its queue gained from a change of leader. The record of learned state has a section with the accounts of the 256 groups that were active last.

TestSharesOutliveLeader fails without the section: the new leader has no groups.

--- a/fairshare/snapshot.go
+++ b/fairshare/snapshot.go
@@ -1,6 +1,10 @@
 package fairshare
 
-import "math"
+import (
+	"cmp"
+	"math"
+	"slices"
+)
 
 // Snapshot is what a ledger has learned, in a form that can be encoded. Its times are relative
 // to when it was taken, so that a leader with another clock can restore it.
@@ -18,12 +22,28 @@
 	FirstMS  int64   `cbor:"7,keyasint,omitempty"` // if it is Behind, time until it is starved; negative if it is already
 }
 
-// Snapshot returns the state of the ledger at the newest observation.
+// maxKept bounds the groups in a snapshot, which a leader commits every few seconds.
+const maxKept = 256
+
+// ObservedAt returns the time of the newest observation, or 0.
+func (l *Ledger) ObservedAt() int64 {
+	if l == nil {
+		return 0
+	}
+	return l.at
+}
+
+// Snapshot returns the state of the ledger at the newest observation, for the maxKept groups that
+// were active last.
 func (l *Ledger) Snapshot() (s Snapshot) {
 	if l == nil {
 		return s
 	}
-	for _, a := range l.sorted() {
+	kept := l.sorted()
+	slices.SortStableFunc(kept, func(a, b *account) int { return cmp.Compare(b.activeAt, a.activeAt) })
+	kept = kept[:min(len(kept), maxKept)]
+	slices.SortFunc(kept, func(a, b *account) int { return a.group.compare(b.group) })
+	for _, a := range kept {
 		g := GroupSnapshot{Group: a.group, Attained: a.attained, Level: a.level, KeepMS: max(0, a.forgetAt-l.at), Behind: a.starvedAt != 0}
 		if g.Behind {
 			g.FirstMS = a.starvedAt - l.at
@@ -35,15 +55,18 @@
 
 // Restore adds the groups of a snapshot that was taken at a time of the present leader's clock,
 // which may be estimated. Malformed groups are skipped, and those beyond the limit are merged by queue,
-// up to a second limit on the number of queues.
-func (l *Ledger) Restore(s Snapshot, takenAt int64) {
+// up to a second limit on the number of queues. The results are the numbers of groups that were
+// added and skipped.
+func (l *Ledger) Restore(s Snapshot, takenAt int64) (restored, invalid int) {
 	if l == nil {
-		return
+		return 0, 0
 	}
 	for _, g := range s.Groups {
 		if !g.valid() || len(l.accounts) >= 2*maxGroups {
+			invalid++
 			continue
 		}
+		restored++
 		if g.Origin != Merged {
 			g.Group = GroupOf(g.Queue, g.Origin)
 			if l.accounts[g.Group] == nil && len(l.accounts) >= maxGroups {
@@ -57,6 +80,7 @@
 			a.starvedAt = takenAt + min(max(-maxKeepMS, g.FirstMS), maxKeepMS)
 		}
 	}
+	return restored, invalid
 }
 
 // maxKeepMS bounds the times of a snapshot, in ms. Objectives are shorter than a day.
--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -9,7 +9,9 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"rudderfork.example/rudderfork"
 	"rudderfork.example/rudderfork/dispatch"
+	"rudderfork.example/rudderfork/fairshare"
 	"rudderfork.example/rudderfork/interference"
 	"rudderfork.example/rudderfork/internal/steady"
 	"rudderfork.example/rudderfork/learned"
@@ -107,6 +109,17 @@
 			return f.workTimes.Restore(s, age, now)
 		}),
 	},
+	{
+		section: "shares", version: 1,
+		changes: func(f *fleet) any { return f.shares.ObservedAt() },
+		snapshot: func(f *fleet, _ time.Time) (any, int) {
+			s := f.shares.Snapshot()
+			return s, len(s.Groups)
+		},
+		restore: restorer(func(f *fleet, s fairshare.Snapshot, age time.Duration, now time.Time) (entries, invalid int) {
+			return f.shares.Restore(s, rudderfork.Millis(now.Add(-age)))
+		}),
+	},
 }
 
 // handover keeps what the leader has learned for its successor (package learned). It is guarded by
--- a/scheduler/handover_test.go
+++ b/scheduler/handover_test.go
@@ -12,6 +12,7 @@
 
 	"rudderfork.example/rudderfork"
 	"rudderfork.example/rudderfork/dispatch"
+	"rudderfork.example/rudderfork/fairshare"
 	"rudderfork.example/rudderfork/learned"
 	"rudderfork.example/rudderfork/queue"
 	"rudderfork.example/rudderfork/wire"
@@ -170,6 +171,38 @@
 	})
 }
 
+// TestSharesOutliveLeader guards against a change of leader from which the group that has had the
+// most service gains, and against one that restores shares without the policy.
+func TestSharesOutliveLeader(t *testing.T) {
+	l := newServedLoad(t)
+	l.f.shares = fairshare.New(nil)
+	flooding, starved := fairshare.GroupOf("q", "north"), fairshare.GroupOf("q", "south")
+	for at := rudderfork.Millis(l.now); at <= rudderfork.Millis(l.now.Add(10*time.Second)); at += 100 {
+		l.f.shares.Observe(at, []fairshare.Demand{
+			{Group: flooding, Waiting: 9, Cores: 90, ObjectiveMS: 1_000}, {Group: starved, Waiting: 9, Cores: 1, ObjectiveMS: 1_000},
+		})
+	}
+	want := l.f.shares.Groups()
+	l.now = l.now.Add(10 * time.Second)
+	l.keep(7, 0)
+	next := func(ledger *fairshare.Ledger) *Scheduler {
+		l.f = newFleet()
+		l.f.shares = ledger
+		s := l.leader(8)
+		s.handover.watch.Observe(nil, 7, l.now)
+		s.handover.watch.Observe(l.qs.Learned(), 7, l.now)
+		s.assumeLearned(l.now)
+		return s
+	}
+	got := next(fairshare.New(nil)).fleet.shares.Groups()
+	assert.Equal(t, len(got), len(want))
+	for i := range got {
+		assert.Equal(t, got[i].Group, want[i].Group)
+		assert.Equal(t, got[i].Attained, want[i].Attained)
+	}
+	assert.Assert(t, next(nil).fleet.shares == nil)
+}
+
 // TestRecordBounds guards against a record that a fleet of any size or long names make larger than
 // the state accepts, or from which whole sections are then missing.
 func TestRecordBounds(t *testing.T) {
@@ -183,6 +216,12 @@
 		l.f.workTimes.Observe(longName(i), k, &queue.Step{Count: 1, ExpectedMS: 1000}, 3000, l.now)
 		l.f.pressures.model.SetPrior(longName(i), longName(i), 2)
 	}
+	l.f.shares = fairshare.New(nil)
+	var demands []fairshare.Demand
+	for i := range many {
+		demands = append(demands, fairshare.Demand{Group: fairshare.GroupOf(longName(i), longName(i)), Waiting: 1, Cores: 1, ObjectiveMS: 1})
+	}
+	l.f.shares.Observe(1, demands)
 	l.keep(1, 0)
 	r, err := learned.Decode(l.qs.Learned())
 	assert.NilError(t, err)
