Place short tasks and fillers by the speeds of VMs

Cause: a slow VM gets as many tasks as others, and what runs there is moved only once its siblings show that it is late.

With [speeds] learn the leader passes each VM's estimate, allowing for its error, to the planner. A slow VM costs more for short tasks and counts as that much slower for fillers; tasks on it are moved where they would end sooner elsewhere; nothing is moved to it. Without the policy VMView.Speed is 0 and plans are as before. Line vm_slow, column SPEED of queue-vms.

Tests of dispatch, vmspeed, scheduler and rudderctl pass.

--- a/cmd/rudderctl/queues.go
+++ b/cmd/rudderctl/queues.go
@@ -113,9 +113,9 @@
 		return err
 	}
 	return show(vms, func(w io.Writer) {
-		fmt.Fprintln(w, "VM\tSERVICE\tDOMAIN\tRACK\tSTATE\tRUNS\tUSED\tCAPACITY")
+		fmt.Fprintln(w, "VM\tSERVICE\tDOMAIN\tRACK\tSTATE\tSPEED\tRUNS\tUSED\tCAPACITY")
 		for _, v := range vms {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%v\t%v\n", v.ID, v.Service, v.Domain, v.Rack, vmState(v), v.Runs, v.Used, v.Capacity)
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%v\t%v\n", v.ID, v.Service, v.Domain, v.Rack, vmState(v), vmSpeed(v), v.Runs, v.Used, v.Capacity)
 		}
 	})
 }
@@ -145,6 +145,14 @@
 	})
 }
 
+// vmSpeed returns the speed of a VM relative to the usual, or "-" if speeds are not learned.
+func vmSpeed(v scheduler.VMView) string {
+	if v.Speed == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.2f", v.Speed)
+}
+
 func listQueueJobs(ctx context.Context, c *operator.Client, _ []string) error {
 	js, err := c.QueueJobs(ctx)
 	if err != nil {
--- a/dispatch/colocate.go
+++ b/dispatch/colocate.go
@@ -143,17 +143,22 @@
 	return speed
 }
 
+// fillerSpeed returns the speed, 0 to 1, that a filler of a class can expect on a VM.
+func (p *pass) fillerSpeed(cl *taskClass, v *vmState) float64 {
+	return v.colocation.fillerSpeed(p, cl.step, cl.image) * v.view.speed()
+}
+
 // fillerCost returns the cost of a VM for a filler: by how much the work takes longer
 // there, as a multiple of its time at full speed.
 func (p *pass) fillerCost(cl *taskClass, v *vmState) float64 {
-	return 1/max(minSpeed, v.colocation.fillerSpeed(p, cl.step, cl.image)) - 1
+	return 1/max(minSpeed, p.fillerSpeed(cl, v)) - 1
 }
 
 // tooSlowToStart reports whether a filler should wait rather than start on v, its best VM,
 // since many slow fillers side by side end later than a few at full speed. It is false for
 // other tasks.
 func (p *pass) tooSlowToStart(cl *taskClass, v *vmState) bool {
-	if !cl.step.Filler || v.colocation.fillerSpeed(p, cl.step, cl.image) >= minStartSpeed {
+	if !cl.step.Filler || p.fillerSpeed(cl, v) >= minStartSpeed {
 		return false
 	}
 	return !p.mayStartSlow(cl)
@@ -185,7 +190,7 @@
 
 // canRunWell reports whether a filler can start on a VM at minStartSpeed or more.
 func (p *pass) canRunWell(cl *taskClass, v *vmState) bool {
-	return p.isFeasible(cl, v) && v.colocation.fillerSpeed(p, cl.step, cl.image) >= minStartSpeed
+	return p.isFeasible(cl, v) && p.fillerSpeed(cl, v) >= minStartSpeed
 }
 
 // hasBetterVM reports whether a filler that is paced down can start on another VM at
--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -38,6 +38,8 @@
 		c += p.fillerCost(cl, v)
 	case st.TailMS > 0:
 		c += p.servingCost(cl, v)
+	case !st.Lasting:
+		c += v.view.slowCost()
 	}
 	return c
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -45,6 +45,10 @@
 
 	FailureScore float64 // 0 for a healthy VM; rises with failures of the VM and its runs, and decays
 
+	// Speed is how fast tasks work on the VM, relative to the usual speed. 0 stands for the
+	// usual speed.
+	Speed float64
+
 	// Changes is incremented whenever the view of one of the VM's runs changes. 0 means that
 	// changes are not counted, so that each plan reads the runs again.
 	Changes uint64
@@ -249,6 +253,7 @@
 	started      map[rudderfork.JobID]int // number of starts in the plan, by job
 	gangs        int                      // number of attempts to start a gang; the last one is the next value of queue.Start.Group
 	fillerMoves  int                      // number of fillers moved by the plan
+	searches     int                      // number of searches for a VM for a run on a slow VM
 	quarantines  int                      // number of VMs in quarantine
 	unmet        unmetList
 	reserve      reserve
--- a/dispatch/stops.go
+++ b/dispatch/stops.go
@@ -45,6 +45,10 @@
 // ReasonPacedDown is the reason for moving a filler that is paced down.
 const ReasonPacedDown = "it is held back by the tasks beside it"
 
+// ReasonSlowVM is the reason for moving a run from a VM that is slow for all tasks. It does not count
+// as a failure of the VM.
+const ReasonSlowVM = "its VM is slow"
+
 // planStops plans the stops of a job's runs.
 func (p *pass) planStops(js *jobState) {
 	for i := range js.runs {
@@ -79,6 +83,8 @@
 	case p.shouldMove(js, r, run):
 		p.fillerMoves++
 		return ReasonPacedDown
+	case p.shouldLeaveSlowVM(js, r, run):
+		return ReasonSlowVM
 	}
 	return ""
 }
@@ -95,12 +101,13 @@
 	}
 	left := js.workMS[r.key.Step] * float64(fullPercent-run.Percent) / fullPercent
 	here := left / max(minSpeed, 1-float64(run.PacedDownPercent)/fullPercent)
-	if here < moveFactor*(moveCostMS+left/minStartSpeed) {
-		return false
-	}
-	return p.hasBetterVM(p.classOf(js, r.key.StepKey()), r.key)
+	return gainsByMove(here, left/minStartSpeed) && p.hasBetterVM(p.classOf(js, r.key.StepKey()), r.key)
 }
 
+// gainsByMove reports whether a run that would end here after some ms would end sooner
+// elsewhere, where it needs there ms.
+func gainsByMove(here, there float64) bool { return here >= moveFactor*(moveCostMS+there) }
+
 // maxMoves bounds the fillers moved in one plan, since each move changes the speeds that
 // the next can expect.
 func (p *pass) maxMoves() int { return max(minMovesPerPlan, len(p.vms)/vmsPerMove) }
@@ -230,9 +237,9 @@
 	return slices.ContainsFunc(p.vms, func(v *vmState) bool { return p.canMoveTo(cl, k, v) })
 }
 
-// canMoveTo reports whether a VM is healthy, runs no run of the task and can take it now.
+// canMoveTo reports whether a VM is healthy and not slow, runs no run of the task and can take it now.
 func (p *pass) canMoveTo(cl *taskClass, k queue.TaskKey, v *vmState) bool {
-	return v.view.FailureScore < riskyFailureScore && p.isFeasible(cl, v) && !cl.runsOn(k, v)
+	return v.view.FailureScore < riskyFailureScore && !v.view.isSlow() && p.isFeasible(cl, v) && !cl.runsOn(k, v)
 }
 
 // riskyFailureScore is the failure score right after one failure. Nothing is moved to a VM
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -62,6 +62,7 @@
 	workTimes      *worktime.Model      // estimates of the work times of tasks
 	swings         *swing.Model         // forecasts of the periodic load on serving steps
 	shares         *fairshare.Ledger    // service by group of callers; nil without shares
+	speeds         *speeds              // estimates of the speeds of VMs; nil if the policy is off
 	// cordonedForUpkeep is the VM that gets no new tasks because its upkeep is next.
 	cordonedForUpkeep rudderfork.VMID
 }
@@ -271,6 +272,7 @@
 			Usable: v.usable(now), Draining: v.heartbeat.Draining, CordonedForUpkeep: vm.ID == f.cordonedForUpkeep, FailureScore: v.failureScore(now), Changes: v.changes,
 		}
 	}
+	f.speeds.addTo(view.VMs, now)
 	for k, until := range f.backOffUntil {
 		if now.After(until) {
 			delete(f.backOffUntil, k)
@@ -298,6 +300,7 @@
 	live := func(id rudderfork.JobID) bool { return s.Live()[id] != nil }
 	f.workTimes.Prune(live)
 	f.swings.Prune(live)
+	f.speeds.prune(s)
 	for ref := range f.loggedStops {
 		if _, ok := f.stops[ref]; !ok {
 			delete(f.loggedStops, ref)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -173,6 +173,7 @@
 	s.term = term
 	s.fleet = newFleet()
 	s.fleet.shares = newShares(s.cfg.Policies)
+	s.fleet.speeds = newSpeeds(s.cfg.Policies)
 	s.fleet.lastRelocation.At = rudderfork.Millis(now) // the previous leader may have just relocated a task
 	for _, vm := range vms {
 		s.fleet.vm(vm).lease.AssumeLease(now.Add(s.cfg.Lease))
--- a/scheduler/views.go
+++ b/scheduler/views.go
@@ -28,6 +28,7 @@
 	Usable       bool                 `json:"usable"`
 	Draining     bool                 `json:"draining"`
 	FailureScore float64              `json:"doubt"`
+	Speed        float64              `json:"speed,omitempty"` // relative to the usual speed, at most 1; 0 if speeds are not learned
 	Capacity     rudderfork.Resources `json:"capacity"`
 	Used         rudderfork.Resources `json:"used"`
 	Runs         int                  `json:"runs"`
@@ -104,7 +105,7 @@
 		current := view.VMs[vm.ID]
 		views = append(views, VMView{
 			ID: vm.ID, Service: vm.Service, Domain: vm.Domain, Rack: vm.Rack, Incarnation: vm.Incarnation, Live: vm.Live,
-			Usable: current.Usable, Draining: current.Draining, FailureScore: current.FailureScore,
+			Usable: current.Usable, Draining: current.Draining, FailureScore: current.FailureScore, Speed: current.Speed,
 			Capacity: vm.Capacity, Used: vm.Used(), Runs: len(vm.Runs()),
 		})
 	}
--- a/scheduler/vm.go
+++ b/scheduler/vm.go
@@ -187,6 +187,8 @@
 // updateModels updates the models of pressure and of periodic load from the VM's heartbeat. It
 // returns the pressures that the VM's agent lacks.
 func (ses *session) updateModels(now time.Time) (list []wire.PairPressure) {
+	var change *speedChange
+	defer func() { ses.s.logSpeed(change) }()
 	ses.s.rep.View(func(st *state.State) {
 		ses.s.mu.Lock()
 		defer ses.s.mu.Unlock()
@@ -199,6 +201,7 @@
 		ses.s.fleet.pressures.observe(w, v.heartbeat, now)
 		ses.s.fleet.observeSwings(st.Queues(), w, v.heartbeat, now)
 		ses.s.fleet.updateForecasts(st.Queues(), v, now)
+		change = ses.s.fleet.observeSpeed(st.Queues(), vm, v, now)
 		list = ses.s.fleet.pressures.changedFor(w, ses.pressuresSent, now)
 	})
 	return list
@@ -421,6 +424,8 @@
 		for i, e := range ends.List {
 			worked[i] = v.totalWork(e, now)
 			if vm != nil && vm.Incarnation == ends.Incarnation && vm.Runs()[e.Task] == e.Run {
+				worked[i] = s.fleet.speeds.usualWork(ends.VM, worked[i], now)
+				s.fleet.observeSpeedEnd(st.Queues(), vm, e, now)
 				s.fleet.recordEnd(ends.VM, e, now)
 			}
 		}
