Relocate serving tasks from VMs that are too slow

Cause: a serving task on a slow VM stays there. Its headroom is below 1 although pacing has stopped all fillers beside it, and nothing moves it.

A task that has been overloaded for 3 s in this way is relocated if its VM is too slow to serve: at least two of its tasks agree, or its speed is known to be low, while the rest of their steps serve well. The conditions are those of relocations for fillers: all of the step at work, one of a step at a time, none during upkeep, only where a healthy VM has capacity. Several steps may relocate at once, one for every 16 VMs in 2 s. Upkeep counts these tasks as away. Nothing is observed unless [speeds] learn is on.

--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -37,8 +37,8 @@
 	case st.Filler:
 		c += p.fillerCost(cl, v)
 	case st.TailMS > 0:
-		c += p.servingCost(cl, v)
-	case !st.Lasting:
+		c += p.servingCost(cl, v) + v.view.slowCost()
+	default:
 		c += v.view.slowCost()
 	}
 	return c
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -63,6 +63,7 @@
 	Load             int64 // tail latency of a serving task, ms; CPU use of others, thousandths of a core
 	PacedDownPercent int   // percent by which pacing reduces its speed; 0 is full speed
 	PacedDownSince   int64 // since when it has been paced down by enough to consider a move, Unix ms; 0 if it is not
+	OverloadedSince  int64 // since when a serving task has had a headroom below 1 beside no filler that works, Unix ms; 0 if it has not, or if that is not observed
 
 	// ForecastHeadroomChange is the lowest headroom that a serving task is expected to
 	// have while a filler that starts now works, less its present headroom. It takes only
@@ -76,7 +77,7 @@
 	VMs  map[rudderfork.VMID]VMView
 	Runs map[queue.RunKey]RunView
 	// FailedOn lists, by task, the VMs to avoid because a run of the task there has failed,
-	// was refused, or was stopped for ReasonStalled or ReasonSlow.
+	// was refused, or was stopped for ReasonStalled, ReasonSlow or ReasonTooSlow.
 	FailedOn map[queue.TaskKey][]rudderfork.VMID
 	// BackOffUntil is the time, Unix ms, before which a task is not started again since a VM
 	// has refused to start it.
@@ -93,6 +94,9 @@
 	Relocate bool
 	// LastRelocation is the last such move that was ordered.
 	LastRelocation Relocation
+	// SlowRelocations are the relocations of serving tasks from slow VMs that are in progress or
+	// whose run is still active.
+	SlowRelocations []Relocation
 	// ShortDemand is the recent demand of short tasks, for which the plan keeps a reserve.
 	ShortDemand ShortDemand
 	// WorkTime estimates how long tasks work; if nil, the submitters' estimates are used.
@@ -195,6 +199,7 @@
 		p.planStops(j)
 	}
 	p.planRelocation(jobs)
+	p.planSlowRelocations(jobs)
 	for _, j := range jobs {
 		p.planStarts(j)
 	}
--- a/dispatch/relocate.go
+++ b/dispatch/relocate.go
@@ -82,7 +82,7 @@
 // planRelocation plans the relocation that gains the most filler capacity. It corrects
 // earlier placements, which were made without knowing later jobs and pressures.
 func (p *pass) planRelocation(jobs []*jobState) {
-	if p.repeatRelocation(p.view.LastRelocation) || p.view.LastRelocation.InProgress(p.view.Now) || !p.view.Relocate {
+	if p.repeatRelocation(p.view.LastRelocation, ReasonRelocated) || p.view.LastRelocation.InProgress(p.view.Now) || !p.view.Relocate {
 		return
 	}
 	if len(p.state.Waves()) > 0 {
@@ -92,12 +92,11 @@
 	most := minRelocationGain
 	for _, js := range jobs {
 		for step := range js.job.Spec.Steps {
-			st := &js.job.Spec.Steps[step]
-			if st.TailMS == 0 || !st.Lasting || st.Gang || js.job.Status.Final() || js.job.Spec.Repeat != nil {
+			if !js.mayRelocate(step) {
 				continue
 			}
 			cl := p.classOf(js, queue.StepKey{Job: js.job.ID, Step: step})
-			if p.allRunning(cl) {
+			if p.allRunning(cl) && !p.isRelocating(cl.key) {
 				best, most = p.betterRelocation(cl, best, most)
 			}
 		}
@@ -107,18 +106,24 @@
 	}
 }
 
+// mayRelocate reports whether tasks of a step may be relocated at all: serving tasks that last.
+func (js *jobState) mayRelocate(step int) bool {
+	st := &js.job.Spec.Steps[step]
+	return st.TailMS > 0 && st.Lasting && !st.Gang && !js.job.Status.Final() && js.job.Spec.Repeat == nil
+}
+
 // repeatRelocation orders the stop of a relocation again until the run has ended, since
 // earlier orders may not have reached the VM. It reports whether the run is still active;
 // until it ends no other task is moved, since a late stop would leave two tasks of a step
 // without runs.
-func (p *pass) repeatRelocation(m Relocation) (pending bool) {
+func (p *pass) repeatRelocation(m Relocation, reason string) (pending bool) {
 	j := p.state.Job(m.Task.Job)
 	if j == nil || j.Task(m.Task) == nil {
 		return false
 	}
 	for _, r := range j.Task(m.Task).Runs {
 		if r.Number == m.Run {
-			p.plan.Stops = append(p.plan.Stops, Stop{m.Task, r.Number, r.VM, ReasonRelocated})
+			p.plan.Stops = append(p.plan.Stops, Stop{m.Task, r.Number, r.VM, reason})
 			pending = true
 		}
 	}
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -15,8 +15,8 @@
 // isSlow reports whether the VM is slower than usual.
 func (v VMView) isSlow() bool { return v.speed() < 1 }
 
-// slowCost returns the cost of the VM's speed for a short task: by how much the work takes longer
-// there, as a multiple of its time at the usual speed.
+// slowCost returns the cost of the VM's speed for tasks other than fillers: by how much the work
+// takes longer there, as a multiple of its time at the usual speed.
 func (v VMView) slowCost() float64 { return 1/v.speed() - 1 }
 
 // maxSlowVMRuns is the number of starts up to which a task without checkpoints is moved from a slow
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -54,15 +54,17 @@
 	runs         map[queue.RunKey]dispatch.RunView // the runs of all VMs, as dispatch reads them
 	begun        map[rudderfork.JobID]bool         // jobs of which a run was reported, until they are marked as begun in the state
 
-	relocateAt     time.Time            // when the planner next looks for a serving task to relocate
-	lastRelocation dispatch.Relocation  // the newest one, which may be in progress
-	summaryAt      time.Time            // when the fleet is summarized in the log next
-	expiryCheckAt  time.Time            // when leases are checked for expiry next
-	shortDemand    dispatch.ShortDemand // number and size of short tasks in recent plans
-	workTimes      *worktime.Model      // estimates of the work times of tasks
-	swings         *swing.Model         // forecasts of the periodic load on serving steps
-	shares         *fairshare.Ledger    // service by group of callers; nil without shares
-	speeds         *speeds              // estimates of the speeds of VMs; nil if the policy is off
+	relocateAt     time.Time           // when the planner next looks for a serving task to relocate
+	lastRelocation dispatch.Relocation // the newest one, which may be in progress
+	// slowRelocations are those from slow VMs that may be in progress.
+	slowRelocations []dispatch.Relocation
+	summaryAt       time.Time            // when the fleet is summarized in the log next
+	expiryCheckAt   time.Time            // when leases are checked for expiry next
+	shortDemand     dispatch.ShortDemand // number and size of short tasks in recent plans
+	workTimes       *worktime.Model      // estimates of the work times of tasks
+	swings          *swing.Model         // forecasts of the periodic load on serving steps
+	shares          *fairshare.Ledger    // service by group of callers; nil without shares
+	speeds          *speeds              // estimates of the speeds of VMs; nil if the policy is off
 	// cordonedForUpkeep is the VM that gets no new tasks because its upkeep is next.
 	cordonedForUpkeep rudderfork.VMID
 }
@@ -111,6 +113,8 @@
 	workedMS       float64   // work time from firstSeenAt to reportedAt, as if at full speed
 	reportedAt     time.Time // when a heartbeat last reported it
 	forecastChange float64   // forecast change of its headroom, see dispatch.RunView
+	// overloadedSince is since when it has been overloaded, see dispatch.RunView; zero if it is not.
+	overloadedSince time.Time
 }
 
 func newFleet() *fleet {
@@ -204,6 +208,9 @@
 	if !r.pacedDownSince.IsZero() {
 		run.PacedDownSince = rudderfork.Millis(r.pacedDownSince)
 	}
+	if !r.overloadedSince.IsZero() {
+		run.OverloadedSince = rudderfork.Millis(r.overloadedSince)
+	}
 	return run
 }
 
@@ -262,6 +269,8 @@
 		ShortDemand:    f.shortDemand,
 		Shares:         f.shares.Standings(),
 
+		SlowRelocations: f.pendingSlowRelocations(s, now),
+
 		WorkTime: f.workTimes.Estimate, WorkTimeVersion: f.workTimes.Changes() / workTimesBatch,
 		Pressure: func(serving, filler string) float64 { return f.pressures.estimate(serving, filler, now) },
 	}
@@ -352,6 +361,7 @@
 		if stop.Reason == dispatch.ReasonRelocated && (f.lastRelocation.Task != stop.Task || f.lastRelocation.Run != stop.Run) {
 			f.lastRelocation = dispatch.Relocation{Task: stop.Task, Run: stop.Run, At: rudderfork.Millis(now)}
 		}
+		f.recordSlowRelocation(stop, now)
 	}
 }
 
@@ -374,6 +384,8 @@
 		return // does not count against the VM, and the task may start elsewhere at once
 	case e.Outcome == queue.OutcomeFailed && v.hadWorked(e, now):
 		return // does not count against the VM
+	case e.Outcome == queue.OutcomeStopped && f.stops[ref] == dispatch.ReasonTooSlow:
+		f.recordFailedOn(e.Task, vm) // does not count against the VM either, whose speed is estimated
 	case e.Outcome == queue.OutcomeDone:
 		v.addFailures(-failureStep, now)
 	case e.Outcome == queue.OutcomeFailed, e.Outcome == queue.OutcomeRefused, f.stops[ref] == dispatch.ReasonStalled, f.stops[ref] == dispatch.ReasonSlow:
--- a/scheduler/upkeep.go
+++ b/scheduler/upkeep.go
@@ -258,7 +258,7 @@
 			continue
 		}
 		on := tasks[i].Runs[0]
-		if s.fleet.lastRelocation.Covers(k, on.Number, now) {
+		if s.fleet.isRelocating(k, on.Number, now) {
 			n++
 			continue
 		}
--- a/scheduler/vm.go
+++ b/scheduler/vm.go
@@ -202,6 +202,7 @@
 		ses.s.fleet.observeSwings(st.Queues(), w, v.heartbeat, now)
 		ses.s.fleet.updateForecasts(st.Queues(), v, now)
 		change = ses.s.fleet.observeSpeed(st.Queues(), vm, v, now)
+		ses.s.fleet.observeOverload(st.Queues(), vm, v, now)
 		list = ses.s.fleet.pressures.changedFor(w, ses.pressuresSent, now)
 	})
 	return list
