Reduce the cost of a report to the model of VM speeds

Cause: each report looked up the step of every run twice, in maps whose keys hold strings. Runs now point to their step, and what is fresh is not faded.

The planner reads a VM's speed once a plan, and looks up the VM of a run once.

--- a/dispatch/colocate.go
+++ b/dispatch/colocate.go
@@ -145,7 +145,7 @@
 
 // fillerSpeed returns the speed, 0 to 1, that a filler of a class can expect on a VM.
 func (p *pass) fillerSpeed(cl *taskClass, v *vmState) float64 {
-	return v.colocation.fillerSpeed(p, cl.step, cl.image) * v.view.speed()
+	return v.colocation.fillerSpeed(p, cl.step, cl.image) * v.speed
 }
 
 // fillerCost returns the cost of a VM for a filler: by how much the work takes longer
--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -37,9 +37,9 @@
 	case st.Filler:
 		c += p.fillerCost(cl, v)
 	case st.TailMS > 0:
-		c += p.servingCost(cl, v) + v.view.slowCost()
+		c += p.servingCost(cl, v) + v.slowCost()
 	default:
-		c += v.view.slowCost()
+		c += v.slowCost()
 	}
 	return c
 }
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -17,24 +17,24 @@
 
 // slowCost returns the cost of the VM's speed for tasks other than fillers: by how much the work
 // takes longer there, as a multiple of its time at the usual speed.
-func (v VMView) slowCost() float64 { return 1/v.speed() - 1 }
+func (v *vmState) slowCost() float64 { return 1/v.speed - 1 }
 
 // maxSlowVMRuns is the number of starts up to which a task without checkpoints is moved from a slow
 // VM, so that it ends although VMs become slow and recover again and again.
 const maxSlowVMRuns = 2
 
 // shouldLeaveSlowVM reports whether a short task or filler on a slow VM would be done sooner on
-// another VM that can take it, although without checkpoints it begins anew there. The searches for
-// such VMs in one plan are bounded like moves.
-func (p *pass) shouldLeaveSlowVM(js *jobState, r *taskRun, run RunView) bool {
-	st, vm := &js.job.Spec.Steps[r.key.Step], p.view.VMs[r.run.VM]
-	if !vm.isSlow() || st.Lasting || st.Gang || st.Speculative || p.searches >= p.maxMoves() ||
+// another VM that can take it, although without checkpoints it begins anew there. speed is that of
+// the slow VM. The searches for such VMs in one plan are bounded like moves.
+func (p *pass) shouldLeaveSlowVM(js *jobState, r *taskRun, run RunView, speed float64) bool {
+	st := &js.job.Spec.Steps[r.key.Step]
+	if st.Lasting || st.Gang || st.Speculative || p.searches >= p.maxMoves() ||
 		p.view.Now-run.FirstSeenAt < minWatchMS || !st.Checkpoints && r.run.Number > maxSlowVMRuns {
 		return false
 	}
 	work := js.workMS[r.key.Step]
 	left := work * float64(fullPercent-run.Percent) / fullPercent
-	here := left / max(minSpeed, (1-float64(run.PacedDownPercent)/fullPercent)*vm.speed())
+	here := left / max(minSpeed, (1-float64(run.PacedDownPercent)/fullPercent)*speed)
 	there := work
 	if st.Checkpoints {
 		there = left
--- a/dispatch/stops.go
+++ b/dispatch/stops.go
@@ -83,7 +83,7 @@
 	case p.shouldMove(js, r, run):
 		p.fillerMoves++
 		return ReasonPacedDown
-	case p.shouldLeaveSlowVM(js, r, run):
+	case vm.isSlow() && p.shouldLeaveSlowVM(js, r, run, vm.speed()):
 		return ReasonSlowVM
 	}
 	return ""
--- a/dispatch/vm.go
+++ b/dispatch/vm.go
@@ -10,14 +10,15 @@
 // vmState is a VM with the starts planned for it.
 type vmState struct {
 	vm          *queue.VM
-	view        VMView
-	schedulable bool // new tasks may start on it
-	runs        []vmRun
-
+	schedulable bool    // new tasks may start on it
+	speed       float64 // see VMView.speed
 	free        rudderfork.Resources
 	utilization float64 // see maxShare
 	colocation  colocation
 
+	view VMView
+	runs []vmRun
+
 	changes, viewChanges uint64 // change counters of the VM and of its view when it was read
 	rereadAt             int64  // when the measured headrooms first reflect a filler that is unmeasured now, Unix ms; 0 for never
 	hasStarts            bool   // a plan has added starts since the VM was read
@@ -49,7 +50,7 @@
 			v = p.readVM(vm, view)
 			pl.vms[vm.ID] = v
 		}
-		v.view = view
+		v.view, v.speed = view, view.speed()
 		v.schedulable = vm.Live && view.Usable && !view.Draining && !view.CordonedForUpkeep && !p.state.Evacuating(vm.Domain)
 		v.quarantine = false
 		if v.hasUnprovenSuspect(p) {
--- a/vmspeed/rate.go
+++ b/vmspeed/rate.go
@@ -5,8 +5,6 @@
 	"math"
 	"slices"
 	"time"
-
-	"rudderfork.example/rudderfork/queue"
 )
 
 const (
@@ -24,6 +22,7 @@
 // runRate is the recent progress of a run.
 type runRate struct {
 	vm       *vmEstimate
+	step     *stepRuns
 	percent  int       // newest
 	workedMS float64   // newest
 	at       time.Time // time of the newest report; zero before the first
@@ -53,12 +52,12 @@
 func (r *runRate) log() float64 { return math.Log(max(0.5, r.progress) / r.worked) }
 
 // weight returns how much the rate counts at a time, 0 to 1. It is less if little progress is to be
-// expected in the observed work time, where expectedMS is that of the whole task.
-func (r *runRate) weight(expectedMS float64, at time.Time) float64 {
+// expected in the observed work time.
+func (r *runRate) weight(at time.Time) float64 {
 	if r.worked < minWorkedMS {
 		return 0
 	}
-	return fade(r.at, at, runHalfLife) * min(1, r.worked/expectedMS*fullPercent/informativePercent)
+	return fade(r.at, at, runHalfLife) * min(1, r.worked/r.step.expectedMS*fullPercent/informativePercent)
 }
 
 // sample is a value with a weight.
@@ -87,16 +86,15 @@
 
 // samples returns the logarithms of the speeds that the runs of a VM show. Runs of one step share the
 // error of the rate that they are compared with, so they count less than as many of different steps.
-func (m *Model) samples(v *vmEstimate, at time.Time) (list []sample) {
-	groups := map[queue.StepKey][]sample{}
-	for k, r := range v.runs {
-		key := k.StepKey()
-		if weight := r.weight(m.steps[key].expectedMS, at); weight > 0 {
-			groups[key] = append(groups[key], sample{r.log(), weight})
+func (v *vmEstimate) samples(at time.Time) (list []sample) {
+	groups := map[*stepRuns][]sample{}
+	for _, r := range v.runs {
+		if weight := r.weight(at); weight > 0 {
+			groups[r.step] = append(groups[r.step], sample{r.log(), weight})
 		}
 	}
-	for key, group := range groups {
-		usual, variance := m.steps[key].usualRate(v, at)
+	for st, group := range groups {
+		usual, variance := st.usualRate(v, at)
 		share := 1 / (1 + float64(len(group))*variance/taskVar)
 		for _, s := range group {
 			list = append(list, sample{min(maxLog, max(-maxLog, s.value-usual)), s.weight * share})
@@ -111,7 +109,7 @@
 	all := taskVar / stepVar
 	list := []sample{{math.Log(fullPercent / st.expectedMS), all}}
 	for _, r := range st.runs {
-		if weight := r.weight(st.expectedMS, at); r.vm != v && weight > 0 {
+		if weight := r.weight(at); r.vm != v && weight > 0 {
 			list = append(list, sample{r.log(), weight})
 			all += weight
 		}
--- a/vmspeed/vmspeed.go
+++ b/vmspeed/vmspeed.go
@@ -84,7 +84,7 @@
 		m.run(v, p).advance(p, at)
 	}
 	m.dropOld(v, at)
-	v.update(m.samples(v, at), at)
+	v.update(v.samples(at), at)
 }
 
 // ObserveEnd adds a run that has completed its task. p.WorkedMS is the work time until the
@@ -135,18 +135,18 @@
 
 // run returns the entry of a run on a VM. It adds one if there is none.
 func (m *Model) run(v *vmEstimate, p Progress) *runRate {
-	key := p.Run.StepKey()
-	st := m.steps[key]
-	if st == nil {
-		st = &stepRuns{runs: map[queue.RunKey]*runRate{}}
-		m.steps[key] = st
-	}
-	st.expectedMS = max(1, p.ExpectedMS)
 	r := v.runs[p.Run]
 	if r == nil {
-		r = &runRate{vm: v}
+		key := p.Run.StepKey()
+		st := m.steps[key]
+		if st == nil {
+			st = &stepRuns{runs: map[queue.RunKey]*runRate{}}
+			m.steps[key] = st
+		}
+		r = &runRate{vm: v, step: st}
 		v.runs[p.Run], st.runs[p.Run] = r, r
 	}
+	r.step.expectedMS = max(1, p.ExpectedMS)
 	return r
 }
 
@@ -158,11 +158,11 @@
 }
 
 func (m *Model) dropRun(v *vmEstimate, k queue.RunKey) {
+	st := v.runs[k].step
 	delete(v.runs, k)
-	key := k.StepKey()
-	delete(m.steps[key].runs, k)
-	if len(m.steps[key].runs) == 0 {
-		delete(m.steps, key)
+	delete(st.runs, k)
+	if len(st.runs) == 0 {
+		delete(m.steps, k.StepKey())
 	}
 }
 
@@ -201,5 +201,9 @@
 
 // fade returns the weight of something observed at a time, which halves in each half-life.
 func fade(since, now time.Time, halfLife time.Duration) float64 {
-	return math.Exp2(-max(0, now.Sub(since).Seconds()) / halfLife.Seconds())
+	age := now.Sub(since)
+	if age <= 0 {
+		return 1
+	}
+	return math.Exp2(-age.Seconds() / halfLife.Seconds())
 }
