Keep the overloaded serving tasks apart from the views of runs

The search also went through the runs of all VMs.

View.OverloadedSince now holds the few overloaded runs. Tests of dispatch, vmspeed, scheduler and rudderctl pass.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -63,7 +63,6 @@
 	Load             int64 // tail latency of a serving task, ms; CPU use of others, thousandths of a core
 	PacedDownPercent int   // percent by which pacing reduces its speed; 0 is full speed
 	PacedDownSince   int64 // since when it has been paced down by enough to consider a move, Unix ms; 0 if it is not
-	OverloadedSince  int64 // since when a serving task has had a headroom below 1 beside no filler that works, Unix ms; 0 if it has not, or if that is not observed
 
 	// ForecastHeadroomChange is the lowest headroom that a serving task is expected to
 	// have while a filler that starts now works, less its present headroom. It takes only
@@ -94,6 +93,9 @@
 	Relocate bool
 	// LastRelocation is the last such move that was ordered.
 	LastRelocation Relocation
+	// OverloadedSince holds, by run of a serving task, since when it has had a headroom below 1
+	// although no filler beside it works, Unix ms. It is empty if that is not observed.
+	OverloadedSince map[queue.RunKey]int64
 	// SlowRelocations are the relocations of serving tasks from slow VMs that are in progress or
 	// whose run is still active.
 	SlowRelocations []Relocation
--- a/dispatch/slow_serving.go
+++ b/dispatch/slow_serving.go
@@ -26,21 +26,21 @@
 	for _, m := range p.view.SlowRelocations {
 		p.repeatRelocation(m, ReasonTooSlow)
 	}
-	if !p.view.Relocate || len(p.state.Waves()) > 0 {
+	if !p.view.Relocate || len(p.state.Waves()) > 0 || len(p.view.OverloadedSince) == 0 {
 		return
 	}
-	slow := p.tooSlowVMs()
+	overloads := p.overloads()
 	left := max(1, len(p.vms)/vmsPerMove) - len(p.view.SlowRelocations)
 	for _, js := range jobs {
 		for step := range js.job.Spec.Steps {
-			if left <= 0 || len(slow) == 0 {
+			if left <= 0 {
 				return
 			}
 			if !js.mayRelocate(step) {
 				continue
 			}
 			cl := p.classOf(js, queue.StepKey{Job: js.job.ID, Step: step})
-			if st, ok := p.slowRelocation(cl, slow); ok {
+			if st, ok := p.slowRelocation(cl, overloads); ok {
 				p.plan.Stops = append(p.plan.Stops, st)
 				left--
 			}
@@ -48,26 +48,41 @@
 	}
 }
 
-// tooSlowVMs returns the VMs that are too slow to serve, with their overloaded tasks.
-func (p *pass) tooSlowVMs() map[*vmState]map[queue.TaskKey]bool {
-	slow := map[*vmState]map[queue.TaskKey]bool{}
-	for _, v := range p.vms {
-		tasks := map[queue.TaskKey]bool{}
-		for i := range v.runs {
-			if r := &v.runs[i]; p.isOverloaded(r.run) && p.siblingsServeWell(r.key, v) {
-				tasks[r.key] = true
-			}
+// overload is the overloaded serving tasks of a VM.
+type overload struct {
+	tasks   map[queue.TaskKey]bool // overloaded for minOverloadedMS, while most of their step serve well
+	tooSlow bool                   // the VM is too slow to serve
+}
+
+// overloads returns the VMs with overloaded tasks.
+func (p *pass) overloads() map[*vmState]*overload {
+	all := map[*vmState]*overload{}
+	for k, since := range p.view.OverloadedSince {
+		v := p.vmOfRun(k)
+		if v == nil {
+			continue
+		}
+		if all[v] == nil {
+			all[v] = &overload{tasks: map[queue.TaskKey]bool{}}
 		}
-		if len(tasks) >= minOverloaded || len(tasks) > 0 && v.view.isSlow() {
-			slow[v] = tasks
+		if p.view.Now-since >= minOverloadedMS && p.siblingsServeWell(k.TaskKey, v) {
+			all[v].tasks[k.TaskKey] = true
 		}
 	}
-	return slow
+	for v, o := range all {
+		o.tooSlow = len(o.tasks) >= minOverloaded || len(o.tasks) > 0 && v.view.isSlow()
+	}
+	return all
 }
 
-// isOverloaded reports whether a serving task has been overloaded for minOverloadedMS.
-func (p *pass) isOverloaded(run RunView) bool {
-	return run.OverloadedSince != 0 && p.view.Now-run.OverloadedSince >= minOverloadedMS
+// vmOfRun returns the VM of an active run, or nil.
+func (p *pass) vmOfRun(k queue.RunKey) *vmState {
+	j := p.state.Job(k.Job)
+	if j == nil || j.Task(k.TaskKey) == nil {
+		return nil
+	}
+	r, _ := j.Task(k.TaskKey).Run(k.Number)
+	return p.vmByID(r.VM)
 }
 
 // siblingsServeWell reports whether most of the other tasks of a serving task's step that are at work on
@@ -93,13 +108,13 @@
 
 // slowRelocation returns the stop of the overloaded task of a class with the highest tail latency, if
 // it may be relocated and another VM can take it.
-func (p *pass) slowRelocation(cl *taskClass, slow map[*vmState]map[queue.TaskKey]bool) (best Stop, ok bool) {
+func (p *pass) slowRelocation(cl *taskClass, overloads map[*vmState]*overload) (best Stop, ok bool) {
 	highest := int64(0)
 	for i := range cl.tasks {
 		k := cl.task(i)
 		for _, r := range cl.tasks[i].Runs {
 			load := p.view.Runs[k.Run(r.Number)].Load
-			if slow[p.vmByID(r.VM)][k] && load > highest {
+			if o := overloads[p.vmByID(r.VM)]; o != nil && o.tooSlow && o.tasks[k] && load > highest {
 				best, highest = Stop{k, r.Number, r.VM, ReasonTooSlow}, load
 			}
 		}
@@ -107,7 +122,7 @@
 	if highest == 0 || !p.allRunning(cl) || p.isRelocating(cl.key) || p.stops(cl.key) {
 		return Stop{}, false
 	}
-	return best, p.reserveElsewhere(cl, best.Task, slow)
+	return best, p.reserveElsewhere(cl, best.Task, overloads)
 }
 
 // stops reports whether the plan stops a run of a step.
@@ -124,9 +139,9 @@
 // reserveElsewhere reserves capacity in this plan for a task on a VM to which it can be relocated, so that
 // tasks that are relocated at the same time do not count on the same capacity. It returns false if
 // there is none.
-func (p *pass) reserveElsewhere(cl *taskClass, k queue.TaskKey, slow map[*vmState]map[queue.TaskKey]bool) bool {
+func (p *pass) reserveElsewhere(cl *taskClass, k queue.TaskKey, overloads map[*vmState]*overload) bool {
 	for _, v := range p.vms {
-		if slow[v] == nil && p.canMoveTo(cl, k, v) && p.failedCost(k, v) == 0 && !v.quarantine && !v.hasOverloaded() {
+		if overloads[v] == nil && p.canMoveTo(cl, k, v) && p.failedCost(k, v) == 0 && !v.quarantine {
 			v.free = v.free.Sub(cl.need)
 			v.hasStarts = true // so that the next plan reads it again
 			return true
@@ -134,8 +149,3 @@
 	}
 	return false
 }
-
-// hasOverloaded reports whether a serving task on the VM is overloaded.
-func (v *vmState) hasOverloaded() bool {
-	return slices.ContainsFunc(v.runs, func(r vmRun) bool { return r.run.OverloadedSince != 0 })
-}
--- a/dispatch/slow_serving_test.go
+++ b/dispatch/slow_serving_test.go
@@ -14,9 +14,10 @@
 // slow to serve. The other VMs are empty.
 func newSlowVM(t *testing.T, vms, jobs int) *fixture {
 	w := newFixture(t, vms)
+	w.view.OverloadedSince = map[queue.RunKey]int64{}
 	for i := range jobs {
 		k := w.serve(fmt.Sprint("s", i), "audio", "vm1", "vm2", "vm3")
-		w.view.Runs[k.Run(1)] = RunView{Percent: 100, Load: int64(40 + i), FirstSeenAt: 1, OverloadedSince: servedMS - minOverloadedMS}
+		w.overload(k, int64(40+i))
 	}
 	w.view.Now, w.view.Relocate = servedMS, true
 	return w
@@ -32,11 +33,10 @@
 	return keys
 }
 
-// setRun changes the view of the first run of a task.
-func (w *fixture) setRun(k queue.TaskKey, change func(run *RunView)) {
-	run := w.view.Runs[k.Run(1)]
-	change(&run)
-	w.view.Runs[k.Run(1)] = run
+// overload makes the first run of a task overloaded, with a tail latency in ms.
+func (w *fixture) overload(k queue.TaskKey, tail int64) {
+	w.view.Runs[k.Run(1)] = RunView{Percent: 100, Load: tail, FirstSeenAt: 1}
+	w.view.OverloadedSince[k.Run(1)] = servedMS - minOverloadedMS
 }
 
 // TestSlowRelocation checks which serving tasks are relocated from a VM that is too slow.
@@ -50,10 +50,10 @@
 		{"one at a time on a small fleet", func(*fixture) {}, []string{"s0.0.0.0"}},
 		{"not before minOverloadedMS", func(w *fixture) { w.view.Now-- }, nil},
 		{"not a single task, which may have a high load of its own", func(w *fixture) {
-			w.setRun(first, func(r *RunView) { r.OverloadedSince = 0 })
+			delete(w.view.OverloadedSince, first.Run(1))
 		}, nil},
 		{"a single task if the VM is known to be slow", func(w *fixture) {
-			w.setRun(first, func(r *RunView) { r.OverloadedSince = 0 })
+			delete(w.view.OverloadedSince, first.Run(1))
 			w.view.VMs["vm1"] = VMView{Usable: true, Speed: 0.3}
 		}, []string{"s1.0.0.0"}},
 		{"none if the other tasks of the steps are overloaded too", func(w *fixture) {
@@ -66,7 +66,7 @@
 			w.s.Apply(queue.Command{Wave: &queue.Wave{ID: 1, Machines: []string{"m1"}, DueMS: 1 << 40, MaxDown: 1}}, 1)
 		}, nil},
 		{"none of a step of which another task is starting", func(w *fixture) {
-			w.setRun(queue.TaskKey{Job: "s0", Index: 2}, func(r *RunView) { r.Percent = 50; r.ProgressedAt = servedMS })
+			w.view.Runs[queue.TaskKey{Job: "s0", Index: 2}.Run(1)] = RunView{Percent: 50, Load: 9, FirstSeenAt: 1, ProgressedAt: servedMS}
 		}, []string{"s1.0.0.0"}},
 		{"none of a step of which another task was just relocated", func(w *fixture) {
 			w.view.LastRelocation = Relocation{Task: queue.TaskKey{Job: "s0", Index: 2}, Run: 9, At: servedMS - 1}
@@ -91,7 +91,7 @@
 		w := newSlowVM(t, 3*vmsPerMove, 4)
 		w.serve("s9", "audio", "vm1", "vm1", "vm2", "vm3", "vm4")
 		for i := range 2 {
-			w.setRun(queue.TaskKey{Job: "s9", Index: i}, func(r *RunView) { r.Load, r.OverloadedSince = 50, 1 })
+			w.overload(queue.TaskKey{Job: "s9", Index: i}, 50)
 		}
 		assert.DeepEqual(t, slowRelocations(w), []string{"s0.0.0.0", "s1.0.0.0", "s2.0.0.0"})
 	})
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -54,8 +54,9 @@
 	runs         map[queue.RunKey]dispatch.RunView // the runs of all VMs, as dispatch reads them
 	begun        map[rudderfork.JobID]bool         // jobs of which a run was reported, until they are marked as begun in the state
 
-	relocateAt     time.Time           // when the planner next looks for a serving task to relocate
-	lastRelocation dispatch.Relocation // the newest one, which may be in progress
+	relocateAt      time.Time              // when the planner next looks for a serving task to relocate
+	lastRelocation  dispatch.Relocation    // the newest one, which may be in progress
+	overloadedSince map[queue.RunKey]int64 // see dispatch.View
 	// slowRelocations are those from slow VMs that may be in progress.
 	slowRelocations []dispatch.Relocation
 	summaryAt       time.Time            // when the fleet is summarized in the log next
@@ -113,8 +114,6 @@
 	workedMS       float64   // work time from firstSeenAt to reportedAt, as if at full speed
 	reportedAt     time.Time // when a heartbeat last reported it
 	forecastChange float64   // forecast change of its headroom, see dispatch.RunView
-	// overloadedSince is since when it has been overloaded, see dispatch.RunView; zero if it is not.
-	overloadedSince time.Time
 }
 
 func newFleet() *fleet {
@@ -122,7 +121,7 @@
 		vms: map[rudderfork.VMID]*vmInfo{}, stops: map[rudderfork.RunRef]string{}, stopsOn: map[rudderfork.VMID]bool{}, loggedStops: map[rudderfork.RunRef]bool{},
 		failedOn: map[queue.TaskKey][]rudderfork.VMID{}, backOffUntil: map[queue.TaskKey]time.Time{},
 		pressures: newPressures(), advice: newAdvice(), planner: dispatch.NewPlanner(), workTimes: worktime.New(), swings: swing.New(), runs: map[queue.RunKey]dispatch.RunView{},
-		begun: map[rudderfork.JobID]bool{},
+		begun: map[rudderfork.JobID]bool{}, overloadedSince: map[queue.RunKey]int64{},
 	}
 }
 
@@ -181,6 +180,7 @@
 // dropRun drops what a VM has reported of a task.
 func (f *fleet) dropRun(v *vmInfo, k queue.TaskKey) {
 	delete(f.runs, k.Run(v.runs[k].status.Run))
+	delete(f.overloadedSince, k.Run(v.runs[k].status.Run))
 	delete(v.runs, k)
 	v.changes++
 }
@@ -208,9 +208,6 @@
 	if !r.pacedDownSince.IsZero() {
 		run.PacedDownSince = rudderfork.Millis(r.pacedDownSince)
 	}
-	if !r.overloadedSince.IsZero() {
-		run.OverloadedSince = rudderfork.Millis(r.overloadedSince)
-	}
 	return run
 }
 
@@ -269,7 +266,7 @@
 		ShortDemand:    f.shortDemand,
 		Shares:         f.shares.Standings(),
 
-		SlowRelocations: f.pendingSlowRelocations(s, now),
+		OverloadedSince: f.overloadedSince, SlowRelocations: f.pendingSlowRelocations(s, now),
 
 		WorkTime: f.workTimes.Estimate, WorkTimeVersion: f.workTimes.Changes() / workTimesBatch,
 		Pressure: func(serving, filler string) float64 { return f.pressures.estimate(serving, filler, now) },
--- a/scheduler/overload.go
+++ b/scheduler/overload.go
@@ -30,15 +30,12 @@
 		}
 		step := &s.Job(k.Job).Spec.Steps[k.Step]
 		overloaded := step.TailMS > 0 && r.status.Percent == fullPercent && !fillersWork && pace.Headroom(step.TailMS, r.status.Load) < 1
-		if overloaded == !r.overloadedSince.IsZero() {
-			continue
-		}
-		r.overloadedSince = time.Time{}
-		if overloaded {
-			r.overloadedSince = now
+		key := k.Run(r.status.Run)
+		if !overloaded {
+			delete(f.overloadedSince, key)
+		} else if f.overloadedSince[key] == 0 {
+			f.overloadedSince[key] = rudderfork.Millis(now)
 		}
-		f.runs[k.Run(r.status.Run)] = r.view()
-		v.changes++
 	}
 }
 
--- a/scheduler/overload_test.go
+++ b/scheduler/overload_test.go
@@ -39,7 +39,7 @@
 		if c.since >= 0 {
 			expect = rudderfork.Millis(t0.Add(time.Duration(c.since) * time.Second))
 		}
-		assert.Equal(t, f.runs[serving.Run(1)].OverloadedSince, expect, "report %d", i)
+		assert.Equal(t, f.view(qs, at).OverloadedSince[serving.Run(1)], expect, "report %d", i)
 	}
 }
 
