Check that a term learns speeds only if the policy is on

Cause: the tests of speeds set the model themselves, so a term that does not make one would not have failed.

--- a/scheduler/speeds_test.go
+++ b/scheduler/speeds_test.go
@@ -82,3 +82,12 @@
 	assert.Equal(t, f.view(qs, steady.Now()).VMs["vm1"].Speed, 0.0)
 	assert.Equal(t, f.speeds.usualWork("vm1", 1_000, steady.Now()), 1_000.0)
 }
+
+// TestSpeedsOfTerm guards against a leader that learns no speeds although the policy is on.
+func TestSpeedsOfTerm(t *testing.T) {
+	for _, learn := range []bool{false, true} {
+		c := newGatedCluster(t, Settings{Lease: testLease, Policies: Policies{LearnSpeeds: learn}})
+		c.sched.startTerm(1)
+		assert.Equal(t, c.sched.fleet.speeds != nil, learn)
+	}
+}
