--- a/vmspeed/snapshot.go
+++ b/vmspeed/snapshot.go
@@ -15,11 +15,11 @@
 
 // VMSnapshot is the estimate of one incarnation of a VM.
 type VMSnapshot struct {
-	VM          rudderfork.VMID
-	Incarnation string
-	LogSpeed    float64 // logarithm of the speed
-	Weight      float64 // number of runs that it is based on
-	AgeMS       int64   // age of the estimate at the time of the snapshot, ms
+	VM          rudderfork.VMID `cbor:"1,keyasint"`
+	Incarnation string          `cbor:"2,keyasint"`
+	LogSpeed    float64         `cbor:"3,keyasint"` // logarithm of the speed
+	Weight      float64         `cbor:"4,keyasint"` // number of runs that it is based on
+	AgeMS       int64           `cbor:"5,keyasint"` // age of the estimate at the time of the snapshot, ms
 }
 
 // minSnapshotWeight is the weight below which an estimate is left out of a snapshot, since it
