Leave groups that cannot be served out of the comparison for good

A group that waits for something that no VM has lost its claim within an objective of being left out, so it competed again without being served: with two groups, the other one was ahead of its share more than half of the time, and behind the other queues of its priority. A group that had been served once since it became starved was never left out.

A group that waits keeps its claim while it is left out, and is left out once it has got nothing for an objective, whether or not it was served between.

TestUnservable failed first in all three cases ("ahead != even") and passes now. TestFlood, TestStarvedOrigin and the other tests of the order give the same figures as before.

--- a/fairshare/account.go
+++ b/fairshare/account.go
@@ -43,7 +43,7 @@
 // unservable reports whether the group got nothing for an objective although its jobs went
 // first: it needs something else than its turn, such as a label that no VM carries.
 func (a *account) unservable(now int64) bool {
-	return a.waiting > 0 && a.starvedAt != 0 && a.servedAt < a.starvedAt && now >= a.starvedAt+int64(a.objective)
+	return a.waiting > 0 && a.starvedAt != 0 && now >= max(a.starvedAt, a.servedAt)+int64(a.objective)
 }
 
 // judge sets the account's standing, given the mean level of the competing groups.
--- a/fairshare/contest.go
+++ b/fairshare/contest.go
@@ -20,7 +20,8 @@
 // charge adds the service since the previous observation, and clears the demands. A group that
 // does not compete is charged at least the mean service of those that do, so that it gains no
 // claim, and loses the claim that it has within about an objective. It would lose too much if it
-// lost it at once: a group whose jobs come one by one waits for each anew.
+// lost it at once: a group whose jobs come one by one waits for each anew. A group that cannot be
+// served keeps its claim, as it would compete again without it and put the others ahead.
 func (c *contest) charge(elapsed float64) {
 	service, weights := 0.0, 0.0 // of the competing groups
 	for _, a := range c.accounts {
@@ -36,8 +37,11 @@
 		case a.competing:
 			a.level += used / a.weight
 		case c.contested:
-			claim := max(0, c.mean-a.level)
-			a.level += max(used/a.weight, service/weights+claim*(1-math.Exp(-elapsed/a.objective)))
+			lost := 0.0
+			if a.waiting == 0 {
+				lost = max(0, c.mean-a.level) * (1 - math.Exp(-elapsed/a.objective))
+			}
+			a.level += max(used/a.weight, service/weights+lost)
 		}
 		a.waiting, a.cores = 0, 0
 	}
--- a/fairshare/fairshare_test.go
+++ b/fairshare/fairshare_test.go
@@ -132,6 +132,30 @@
 	}
 }
 
+// TestUnservable guards against groups that go after the jobs of other queues because a group of
+// their own queue waits for something that it cannot get, also if it was served before.
+func TestUnservable(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		before []caller
+	}{
+		{"from the beginning", nil},
+		{"once served", []caller{{"a", 90, false}, {"b", 20, false}}},
+		{"served while starved", []caller{{"a", 90, false}, {"b", 20, true}, {"b", 0.5, false}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l, a, b := New(nil), caller{"a", 90, false}, caller{"b", 20, true}
+			play(l, 60_000, c.before...)
+			play(l, 6*objectiveMS, a, b)
+			for range 1_000 {
+				play(l, stepMS, a, b)
+				assert.Equal(t, l.Standings().Of(GroupOf("q", "a")), Even)
+			}
+			assertCores(t, play(l, 120_000, a, caller{"b", 90, false}), "b", 6)
+		})
+	}
+}
+
 // TestManyOrigins guards against memory that grows with the number of origins, and against
 // service that is lost when accounts are merged.
 func TestManyOrigins(t *testing.T) {
