Merge idle accounts of groups at once

For each new group beyond the limit, the ledger looked through all accounts for the least recently active one and took it out of its contest. When 1,000 groups follow 1,000 others, an observation took about 30 ms, during which the scheduler's state is locked.

The idle accounts are sorted once and merged together. Accounts of merged groups no longer count against the limit of the others, as the comment on the limit says.

The behavior is tested by TestManyOrigins, which passed before and passes now.

--- a/fairshare/fairshare.go
+++ b/fairshare/fairshare.go
@@ -145,10 +145,14 @@
 			others = append(others, d)
 		}
 	}
-	full := false
+	if len(others) == 0 {
+		return
+	}
+	left := l.makeRoom(len(others))
 	for _, d := range others {
-		full = full || len(l.accounts) >= maxGroups && !l.mergeOldest()
-		if full {
+		if left > 0 {
+			left--
+		} else {
 			d.Origin = Merged
 		}
 		l.account(d.Group).add(d, l.at)
@@ -169,26 +173,42 @@
 	return a
 }
 
-// mergeOldest merges the least recently active account into the one of its queue's merged
-// groups. It returns false if all accounts are active.
-func (l *Ledger) mergeOldest() bool {
-	var oldest *account
+// makeRoom merges the least recently active accounts until n more fit or all are active. It
+// returns how many more fit.
+func (l *Ledger) makeRoom(n int) int {
+	left := maxGroups
+	var idle []*account
 	for _, a := range l.accounts {
-		if a.group.Origin == Merged || a.activeAt >= l.at {
+		if a.group.Origin == Merged {
 			continue
 		}
-		if oldest == nil || cmp.Or(cmp.Compare(a.activeAt, oldest.activeAt), a.group.compare(oldest.group)) < 0 {
-			oldest = a
+		left--
+		if a.activeAt < l.at {
+			idle = append(idle, a)
 		}
 	}
-	if oldest == nil {
-		return false
+	if n <= left {
+		return left
+	}
+	slices.SortFunc(idle, func(a, b *account) int {
+		return cmp.Or(cmp.Compare(a.activeAt, b.activeAt), a.group.compare(b.group))
+	})
+	idle = idle[:min(len(idle), n-left)]
+	l.merge(idle)
+	return left + len(idle)
+}
+
+// merge merges accounts into those of their queues' merged groups.
+func (l *Ledger) merge(list []*account) {
+	for _, a := range list {
+		delete(l.accounts, a.group)
+	}
+	for _, c := range l.contests {
+		c.accounts = slices.DeleteFunc(c.accounts, func(a *account) bool { return l.accounts[a.group] != a })
+	}
+	for _, a := range list {
+		l.account(Group{a.group.Queue, Merged}).attained += a.attained
 	}
-	delete(l.accounts, oldest.group)
-	c := l.contests[oldest.group.Queue]
-	c.accounts = slices.DeleteFunc(c.accounts, func(a *account) bool { return a == oldest })
-	l.account(Group{oldest.group.Queue, Merged}).attained += oldest.attained
-	return true
 }
 
 // Status is a group as operators see it. Service is in core-seconds.
