Skip accounts out of range when restoring shares

A damaged record may hold a finite level so large that service added to it is lost to rounding. All groups of its queue then start at that level and none is ever ahead or behind; the next record hands it on.

Levels and service beyond that of 60,000 cores in 5 years are skipped as malformed.

TestRestore/service_out_of_range failed first ("b has had 0.00 cores, want about 6.00") and passes now.

--- a/fairshare/fairshare_test.go
+++ b/fairshare/fairshare_test.go
@@ -208,6 +208,14 @@
 		assert.DeepEqual(t, next.Standings(), l.Standings())
 		assert.Equal(t, l.Standings().Of(GroupOf("q", "c")), Starved)
 	})
+	t.Run("service out of range", func(t *testing.T) {
+		for _, x := range []float64{math.MaxFloat64, -1e300, maxService} {
+			damaged := GroupSnapshot{Group: Group{"q", "a"}, Attained: math.Abs(x), Level: x, KeepMS: objectiveMS}
+			next := restore(t, Snapshot{[]GroupSnapshot{damaged, damaged}}, 1e9)
+			assertCores(t, play(next, 120_000, caller{"a", 90, false}, caller{"b", 90, false}), "b", 6)
+			assertFinite(t, next)
+		}
+	})
 	t.Run("damaged", func(t *testing.T) {
 		s := Snapshot{[]GroupSnapshot{
 			{Group: Group{"q", "a"}, Attained: math.NaN()},
--- a/fairshare/snapshot.go
+++ b/fairshare/snapshot.go
@@ -83,9 +83,14 @@
 	return restored, invalid
 }
 
-// maxKeepMS bounds the times of a snapshot, in ms. Objectives are shorter than a day.
-const maxKeepMS = 86_400_000
+const (
+	// maxKeepMS bounds the times of a snapshot, in ms. Objectives are shorter than a day.
+	maxKeepMS = 86_400_000
+	// maxService bounds the service of a snapshot. It is that of 60,000 cores in 5 years; service
+	// added to a level far beyond it would be lost to rounding.
+	maxService = 1e16
+)
 
 func (g GroupSnapshot) valid() bool {
-	return g.Queue != "" && g.Attained >= 0 && !math.IsInf(g.Attained, 1) && !math.IsNaN(g.Level) && !math.IsInf(g.Level, 0)
+	return g.Queue != "" && g.Attained >= 0 && g.Attained <= maxService && math.Abs(g.Level) <= maxService
 }
