Test the order of jobs without shares over random jobs

No test compared the order with the one before standings of groups were part of it; TestTurn has one job of each kind, and TestSameOrderWithoutCompetition compares the code with itself.

TestOrderWithoutShares compares the ranks of 300 random jobs, without groups and with groups that are even, with the order without regard to origins. TestOrderIsConsistent compares all pairs of a sorted list with all standings. Both use a fixed seed.

On a scratch copy TestOrderWithoutShares fails if jobs without work go first also when they are late, if late jobs go with those in time, and if the turn is left out.

--- a/dispatch/shares_test.go
+++ b/dispatch/shares_test.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"cmp"
+	"math/rand/v2"
 	"slices"
 	"testing"
 
@@ -188,6 +190,62 @@
 	}
 }
 
+// compareWithoutShares compares ranks without regard to where the jobs came from.
+func compareWithoutShares(a, b rank) int {
+	return cmp.Or(
+		compareBool(a.worthless, b.worthless), cmp.Compare(a.priority, b.priority), compareBool(a.late, b.late),
+		cmp.Compare(a.workLeft, b.workLeft), cmp.Compare(a.deadline, b.deadline),
+	)
+}
+
+// randomRanks returns the ranks of jobs of all kinds whose groups have one of the standings. Few
+// distinct values make ties frequent.
+func randomRanks(rnd *rand.Rand, n int, standings ...fairshare.Standing) []rank {
+	const now = 1_000_000
+	list := make([]rank, n)
+	for i := range list {
+		js := jobState{
+			objectiveFrom: now - rnd.Int64N(8)*500, objective: rnd.Int64N(3) * 500, pathLeft: rnd.Int64N(3) * 500,
+			workLeft: float64(rnd.IntN(4)), lasting: rnd.IntN(8) == 0,
+		}
+		if js.queue.Priority = rnd.IntN(3); js.lasting {
+			js.workLeft = 0
+		}
+		if len(standings) > 0 {
+			js.group = &group{standing: standings[rnd.IntN(len(standings))]}
+		}
+		list[i] = js.rank(now)
+	}
+	return list
+}
+
+// TestOrderWithoutShares guards against an order that differs from the one without regard to where
+// jobs came from, although nothing is shared or no group is ahead or starved.
+func TestOrderWithoutShares(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(1, 2))
+	for _, standings := range [][]fairshare.Standing{nil, {fairshare.Even}} {
+		ranks := randomRanks(rnd, 300, standings...)
+		for _, a := range ranks {
+			for _, b := range ranks {
+				assert.Equal(t, a.compare(b), compareWithoutShares(a, b), "%+v and %+v", a, b)
+			}
+		}
+	}
+}
+
+// TestOrderIsConsistent guards against an order with shares that depends on the order in which
+// jobs are compared.
+func TestOrderIsConsistent(t *testing.T) {
+	ranks := randomRanks(rand.New(rand.NewPCG(1, 2)), 300, fairshare.Even, fairshare.Ahead, fairshare.Starved)
+	slices.SortFunc(ranks, rank.compare)
+	for i, a := range ranks {
+		for j, b := range ranks[i:] {
+			assert.Equal(t, a.compare(b), -b.compare(a), "%+v and %+v", a, b)
+			assert.Assert(t, a.compare(b) <= 0, "%+v and %+v, %d places apart", a, b, j)
+		}
+	}
+}
+
 // TestDemands guards against groups that compete by jobs that cannot, and against starts of the
 // plan that still count as waiting.
 func TestDemands(t *testing.T) {
