Test that no group waits without bound

No test bounded the time between two services of a group; TestShares compares means, with weights of 1 and 3 only.

TestWaitIsBounded has weights 1 and 1,000, a group that cannot be served and two starved groups.

The test passes. On a scratch copy it fails without the starved standing and without the bound on claims and debts.

--- a/fairshare/fairshare_test.go
+++ b/fairshare/fairshare_test.go
@@ -132,6 +132,36 @@
 	}
 }
 
+// TestWaitIsBounded guards against a group that waits without bound while others that compete with
+// it are served. At worst its share makes up for the greatest debt and puts it behind by its bound,
+// and it is starved an objective later. A few more plans are allowed for others that are starved.
+func TestWaitIsBounded(t *testing.T) {
+	const longest = (claimObjectives+2)*objectiveMS + 5*stepMS
+	light, heavy, stuck := caller{"light", 90, false}, caller{"heavy", 90, false}, caller{"stuck", 90, true}
+	for _, c := range []struct {
+		name    string
+		callers []caller
+	}{
+		{"least weight", []caller{heavy, light}},
+		{"greatest weight", []caller{light, heavy}},
+		{"beside a group that cannot be served", []caller{heavy, stuck, light}},
+		{"another starved group", []caller{heavy, {"other", 90, false}, light}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l, served := New(map[rudderfork.Domain]int{"heavy": 1_000}), map[string]int64{}
+			for l.at < 600_000 {
+				got := play(l, stepMS, slices.Clone(c.callers)...)
+				for _, c := range c.callers {
+					if got[c.origin] > 0 || c.unservable {
+						served[c.origin] = l.at
+					}
+					assert.Assert(t, l.at-served[c.origin] <= longest, "%s at %d ms", c.origin, l.at)
+				}
+			}
+		})
+	}
+}
+
 // TestUnservable guards against groups that go after the jobs of other queues because a group of
 // their own queue waits for something that it cannot get, also if it was served before.
 func TestUnservable(t *testing.T) {
