Name the thousandths of a core once in dispatch

summary.go had a constant of its own for what shares.go names milliPerCore.

The constant of summary.go is gone. No behavior changes; the tests of dispatch pass.

--- a/dispatch/summary.go
+++ b/dispatch/summary.go
@@ -36,7 +36,6 @@
 }
 
 func (p *pass) summarizeVM(s *FleetSummary, v *vmState) {
-	const perCore = 1_000
 	s.VMs++
 	s.ServingImages += len(v.colocation.serving)
 	for i := range v.colocation.serving {
@@ -44,11 +43,11 @@
 	}
 	s.Fillers += len(v.colocation.fillers)
 	for _, f := range v.colocation.fillers {
-		s.FillerCores += f.cpu / perCore
-		s.PacedCores += f.cpu * (1 - f.speed) / perCore
+		s.FillerCores += f.cpu / milliPerCore
+		s.PacedCores += f.cpu * (1 - f.speed) / milliPerCore
 	}
-	s.IdleCores += max(0, v.colocation.idleCPU) / perCore
-	s.TolerableCores += p.fillerCapacity(&v.colocation, nil, noImage) * v.colocation.totalCPU / perCore
+	s.IdleCores += max(0, v.colocation.idleCPU) / milliPerCore
+	s.TolerableCores += p.fillerCapacity(&v.colocation, nil, noImage) * v.colocation.totalCPU / milliPerCore
 }
 
 // summarizeWaiting adds the ready tasks of a job that the plan does not start.
