--- a/scheduler/policies.go
+++ b/scheduler/policies.go
@@ -15,8 +15,6 @@
 	ShareFairly bool
 	// ShareWeights are the weights of origins, those of others are 1.
 	ShareWeights map[rudderfork.Domain]int
-	// YieldCapacity makes restarted lasting tasks leave capacity to short ones.
-	YieldCapacity bool
 	// LearnSpeeds places tasks by the observed speeds of VMs.
 	LearnSpeeds bool
 	// KeepLearned keeps what the leader has learned for its successor.
@@ -33,12 +31,11 @@
 	}
 	f := settings.Open(path)
 	p = Policies{
-		RefuseJobs:    f.Switch("admission", "refuse"),
-		ShareFairly:   f.Switch("fairness", "share"),
-		ShareWeights:  shareWeights(f),
-		YieldCapacity: f.Switch("capacity", "yield"),
-		LearnSpeeds:   f.Switch("speeds", "learn"),
-		KeepLearned:   f.Switch("handover", "keep"),
+		RefuseJobs:   f.Switch("admission", "refuse"),
+		ShareFairly:  f.Switch("fairness", "share"),
+		ShareWeights: shareWeights(f),
+		LearnSpeeds:  f.Switch("speeds", "learn"),
+		KeepLearned:  f.Switch("handover", "keep"),
 	}
 	return p, f.Err()
 }
--- a/scheduler/policies_test.go
+++ b/scheduler/policies_test.go
@@ -30,10 +30,10 @@
 		assert.DeepEqual(t, p, Policies{ShareWeights: map[rudderfork.Domain]int{}})
 	})
 	t.Run("all", func(t *testing.T) {
-		p, err := readPolicies(t, "[admission]\nrefuse=on\n[fairness]\nshare=on\nweights=north=3, south=1000\n[capacity]\nyield=on\n[speeds]\nlearn=on\n[handover]\nkeep=on\n")
+		p, err := readPolicies(t, "[admission]\nrefuse=on\n[fairness]\nshare=on\nweights=north=3, south=1000\n[speeds]\nlearn=on\n[handover]\nkeep=on\n")
 		assert.NilError(t, err)
 		assert.DeepEqual(t, p, Policies{
-			RefuseJobs: true, ShareFairly: true, ShareWeights: map[rudderfork.Domain]int{"north": 3, "south": 1000}, YieldCapacity: true, LearnSpeeds: true, KeepLearned: true,
+			RefuseJobs: true, ShareFairly: true, ShareWeights: map[rudderfork.Domain]int{"north": 3, "south": 1000}, LearnSpeeds: true, KeepLearned: true,
 		})
 	})
 }
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -31,7 +31,7 @@
 
 	// allPolicies are the settings of the control processes of even seeds. The rules hold with and
 	// without the policies.
-	allPolicies = "[admission]\nrefuse=on\n[fairness]\nshare=on\n[capacity]\nyield=on\n[speeds]\nlearn=on\n[handover]\nkeep=on\n"
+	allPolicies = "[admission]\nrefuse=on\n[fairness]\nshare=on\n[speeds]\nlearn=on\n[handover]\nkeep=on\n"
 )
 
 // site is a deployment of real processes on loopback addresses. The machines core-N run
