Track all submissions while refusals are on

Submissions that would have added no job when they came were not known as being committed: those that came before the term had started here, repeats after the status retention, and those of a queue that a document under way adds. A concurrent submission of the same ID could then be refused although the first one was committed afterwards. All submissions are tracked now, by the ID in the path.

TestRefusalDuringUncheckedCommit failed: the second submission was answered as refused while the first one was proposed.

--- a/queue/apply.go
+++ b/queue/apply.go
@@ -96,22 +96,26 @@
 }
 
 // CheckSubmit returns the queue and the ID of the job that a submission would add now. If it would
-// add none, isNew is false and res is its result.
+// add none, isNew is false and res is its result; later it may add the job with the ID, if there is
+// one in the path.
 func (s *State) CheckSubmit(c Submit) (q Queue, id rudderfork.JobID, res Result, isNew bool) {
 	// A repeated submission succeeds even if the queue of the known job has been removed since.
 	last := rudderfork.JobID(path.Base(c.Path))
 	if j := s.jobs[last]; j != nil {
-		return q, "", Result{Code: OK, Job: last, Queue: j.Queue.Name, Text: "handed in before"}, false
+		return q, last, Result{Code: OK, Job: last, Queue: j.Queue.Name, Text: "handed in before"}, false
 	}
 	q, id, refusal, ok := s.locate(c.Host, c.Path)
 	if !ok {
-		return q, "", refusal, false
+		if !jobIDPattern.MatchString(string(last)) {
+			last = ""
+		}
+		return q, last, refusal, false
 	}
 	if code := s.doc.Limits.exceeded(c.BodyBytes, c.HeaderBytes); code != "" {
-		return q, "", Result{Code: code, Text: fmt.Sprintf("a body of %d bytes, a header of %d; the document's limits are %+v", c.BodyBytes, c.HeaderBytes, s.doc.Limits)}, false
+		return q, id, Result{Code: code, Text: fmt.Sprintf("a body of %d bytes, a header of %d; the document's limits are %+v", c.BodyBytes, c.HeaderBytes, s.doc.Limits)}, false
 	}
 	if err := c.Spec.Check(); err != nil {
-		return q, "", Result{Code: Invalid, Text: err.Error()}, false
+		return q, id, Result{Code: Invalid, Text: err.Error()}, false
 	}
 	return q, id, res, true
 }
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -92,11 +92,12 @@
 	return backlog.Progress{Ended: j.Status.Final()}
 }
 
-// submission is a submission that would add a job, and the decision on it.
+// submission is a submission and the decision on it.
 type submission struct {
 	*queue.Submit
 
-	term     uint64
+	id       rudderfork.JobID // "" if the path has none
+	term     uint64           // in which it was decided; 0 if it adds no job, or this process does not lead
 	job      backlog.Job
 	decision backlog.Decision
 	commit   uint64 // number of its commit; 0 before it has begun
@@ -105,10 +106,10 @@
 // submit commits a submission, or refuses it if the policy is in force. Only jobs that the state does
 // not hold, and of which no other submission may be committed, are refused.
 func (s *Scheduler) submit(ctx context.Context, c *queue.Submit) wire.QueueResponse {
-	sub, ok := s.decide(c)
-	if !ok {
+	if s.admission == nil {
 		return s.commit(ctx, queue.Command{Submit: c})
 	}
+	sub := s.decide(c)
 	if sub.decision.Refused() && s.confirmRefusal(ctx, &sub) {
 		return s.refuse(sub)
 	}
@@ -117,28 +118,26 @@
 	return resp
 }
 
-// decide decides on a submission. The commit of one that is not refused begins. ok is false if the
-// policy is off, this process does not lead, or the submission adds no job.
-func (s *Scheduler) decide(c *queue.Submit) (sub submission, ok bool) {
-	if s.admission == nil {
-		return sub, false
-	}
+// decide decides on a submission. The commit of one that is not refused begins. That includes
+// submissions that add no job now: they may add one by the time they are applied, for example because
+// the term has not started here, or the document changes.
+func (s *Scheduler) decide(c *queue.Submit) (sub submission) {
 	s.rep.View(func(st *state.State) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		a := s.admission
 		q, id, _, isNew := st.Queues().CheckSubmit(*c)
-		if ok = isNew && s.term != 0; !ok {
-			return
+		sub = submission{Submit: c, id: id}
+		if isNew && s.term != 0 {
+			a.enter(s.term)
+			sub.term, sub.job = s.term, dispatch.NewcomerOf(q, id, c.Spec, s.fleet.workTimes.Estimate)
+			sub.decision = a.ctrl.Decide(sub.job, rudderfork.Millis(steady.Now()))
 		}
-		a.enter(s.term)
-		sub = submission{Submit: c, term: s.term, job: dispatch.NewcomerOf(q, id, c.Spec, s.fleet.workTimes.Estimate)}
-		sub.decision = a.ctrl.Decide(sub.job, rudderfork.Millis(steady.Now()))
 		if !sub.decision.Refused() {
 			sub.commit = a.submitting.begin(id)
 		}
 	})
-	return sub, ok
+	return sub
 }
 
 // confirmRefusal reports whether a submission can be refused: a quorum has confirmed that this process
@@ -151,9 +150,9 @@
 		defer s.mu.Unlock()
 		a := s.admission
 		_, _, _, isNew := st.Queues().CheckSubmit(*sub.Submit)
-		refused = confirmed && isNew && s.term == sub.term && a.term == sub.term && !a.submitting.mayCommit(sub.job.ID)
+		refused = confirmed && isNew && s.term == sub.term && a.term == sub.term && !a.submitting.mayCommit(sub.id)
 		if !refused {
-			sub.commit = a.submitting.begin(sub.job.ID)
+			sub.commit = a.submitting.begin(sub.id)
 			return
 		}
 		a.ctrl.Refuse(sub.job, sub.decision, rudderfork.Millis(steady.Now()))
@@ -185,8 +184,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a := s.admission
-	a.submitting.end(sub.job.ID, sub.commit, !resp.Unsure && !resp.NotTaken, resp.Unsure)
-	if resp.Code == queue.OK && a.term == sub.term {
+	a.submitting.end(sub.id, sub.commit, !resp.Unsure && !resp.NotTaken, resp.Unsure)
+	if resp.Code == queue.OK && sub.term != 0 && a.term == sub.term {
 		a.ctrl.Accept(sub.job, sub.decision, rudderfork.Millis(steady.Now()))
 	}
 }
--- a/scheduler/admission_test.go
+++ b/scheduler/admission_test.go
@@ -153,6 +153,42 @@
 	assert.Equal(t, len(c.sched.admission.submitting.unresolved), 0)
 }
 
+// TestRefusalDuringUncheckedCommit guards against the refusal of a job whose submission is being
+// committed, although it would have added no job when it came.
+func TestRefusalDuringUncheckedCommit(t *testing.T) {
+	for name, first := range map[string]func(c *gatedCluster){
+		"before the term has started": func(c *gatedCluster) {
+			c.sched.endTerm()
+			c.proposeAndGiveUp("a")
+			c.sched.startTerm(c.rep.Status().Term)
+		},
+		"repeated after the status retention": func(c *gatedCluster) {
+			c.assertAccepted("a", secondStep)
+			c.commit(queue.Command{Cancel: &queue.Cancel{Host: testHost, Path: "/q/a"}})
+			c.sched.cfg.StatusRetention = -time.Hour // the next submission ends the retention
+			c.proposeAndGiveUp("a")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newAdmissionCluster(t, Policies{RefuseJobs: true})
+			first(c)
+			c.overload()
+			resp := c.submitWithin(100*time.Millisecond, "a", secondStep)
+			assert.Assert(t, resp.Unsure || resp.NotTaken, "%+v", resp)
+			c.sched.mu.Lock()
+			defer c.sched.mu.Unlock()
+			assert.Assert(t, c.sched.admission.submitting.mayCommit("a"))
+		})
+	}
+}
+
+// proposeAndGiveUp submits a job, whose commit is blocked until the test ends.
+func (c *gatedCluster) proposeAndGiveUp(id string) {
+	c.t.Helper()
+	c.blockCommits()
+	c.waitUntil("it is proposed, and given up", func() bool { return c.submitWithin(10*time.Millisecond, id, secondStep).Unsure })
+}
+
 // TestRefusalUnconfirmed guards against a refusal by a process that cannot confirm that it leads.
 func TestRefusalUnconfirmed(t *testing.T) {
 	c := newAdmissionCluster(t, Policies{RefuseJobs: true})
@@ -171,8 +207,8 @@
 	c := newAdmissionCluster(t, Policies{RefuseJobs: true})
 	c.overload()
 	submit := queue.Submit{Host: testHost, Path: "/q/a", Spec: queue.Spec{Steps: []queue.Step{secondStep}}}
-	sub, ok := c.sched.decide(&submit)
-	assert.Assert(t, ok && sub.decision.Refused())
+	sub := c.sched.decide(&submit)
+	assert.Assert(t, sub.decision.Refused())
 	c.commit(queue.Command{Submit: &submit})
 	assert.Assert(t, !c.sched.confirmRefusal(c.ctx, &sub))
 }
