Bound the predictions looked at after a plan

ObserveEnds looked at all kept predictions, up to 20,000, every 200 ms while it held the scheduler's mu. It looks at 1,000 of them in turn now.

TestObserveEndsBounded failed when a call looked at all of them: 20,000 instead of 1,000.

--- a/Makefile
+++ b/Makefile
@@ -60,4 +60,4 @@
 
 bench: build ## print the measurements
 	@RUDDER_BIN=$(BIN) $(GO) run ./cmd/bench -bin $(BIN)
-	@$(GO) test -run '^$$' -bench 'Decide|Submission' ./backlog ./dispatch
+	@$(GO) test -run '^$$' -bench 'Decide|Submission|ObserveEnds' ./backlog ./dispatch
--- a/backlog/backlog_test.go
+++ b/backlog/backlog_test.go
@@ -152,6 +152,32 @@
 	assert.Assert(t, r.get("9") == nil && r.get("10") != nil, "the oldest go first")
 }
 
+// TestObserveEndsBounded guards against predictions that are all looked at in one call, or that are
+// never looked at because those before them do not end.
+func TestObserveEndsBounded(t *testing.T) {
+	c := New()
+	for i := range maxPredictions + 1 {
+		c.Accept(newJob(fmt.Sprint(i)), Decision{EndMS: 1_000}, 0)
+		c.Accept(newJob(fmt.Sprint(i)), Decision{EndMS: 1_000}, 0)
+	}
+	seen := map[rudderfork.JobID]int{}
+	for range maxPredictions / maxObserved {
+		looked := 0
+		c.ObserveEnds(func(id rudderfork.JobID) Progress {
+			looked++
+			seen[id]++
+			return Progress{Ended: seen[id] == 2}
+		}, 0)
+		assert.Equal(t, looked, maxObserved)
+	}
+	assert.Equal(t, len(seen), maxPredictions, "some are not looked at")
+	for range maxPredictions / maxObserved {
+		c.ObserveEnds(func(rudderfork.JobID) Progress { return Progress{Ended: true} }, 0)
+	}
+	assert.Equal(t, len(c.predicted), 0)
+	assert.Equal(t, len(c.toObserve), 0)
+}
+
 // TestErrors guards against predictions that are trusted although jobs end much earlier, and against
 // damaged snapshots.
 func TestErrors(t *testing.T) {
@@ -219,3 +245,16 @@
 		}
 	}
 }
+
+// BenchmarkObserveEnds measures the look at the predictions of accepted jobs, as many as are kept.
+func BenchmarkObserveEnds(b *testing.B) {
+	c, jobs := New(), map[rudderfork.JobID]*Progress{}
+	for i := range maxPredictions {
+		j := newJob(fmt.Sprint("job", i))
+		c.Accept(j, Decision{EndMS: 1_000}, 0)
+		jobs[j.ID] = &Progress{}
+	}
+	for b.Loop() {
+		c.ObserveEnds(func(id rudderfork.JobID) Progress { return *jobs[id] }, 0)
+	}
+}
--- a/backlog/controller.go
+++ b/backlog/controller.go
@@ -1,7 +1,6 @@
 package backlog
 
 import (
-	"cmp"
 	"math"
 	"slices"
 
@@ -21,6 +20,9 @@
 	minRetryMS, maxRetryMS = 1_000, 30_000
 	// maxPredictions bounds the number of accepted jobs whose predictions are kept until they end.
 	maxPredictions = 20_000
+	// maxObserved bounds the number of predictions that one call of ObserveEnds looks at, and so the
+	// time for which submissions wait. All are looked at within 20 calls.
+	maxObserved = 1_000
 )
 
 // Job is a submitted job.
@@ -119,6 +121,7 @@
 	sizes        queueSizes
 	refusals     *refusals
 	predicted    map[rudderfork.JobID]prediction
+	toObserve    []rudderfork.JobID // the keys of predicted, those that were looked at last at the end
 	totalRefused uint64
 }
 
@@ -227,9 +230,13 @@
 // Accept records that a job is accepted, with the decision on it.
 func (c *Controller) Accept(j Job, d Decision, now int64) {
 	c.refusals.remove(j.ID, now)
-	if !j.Exempt && d.EndMS > 0 && len(c.predicted) < maxPredictions {
-		c.predicted[j.ID] = prediction{j.Queue, d.EndMS}
+	if j.Exempt || !(d.EndMS > 0) || len(c.predicted) >= maxPredictions {
+		return
+	}
+	if _, known := c.predicted[j.ID]; !known {
+		c.toObserve = append(c.toObserve, j.ID)
 	}
+	c.predicted[j.ID] = prediction{j.Queue, d.EndMS}
 }
 
 // Progress is what has become of an accepted job.
@@ -238,21 +245,23 @@
 	TookMS float64 // time from its submission until it was completed, ms; 0 if it was not completed
 }
 
-// ObserveEnds compares the predictions of the jobs that have ended with their durations. It returns
-// the errors, ordered by job.
+// ObserveEnds compares the predictions of the jobs that have ended with their durations. It looks at
+// no more than maxObserved jobs, in turn, and returns the errors.
 func (c *Controller) ObserveEnds(progress func(rudderfork.JobID) Progress, now int64) (list []ObservedError) {
-	for id, p := range c.predicted {
+	n := min(maxObserved, len(c.toObserve))
+	for _, id := range c.toObserve[:n] {
 		got := progress(id)
 		if !got.Ended {
+			c.toObserve = append(c.toObserve, id)
 			continue
 		}
+		p := c.predicted[id]
 		delete(c.predicted, id)
 		if got.TookMS > 0 {
 			list = append(list, ObservedError{id, p.queue, math.Log(got.TookMS / p.endMS)})
 		}
 	}
-	// Sums of floats depend on the order.
-	slices.SortFunc(list, func(a, b ObservedError) int { return cmp.Compare(a.Job, b.Job) })
+	c.toObserve = c.toObserve[n:]
 	for _, e := range list {
 		c.errors.Observe(e.Queue, e.Log, now)
 	}
