Expire refusals at once

The returns whose time had passed were dropped one by one, each with a search of the whole list and a shift of the rest. A full list that expired at once held the scheduler's mu for tens of milliseconds. The expired ones are a prefix, which is removed at once; a single return is found by its time.

TestExpire checks lanes and counts.

--- a/backlog/backlog_test.go
+++ b/backlog/backlog_test.go
@@ -152,6 +152,28 @@
 	assert.Assert(t, r.get("9") == nil && r.get("10") != nil, "the oldest go first")
 }
 
+// TestExpire guards against promises of some lanes that outlive the time of a return, and against
+// returns that are counted once for each lane.
+func TestExpire(t *testing.T) {
+	r, other := newRefusals(), Lane{Service: "desk", Filler: true}
+	for i := range int64(20) {
+		j := newJob(fmt.Sprint(i))
+		j.AddTasks(other, 0, rudderfork.Resources{}, rudderfork.Resources{})
+		r.add(j, 0, 1_000*(i/2)) // two return at a time
+	}
+	r.remove("5", 0)
+	r.expire(returnGraceMS + 3_000)
+	for _, l := range []Lane{lane, other} {
+		assert.Equal(t, len(r.promises[l].list), 14, "those at 3 s are still expected")
+	}
+	assert.Equal(t, r.promises[lane].all(1), 14*newJob("").Work)
+	assert.Equal(t, r.kept, 1.0)
+	assert.Equal(t, r.missed, 5.0)
+	r.expire(1e9)
+	assert.Equal(t, len(r.promises), 0)
+	assert.Equal(t, r.missed, 19.0)
+}
+
 // TestObserveEndsBounded guards against predictions that are all looked at in one call, or that are
 // never looked at because those before them do not end.
 func TestObserveEndsBounded(t *testing.T) {
@@ -258,3 +280,16 @@
 		c.ObserveEnds(func(id rudderfork.JobID) Progress { return *jobs[id] }, 0)
 	}
 }
+
+// BenchmarkExpire measures the expiry of a full list of refusals at once.
+func BenchmarkExpire(b *testing.B) {
+	for b.Loop() {
+		b.StopTimer()
+		r := newRefusals()
+		for i := range maxRefusals {
+			r.add(newJob(fmt.Sprint(i)), 0, int64(i))
+		}
+		b.StartTimer()
+		r.expire(1e9)
+	}
+}
--- a/backlog/refusals.go
+++ b/backlog/refusals.go
@@ -43,16 +43,36 @@
 }
 
 func (p *promises) add(ref *refusal, work float64) {
-	i, _ := slices.BinarySearchFunc(p.list, ref.returnAt, func(o promise, at int64) int { return cmp.Compare(o.returnAt, at) })
-	p.list = slices.Insert(p.list, i, promise{ref, work})
+	p.list = slices.Insert(p.list, p.firstAt(ref.returnAt), promise{ref, work})
 	p.work[ref.priority] += work
 }
 
 func (p *promises) remove(ref *refusal, work float64) {
-	p.list = slices.DeleteFunc(p.list, func(o promise) bool { return o.refusal == ref })
+	i := p.firstAt(ref.returnAt)
+	for p.list[i].refusal != ref {
+		i++
+	}
+	p.list = slices.Delete(p.list, i, i+1)
 	p.work[ref.priority] -= work
 }
 
+// firstAt returns the index of the first return that is promised for a time, Unix ms, or later.
+func (p *promises) firstAt(at int64) int {
+	i, _ := slices.BinarySearchFunc(p.list, at, func(o promise, at int64) int { return cmp.Compare(o.returnAt, at) })
+	return i
+}
+
+// removeBefore removes and returns the returns that were promised for times before at, Unix ms.
+func (p *promises) removeBefore(at int64) (removed []promise) {
+	n := p.firstAt(at)
+	removed = slices.Clone(p.list[:n])
+	for _, o := range removed {
+		p.work[o.priority] -= o.work
+	}
+	p.list = slices.Delete(p.list, 0, n)
+	return removed
+}
+
 // before returns the work of jobs of at least a priority which arrived before firstAt, Unix ms. It
 // leaves out one job, if own is not nil.
 func (p *promises) before(priority int, firstAt int64, own *refusal) (work float64) {
@@ -145,13 +165,18 @@
 	if !ref.expected {
 		return
 	}
-	ref.expected = false
 	for _, d := range ref.demands {
 		p := r.promises[d.Lane]
 		if p.remove(ref, d.Work); len(p.list) == 0 {
 			delete(r.promises, d.Lane)
 		}
 	}
+	r.count(ref, now)
+}
+
+// count counts a return that is not expected any more as kept or missed.
+func (r *refusals) count(ref *refusal, now int64) {
+	ref.expected = false
 	if r.kept+r.missed >= maxReturns {
 		r.kept, r.missed = r.kept/2, r.missed/2
 	}
@@ -165,8 +190,11 @@
 // expire stops expecting the callers whose time has passed.
 func (r *refusals) expire(now int64) {
 	for l, p := range r.promises {
-		for len(p.list) > 0 && p.list[0].returnAt+returnGraceMS < now {
-			r.stopExpecting(p.list[0].refusal, now)
+		// All at once, since removing them one by one is quadratic.
+		for _, o := range p.removeBefore(now - returnGraceMS) {
+			if o.expected { // not yet counted in another lane
+				r.count(o.refusal, now)
+			}
 		}
 		if len(p.list) == 0 {
 			delete(r.promises, l)
