Keep the promise to a caller that returns too early

Each early return of a refused caller moved its promised time, by the time that Retry-After rounds up, and counted as a kept promise. A caller that came too early again and again never got the place of its first arrival, and made the promises of others count more. The promise stays as it is now.

--- a/backlog/backlog_test.go
+++ b/backlog/backlog_test.go
@@ -141,6 +141,23 @@
 	assert.Assert(t, c.refusals.get("0") == nil)
 }
 
+// TestEarlyReturns guards against a promised time that moves whenever the caller comes too early, and
+// against early returns that count as kept promises.
+func TestEarlyReturns(t *testing.T) {
+	c := newLoaded()
+	first := assertReason(t, Overloaded, c, newJob("a"), 0)
+	c.Refuse(newJob("a"), first, 0)
+	for now := int64(100); now < first.RetryMS; now += 100 {
+		c.summary.at = now
+		d := assertReason(t, Overloaded, c, newJob("a"), now)
+		c.Refuse(newJob("a"), d, now)
+	}
+	assert.Equal(t, c.refusals.get("a").returnAt, first.RetryMS)
+	assert.Equal(t, c.refusals.kept, 0.0)
+	_, ok := c.refusals.firstArrival("a", first.RetryMS)
+	assert.Assert(t, ok, "it has come at its promised time")
+}
+
 // TestRefusalsBounded guards against a list of refusals that grows without bound.
 func TestRefusalsBounded(t *testing.T) {
 	r := newRefusals()
--- a/backlog/refusals.go
+++ b/backlog/refusals.go
@@ -127,13 +127,17 @@
 	return nil
 }
 
-// add records a refusal. A job that was refused before keeps its first arrival.
+// add records a refusal. A job that was refused before keeps its first arrival, and one whose caller
+// came too early keeps its promise.
 func (r *refusals) add(j Job, now, returnAt int64) {
 	ref := r.get(j.ID)
 	if ref == nil {
 		ref = &refusal{id: j.ID, firstAt: now}
 		r.byID[j.ID] = r.order.PushBack(ref)
 	}
+	if ref.expected && now < ref.returnAt {
+		return
+	}
 	r.stopExpecting(ref, now)
 	ref.returnAt, ref.expected, ref.queue, ref.priority, ref.demands = returnAt, true, j.Queue, j.Priority, j.Demands
 	for _, d := range j.Demands {
