Keep the objective of a huge estimate from overflowing

The objective of a submitted job was computed as an int64. With an estimate of its run time near the maximum it became negative, so that the job counted as worthless from the start and was refused as soon as another one waited. It is computed as a float now. The planner's objective is unchanged.

TestNewcomerOfHugeEstimate failed with a WorthlessMS of -2.8e19.

--- a/dispatch/backlog.go
+++ b/dispatch/backlog.go
@@ -129,7 +129,7 @@
 		Exempt: spec.Repeat != nil || q.Advice != nil || hasLastingStep(j),
 		PathMS: criticalPathMS(spec, workMS, func(int) bool { return true }),
 	}
-	b.ObjectiveMS = float64(objectiveMS(q, j, workMS))
+	b.ObjectiveMS = stretchedPathMS(q, j, workMS) + float64(q.LatencyMS)
 	b.WorthlessMS = worthlessFactor * b.ObjectiveMS
 	for i := range spec.Steps {
 		st := &spec.Steps[i]
--- a/dispatch/backlog_test.go
+++ b/dispatch/backlog_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -114,6 +115,15 @@
 	assert.Assert(t, largeRefused/large <= 2*refused/all)
 }
 
+// TestNewcomerOfHugeEstimate guards against an objective that overflows, so that a job counts as
+// worthless from the start.
+func TestNewcomerOfHugeEstimate(t *testing.T) {
+	st := cpuStep(1_000)
+	st.ExpectedMS = math.MaxInt64
+	j := NewcomerOf(queue.Queue{Stretch: 1.5, LatencyMS: 300}, "huge", queue.Spec{Steps: []queue.Step{st}}, nil)
+	assert.Assert(t, j.WorthlessMS > j.PathMS, "%+v", j)
+}
+
 // TestBacklogSummary guards against work and capacity that are not in the summary, or that do not
 // count for a lane.
 func TestBacklogSummary(t *testing.T) {
--- a/dispatch/rank.go
+++ b/dispatch/rank.go
@@ -145,8 +145,13 @@
 }
 
 func objectiveMS(q queue.Queue, j *queue.Job, workMS []float64) int64 {
-	path := criticalPathMS(j.Spec, workMS, func(int) bool { return true })
-	return int64(max(1, q.Stretch)*path) + q.LatencyMS
+	return int64(stretchedPathMS(q, j, workMS)) + q.LatencyMS
+}
+
+// stretchedPathMS returns the part of the objective that depends on the job, in ms. It may be beyond
+// the range of int64.
+func stretchedPathMS(q queue.Queue, j *queue.Job, workMS []float64) float64 {
+	return max(1, q.Stretch) * criticalPathMS(j.Spec, workMS, func(int) bool { return true })
 }
 
 // openOccurrence returns the oldest unfinished occurrence of a job, or the last one.
