Bound what huge fillers add to the summary of the backlog

A filler reserves no processors, so one that asks for more than any VM has was held to fit. While it waited, its work kept out all fillers of less important queues, and once it ran, its processors counted as the lane's rate, so that no filler was refused. Such tasks are left out now, and fillers use at most the capacity of their VM.

TestBacklogSummary failed for either half: the waiting filler was in the summary, and the rate was 1e15 on VMs of 8,000.

--- a/dispatch/backlog.go
+++ b/dispatch/backlog.go
@@ -58,12 +58,13 @@
 	return backlog.NewSummary(p.view.Now, lanes, shapes)
 }
 
-// addToLanes adds the waiting tasks of a job.
+// addToLanes adds the waiting tasks of a job. Fillers that ask for more processors than a VM has are
+// left out: they use at most those of one VM, so their work does not tell how long they delay others.
 func (p *pass) addToLanes(lanes map[backlog.Lane]*backlog.Queue, js *jobState, planned map[queue.StepKey]int, shapes *backlog.Shapes) {
 	for _, w := range js.waiting {
 		st := &js.job.Spec.Steps[w.Step]
 		waiting := w.tasks - planned[w.StepKey]
-		if waiting <= 0 || st.Lasting || js.job.Occurrences[w.Occurrence].DueMS > p.view.Now || !shapes.CanHold(js.queue.Service, st.Label, st.Need()) {
+		if waiting <= 0 || st.Lasting || js.job.Occurrences[w.Occurrence].DueMS > p.view.Now || !shapes.CanHold(js.queue.Service, st.Label, st.Size) {
 			continue
 		}
 		l := laneOf(js.queue, st)
@@ -102,6 +103,7 @@
 		for _, f := range v.colocation.fillers {
 			used += f.cpu * f.speed
 		}
+		used = min(used, float64(v.vm.Capacity.CPUMilli)) // fillers may ask for more than a VM has
 		free.CPUMilli = int64(max(0, v.colocation.idleCPU) * p.fillerTolerance(&v.colocation, noImage))
 		return used, free
 	}
--- a/dispatch/backlog_test.go
+++ b/dispatch/backlog_test.go
@@ -144,6 +144,7 @@
 	second := wide
 	second.DependsOn = []int{0}
 	w.submit("later", "steps", 900, fillerStep("f", 100), second)
+	w.submit("urgent", "huge", 900, fillerStep("f", 1e15))
 	w.view.SummarizeBacklog = true
 	plan := PlanOnce(w.s, w.view)
 	assert.Equal(t, len(plan.Starts), 7, "6 short tasks and a filler")
@@ -161,6 +162,12 @@
 	assert.Equal(t, plan.Backlog.Lane(backlog.Lane{Service: "desk", Label: "a"}).Waiting, 30)
 	assert.Assert(t, plan.Backlog.Lane(backlog.Lane{Service: "desk", Filler: true}) == nil)
 
+	k := queue.TaskKey{Job: "huge"}
+	w.s.Apply(queue.Command{Starts: []queue.Start{{Task: k, VM: "vm1", Incarnation: "life"}}}, w.view.Now)
+	w.submit("urgent", "filler", 900, fillerStep("f", 4_000))
+	q = PlanOnce(w.s, w.view).Backlog.Lane(backlog.Lane{Service: "desk", Filler: true})
+	assert.Assert(t, q.Rate <= 8_000, "fillers use %f of 8,000", q.Rate)
+
 	w.addVM(3)
 	w.view.VMs["vm3"] = VMView{} // its agent has no session yet
 	q = PlanOnce(w.s, w.view).Backlog.Lane(backlog.Lane{Service: "desk"})
