Test the refusal by a leader that was replaced

A leader decides on a submission, and is replaced by one that has accepted the job before it confirms the refusal. The entries of its successor are in its log, but not applied.

--- a/scheduler/admission_test.go
+++ b/scheduler/admission_test.go
@@ -6,12 +6,14 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
 	"rudderfork.example/rudderfork"
 	"rudderfork.example/rudderfork/backlog"
 	"rudderfork.example/rudderfork/internal/steady"
 	"rudderfork.example/rudderfork/queue"
+	"rudderfork.example/rudderfork/quorum"
 	"rudderfork.example/rudderfork/state"
 	"rudderfork.example/rudderfork/wire"
 )
@@ -213,6 +215,35 @@
 	assert.Assert(t, !c.sched.confirmRefusal(c.ctx, &sub))
 }
 
+// TestRefusalByDeposedLeader guards against the refusal of a job by a leader that is replaced between
+// the decision and the answer, and does not know that its successor has accepted the job.
+func TestRefusalByDeposedLeader(t *testing.T) {
+	c := newAdmissionCluster(t, Policies{RefuseJobs: true})
+	c.overload()
+	submit := queue.Submit{Host: testHost, Path: "/q/a", Spec: queue.Spec{Steps: []queue.Step{secondStep}}}
+	sub := c.sched.decide(&submit)
+	assert.Assert(t, sub.decision.Refused())
+
+	before := c.rep.Status()
+	release := c.blockCommits()
+	data, err := cbor.Marshal(state.Command{Queue: &queue.Command{Submit: &submit}})
+	assert.NilError(t, err)
+	c.rep.Step(c.ctx, quorum.Message{
+		Type: quorum.MsgAppend, From: "d#1", To: before.ID, Term: before.Term + 1, LogIndex: before.LastIndex, LogTerm: before.Term,
+		Commit: before.LastIndex + 2, Entries: []quorum.Entry{
+			{Index: before.LastIndex + 1, Term: before.Term + 1, Kind: quorum.EntryNoop},
+			{Index: before.LastIndex + 2, Term: before.Term + 1, Kind: quorum.EntryCommand, Data: data},
+		},
+	})
+	c.waitUntil("it is deposed", func() bool { return c.rep.Status().Term > before.Term })
+	assert.Assert(t, !c.holds("a"))
+	assert.Assert(t, !c.sched.confirmRefusal(c.ctx, &sub))
+	resp := c.sched.commit(c.ctx, queue.Command{Submit: &submit})
+	assert.Assert(t, resp.NotTaken, "%+v", resp)
+	release()
+	c.waitUntil("it holds the job that its successor has accepted", func() bool { return c.holds("a") })
+}
+
 // TestCommits guards against an unknown outcome that is forgotten too soon, or never.
 func TestCommits(t *testing.T) {
 	c := newCommits()
