--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -294,14 +294,22 @@
 	return -1
 }
 
-// Manifest returns a manifest with one queue. Its objective is wide, so that no job is refused.
-func Manifest(version int) map[string]any {
+// Manifest returns a manifest with the queues at the prefixes, or at Prefix if there are none. Their
+// objectives are wide, so that no job is refused.
+func Manifest(version int, prefixes ...string) map[string]any {
+	if len(prefixes) == 0 {
+		prefixes = []string{Prefix}
+	}
+	routes := []any{}
+	for _, prefix := range prefixes {
+		routes = append(routes, map[string]any{
+			"name": "r-" + strings.Trim(prefix, "/"), "host": Host, "path_prefix": prefix, "route_type": "non_idempotent", "timeout_ms": 3000,
+			"target_latency_ms": 60000, "priority": 0, "service": Service, "max_attempts": 4, "stretch": 10.0,
+		})
+	}
 	return map[string]any{
 		"version": version,
-		"routes": []any{map[string]any{
-			"name": "r-seat-hold", "host": Host, "path_prefix": Prefix, "route_type": "non_idempotent", "timeout_ms": 3000,
-			"target_latency_ms": 60000, "priority": 0, "service": Service, "max_attempts": 4, "stretch": 10.0,
-		}},
+		"routes":  routes,
 		"services": []any{map[string]any{
 			"name": Service, "health_path": "/health", "max_conns": 64, "protocol": "h1", "tls": false, "rejects_overload": true, "spare": false,
 		}},
@@ -324,24 +332,27 @@
 	Lasts  bool `json:"long_running,omitempty"`
 }
 
-// Submit hands in a job and repeats the call until it gets a final answer, as a client does.
-func (s *Site) Submit(id string, j Job) error {
+// Submit hands in a job at Prefix and repeats the call until it gets a final answer, as a client does.
+func (s *Site) Submit(id string, j Job) error { return s.SubmitAt(Prefix+id, j) }
+
+// SubmitAt is Submit for a whole path.
+func (s *Site) SubmitAt(path string, j Job) error {
 	text, err := json.Marshal(j)
 	if err != nil {
 		return err
 	}
 	for range 20 {
-		status, answer, err := call(http.MethodPost, "http://"+s.Front(0)+Prefix+id, Host, text)
-		s.Record.Add("client: POST %s -> %d %v", id, status, err)
+		status, answer, err := call(http.MethodPost, "http://"+s.Front(0)+path, Host, text)
+		s.Record.Add("client: POST %s -> %d %v", path, status, err)
 		switch {
 		case status == http.StatusOK:
 			return nil
 		case status != 0 && status != http.StatusBadGateway && status != http.StatusGatewayTimeout && status != http.StatusServiceUnavailable:
-			return fmt.Errorf("job %s: status %d: %s", id, status, answer)
+			return fmt.Errorf("job %s: status %d: %s", path, status, answer)
 		}
 		time.Sleep(200 * time.Millisecond)
 	}
-	return fmt.Errorf("job %s: not accepted", id)
+	return fmt.Errorf("job %s: not accepted", path)
 }
 
 // State returns the state of a job, as a client is told, or "" if there is no answer.
@@ -357,6 +368,13 @@
 	return b.State
 }
 
+// Cancel sends the cancelling of a job once and returns the status of the answer, 0 without one.
+func (s *Site) Cancel(path string) int {
+	status, _, err := call(http.MethodDelete, "http://"+s.Front(0)+path, Host, nil)
+	s.Record.Add("client: DELETE %s -> %d %v", path, status, err)
+	return status
+}
+
 // Troubled reports whether the case brings about its disruption: TROUBLE=0 leaves it out.
 func Troubled() bool { return os.Getenv("TROUBLE") != "0" }
 
--- a/review/rig/runner.go
+++ b/review/rig/runner.go
@@ -44,7 +44,7 @@
 
 // Runner is a stand-in for the runners of one side machine, one life after the other. It guards its
 // capacity. A task works for the time that its task_spec names: "work=BASE+STEP" stands for BASE ms
-// and STEP ms more for each index of the task.
+// and STEP ms more for each index of the task. A task without a time lasts.
 type Runner struct {
 	site    *Site
 	index   int
@@ -140,6 +140,15 @@
 	return list
 }
 
+// Fail ends all runs with "failed", as tasks that last may end at any time.
+func (r *Runner) Fail() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, run := range r.sorted() {
+		r.end(run, "failed")
+	}
+}
+
 // AtWork returns how many tasks are at work.
 func (r *Runner) AtWork() int {
 	r.mu.Lock()
@@ -209,7 +218,7 @@
 		switch {
 		case run.stopAt > 0 && now >= run.stopAt:
 			r.end(run, "stopped")
-		case run.stopAt == 0 && now-run.startedMS >= run.workMS:
+		case run.stopAt == 0 && run.workMS > 0 && now-run.startedMS >= run.workMS:
 			r.end(run, "done")
 		}
 	}
@@ -379,7 +388,7 @@
 	for _, run := range r.sorted() {
 		percent := int64(100)
 		if run.workMS > 0 {
-			percent = min(99, 100*(r.clock()-run.startedMS)/run.workMS)
+			percent = min(100, 100*(r.clock()-run.startedMS)/run.workMS)
 		}
 		running = append(running, []any{run.Task, run.Number, "", percent, run.cpu})
 	}
