--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -18,6 +18,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -189,7 +190,7 @@
 	}
 	defer out.Close()
 	cmd := exec.Command(program, args...)
-	cmd.Env = append(s.env, "RUDDERFORK_NODE_FILE="+path)
+	cmd.Env = append(slices.Clone(s.env), "RUDDERFORK_NODE_FILE="+path)
 	cmd.Stdout, cmd.Stderr = out, out
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
