--- a/review/rig/cloud.go
+++ b/review/rig/cloud.go
@@ -46,7 +46,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /machines", c.list)
-	mux.HandleFunc("POST /machine-upkeep", c.upkeep)
+	mux.HandleFunc("POST "+Names.UpkeepPath, c.upkeep)
 	go func() { _ = http.Serve(ln, mux) }() // serves until the case ends
 	return c, nil
 }
@@ -68,7 +68,7 @@
 		}
 		machines = append(machines, map[string]any{
 			"machine": r.machine, "pool": Service, "state": state, "zone": zones[r.index%3], "labels": []string{"a", "r1-1"},
-			"capacity": map[string]int{"cpu": r.cpu, "mem_mb": r.mem, "gpu": 0}, "id": r.Life(),
+			"capacity": map[string]int{"cpu": r.cpu, Names.Memory: r.mem, "gpu": 0}, "id": r.Life(),
 		})
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -81,10 +81,10 @@
 		Wave    int    `json:"wave"`
 	}
 	_ = json.NewDecoder(req.Body).Decode(&b) // an unreadable body names no machine
-	fence, _ := strconv.Atoi(req.Header.Get("X-Fence-Token"))
+	fence, _ := strconv.Atoi(req.Header.Get(Names.FenceHeader))
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	o := Order{time.Now(), b.Machine, b.Wave, req.Header.Get("X-Duty-Holder"), fence}
+	o := Order{time.Now(), b.Machine, b.Wave, req.Header.Get(Names.HolderHeader), fence}
 	c.orders = append(c.orders, o)
 	status, reason := c.begin(b.Machine, b.Wave)
 	c.site.Record.Add("cloud: upkeep of %s, wave %d, holder %s, fence %d -> %d %s", o.Machine, o.Wave, o.Holder, o.Fence, status, reason)
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -190,7 +190,7 @@
 	}
 	defer out.Close()
 	cmd := exec.Command(program, args...)
-	cmd.Env = append(slices.Clone(s.env), "RUDDERFORK_NODE_FILE="+path)
+	cmd.Env = append(slices.Clone(s.env), Names.SettingsVariable+"="+path)
 	cmd.Stdout, cmd.Stderr = out, out
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
@@ -241,7 +241,7 @@
 		}
 		if host != "" {
 			req.Host = host
-			req.Header.Set("X-Deadline-Ms", "3000")
+			req.Header.Set(Names.DeadlineHeader, "3000")
 		}
 		req.Header.Set("Content-Type", "application/json")
 		resp, err := client.Do(req)
@@ -304,15 +304,15 @@
 	routes := []any{}
 	for _, prefix := range prefixes {
 		routes = append(routes, map[string]any{
-			"name": "r-" + strings.Trim(prefix, "/"), "host": Host, "path_prefix": prefix, "route_type": "non_idempotent", "timeout_ms": 3000,
-			"target_latency_ms": 60000, "priority": 0, "service": Service, "max_attempts": 4, "stretch": 10.0,
+			"name": "r-" + strings.Trim(prefix, "/"), "host": Host, Names.Prefix: prefix, "route_type": "non_idempotent", "timeout_ms": 3000,
+			Names.Latency: 60000, "priority": 0, "service": Service, "max_attempts": 4, "stretch": 10.0,
 		})
 	}
 	return map[string]any{
 		"version": version,
 		"routes":  routes,
 		"services": []any{map[string]any{
-			"name": Service, "health_path": "/health", "max_conns": 64, "protocol": "h1", "tls": false, "rejects_overload": true, "spare": false,
+			"name": Service, "health_path": "/health", "max_conns": 64, "protocol": "h1", "tls": false, Names.Guarded: true, "spare": false,
 		}},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	}
@@ -320,17 +320,31 @@
 
 // Job is a job as a client submits it.
 type Job struct {
-	Spec  string `json:"task_spec"`
-	Steps []Step `json:"steps"`
+	Spec  string
+	Steps []Step
+}
+
+// MarshalJSON implements json.Marshaler.
+func (j Job) MarshalJSON() ([]byte, error) {
+	return json.Marshal(map[string]any{Names.Payload: j.Spec, "steps": j.Steps})
 }
 
 // Step is a step of a job.
 type Step struct {
-	Count  int  `json:"count"`
-	CPU    int  `json:"cpu,omitempty"`
-	Memory int  `json:"mem_mb,omitempty"`
-	EstMS  int  `json:"est_duration_ms,omitempty"`
-	Lasts  bool `json:"long_running,omitempty"`
+	Count  int
+	CPU    int
+	Memory int
+	EstMS  int
+	Lasts  bool
+}
+
+// MarshalJSON implements json.Marshaler.
+func (s Step) MarshalJSON() ([]byte, error) {
+	fields := map[string]any{"count": s.Count, "cpu": s.CPU, Names.Memory: s.Memory, Names.Estimate: s.EstMS}
+	if s.Lasts {
+		fields[Names.Lasts] = true
+	}
+	return json.Marshal(fields)
 }
 
 // Submit hands in a job at Prefix and repeats the call until it gets a final answer, as a client does.
